--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,23 @@
+// Command benchlink runs the decision module on the bench's wire, on standard
+// input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"jaspersill/choice"
+	"jaspersill/port"
+	"jaspersill/simwire"
+)
+
+func main() {
+	start := func(seed uint64, s simwire.Start) port.Decider {
+		return choice.New(seed, s.Types, s.Customers, s.OverShare, s.Partners, s.Room, s.Recovery,
+			s.Directory, s.Fleet, s.OrderPause)
+	}
+	if err := simwire.Serve(os.Stdin, os.Stdout, start); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/port/port.go
@@ -0,0 +1,133 @@
+// Package port is the protocol-neutral interface between the decision module
+// and whatever carries its decisions out. Times are nanoseconds; events,
+// endpoints and destinations are small dense indices given out at the door.
+package port
+
+// Outcome says how a send ended.
+type Outcome uint8
+
+const (
+	Acked         Outcome = iota // delivered
+	Errored                      // the destination answered with an error; it may have run
+	Declined                     // turned away unseen
+	TimedOut                     // no answer in time; it may have run
+	ConnectFailed                // no connection; it did not run
+	Reset                        // the connection broke; it may have run
+	Cancelled                    // called off; it may have run
+	Unsent                       // never left the delivery node
+)
+
+// MayHaveRun reports whether a send that ended so may have taken effect.
+func (o Outcome) MayHaveRun() bool {
+	return o == Acked || o == Errored || o == TimedOut || o == Reset || o == Cancelled
+}
+
+// Safety is what repeating an event of a stream type may do.
+type Safety uint8
+
+const (
+	Idempotent Safety = iota
+	Deduplicated
+	NonIdempotent
+)
+
+// State is what the directory says of an endpoint.
+type State uint8
+
+const (
+	Draining State = 1 + iota
+	Ready
+	Gone
+)
+
+// StreamType is one stream type's terms.
+type StreamType struct {
+	Safety      Safety
+	ByZone      bool  // repeats are dropped only by endpoints of one zone
+	Ordered     bool  // events with the same key go one at a time
+	Window      int64 // how long a destination knows a repeat
+	SLO         int64
+	SLOPerWork  float64 // the SLO time grows by this multiple of the event's own work
+	MaxAge      int64
+	Utility     float64
+	LateUtility float64 // share of the utility left at max age
+	Halving     bool    // utility halves with each further SLO time, else it falls evenly
+}
+
+// Customer is a customer's share, in events a second over all delivery nodes.
+type Customer struct{ Rate float64 }
+
+// Partner is a kind of destination.
+type Partner struct {
+	Routes  bool // its endpoints are routes apart, each with its own limit
+	PerCall int  // events in one call at most
+}
+
+// Room is what a delivery node may have at once and may do.
+type Room struct {
+	Slots, Events, Sends int
+	Copies, Cancels      bool
+	ComeBack             int64 // longest come-back time a client honours; 0 when it can't be told
+}
+
+// Recovery tells how a destination comes back from an outage.
+type Recovery struct {
+	ColdShare    float64
+	WarmAfter    int64
+	FallMultiple float64
+	FallAfter    int64
+}
+
+// Directory tells how the list of endpoints is kept.
+type Directory struct {
+	Asked     bool  // changes come only when asked for
+	AskWithin int64 // asked at least this often, where no watch stands
+	Grace     int64 // time to stop sending to a draining or gone endpoint
+}
+
+// Fleet is the place of this delivery node among its peers.
+type Fleet struct {
+	Me, Nodes int
+	Notes     bool // peers may be told things
+	Probes    bool
+}
+
+// Writer takes the decisions of one round, in order.
+type Writer interface {
+	Send(evt, endpoint int32, timeout int64)
+	Decline(evt int32, comeBack int64)
+	Discard(evt int32)
+	Cancel(evt int32, send int)
+	Wake(after int64)
+	Watch(on bool)
+	FetchList()
+	Probe(endpoint int32)
+	CloseIdle(endpoint int32)
+	TellGood(endpoint int32) // tells all peers that the endpoint answers well
+	Log(text string)
+}
+
+// Intake takes what came in, in the order of arrival.
+type Intake interface {
+	Event(evt int32, streamType, customer int, key uint64, left, work int64, dest int32)
+	Begun(evt int32, send int)
+	// Outcome: limit is the calls a second that the destination told, 0 for none, and left
+	// the share of it that it said was free.
+	Outcome(evt int32, send int, endpoint int32, how Outcome, wait, took int64, ended bool, left, limit float64)
+	Withdrawn(evt int32)
+	ListBegins(whole bool)
+	Listed(endpoint, dest int32, partner, zone int, state State, rate float64)
+	ListEnds()
+	ListFailed()
+	Probed(endpoint int32, how Outcome, took int64, left, limit float64)
+	PeerGood(peer int, endpoint int32)
+	Woken()
+}
+
+// Feed hands a round's news to an Intake.
+type Feed interface{ Deliver(Intake) }
+
+// Decider is a decision module: one for each delivery node.
+type Decider interface {
+	Round(now int64, feed Feed, out Writer)
+}
