Slot shares: a lane holds at most as many slots as are left free

Cause: destinations that answer late or never filled all slots in every first incident. It also guards against a plain clump for one destination; it could hurt a node whose whole traffic goes to one destination.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 //
 // Beside the design stand these mechanisms:
 //  1. Cold return: a lane that failed is sent little until it has had time to warm up.
+//  2. Slot shares: a lane holds at most as many slots as are left free.
 package choice
 
 import (
@@ -341,7 +342,9 @@
 	if l.joinable(lane) == ep {
 		e.call = l.filling[lane]
 	} else {
-		if n.slots >= n.room.Slots || !l.may(lane, n.now) {
+		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A lane
+		// may hold no more slots than are left free, so each sick one still leaves half of what it found.
+		if free := n.room.Slots - n.slots; free <= 0 || l.out[lane] >= free || !l.may(lane, n.now) {
 			return false
 		}
 		if last := len(n.idle) - 1; last >= 0 {
