--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,11 +7,15 @@
 // it where its endpoints are routes apart.
 //
 // Beside the design stand these mechanisms:
-//  1. Cold return: a lane that failed is sent little until it has had time to warm up.
-//  2. Slot shares: a lane holds at most as many slots as are left free.
+//  1. Endpoint health: one with failures in a row, or silent past its time, is set aside and tried singly.
+//  2. Cold return: an endpoint that was set aside is sent little until it has had time to warm up.
+//  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
+//  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
+//  5. Slot shares: a lane holds at most as many slots as are left free.
 package choice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -42,10 +46,21 @@
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
-	sickAfter    = 3           // failures in a row that make an outage: one or two are chance
-	sickSpan     = 1 * second  // refusals count as an outage only if they go on this long: a burst is shorter
 	coldRoom     = 0.8         // part of the rule's budget that is used: leaves room for sends on their way
 	guessLimit   = 2.0         // calls a second assumed of a lane that told no limit: small partners take that
+
+	// Health, time-outs and the order of endpoints.
+	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
+	refusedSpan = 1 * second     // refusals count as failures only if they go on this long: a burst is shorter
+	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
+	overdueDevs = 4.0            // an answer is overdue this many deviations past the mean: the usual figure
+	timeoutDevs = 8.0            // and a time-out twice as many
+	leastLate   = second / 2     // no answer is overdue before this: jitter and a stall of a moment are no sign
+	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
+	unmeasured  = 4 * second     // time-out before any answer is measured
+	patience    = 4              // time-outs are this much longer: late is worth more than twice
+	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
+	rankFill    = 2              // calls out at an endpoint before the next in order is used: few queue there
 )
 
 // event is one event from its coming to its end.
@@ -61,10 +76,10 @@
 
 // call is one call out: one slot, one fate.
 type call struct {
-	lane, endpoint int32
-	at             int64
-	events         int // outcomes still to come
-	judged         bool
+	endpoint int32
+	at       int64
+	events   int // outcomes still to come
+	judged   bool
 }
 
 // Node is the decision module of one delivery node.
@@ -87,12 +102,10 @@
 	keys  turns
 	lanes lanes
 
-	// Endpoints, by index.
-	epDest, epLane []int32
-	epZone, epOut  []int
-	epReady        []bool
-	byDest         [][]int32 // a destination's endpoints
-	destLane       []int32   // its lane, where its endpoints share one
+	eps      endpoints
+	byDest   [][]int32 // a destination's endpoints, in their ranked order
+	rankAt   int64
+	destLane []int32 // its lane, where its endpoints share one
 }
 
 // New makes the module of one delivery node.
@@ -100,9 +113,9 @@
 	kinds []port.Partner, room port.Room, back port.Recovery, dir port.Directory, fleet port.Fleet,
 	orderPause int64) *Node {
 	return &Node{chance: newPCG(seed), types: types, kinds: kinds, room: room,
-		dir:   directory{asked: dir.Asked, within: dir.AskWithin},
-		keys:  turns{pause: orderPause, lines: make(map[uint64]*turn)},
-		lanes: lanes{back: back, nodes: float64(max(1, fleet.Nodes))},
+		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
+		keys: turns{pause: orderPause, lines: make(map[uint64]*turn)},
+		eps:  endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
 	}
 }
 
@@ -110,7 +123,11 @@
 func (n *Node) Round(now int64, feed port.Feed, out port.Writer) {
 	n.now, n.out = now, out
 	feed.Deliver(n)
-	n.dir.ask(now, out, &n.chance)
+	n.dir.ask(now, out)
+	n.eps.look(now, n.calls)
+	if now >= n.rankAt {
+		n.rank()
+	}
 	n.endLate()
 	n.dispatch()
 	pause := restBeat
@@ -143,38 +160,38 @@
 	n.events[evt].deadline = math.MaxInt64 // the answer has begun: no time runs any more
 }
 
-func (n *Node) Outcome(evt int32, send int, endpoint int32, how port.Outcome, wait, took int64, ended bool,
+func (n *Node) Outcome(evt int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool,
 	left, limit float64) {
 	e := &n.events[evt]
 	if e.call >= 0 {
 		c := &n.calls[e.call]
 		if !c.judged {
 			c.judged = true
-			n.lanes.judge(c.lane, n.now, how, wait, took, limit)
+			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
+			n.eps.judge(ep, n.now, how, took)
 		}
 		if c.events--; c.events == 0 {
 			n.slots--
-			n.epOut[c.endpoint]--
-			n.lanes.out[c.lane]--
+			n.eps.out[ep]--
+			n.lanes.out[n.eps.lane[ep]]--
 			n.idle = append(n.idle, e.call)
 		}
 		e.call = -1
 	}
 	if how.MayHaveRun() && how != port.Acked {
 		if !e.mayRun {
-			e.mayRun, e.ranAt, e.ranZone = true, e.sentAt, n.epZone[endpoint]
+			e.mayRun, e.ranAt, e.ranZone = true, e.sentAt, n.eps.zone[ep]
 		}
 		if how != port.Errored && n.types[e.typ].Ordered {
 			n.keys.hold(e.key, n.now) // the send may still be running: the key's next event must not overtake it
 		}
 	}
-	switch {
-	case ended || !e.live:
+	if ended || !e.live {
 		e.live = false
 		n.keys.leave(e.key, evt, n.now)
-	default:
-		n.retry(evt, how, wait)
+		return
 	}
+	n.retry(evt, how, wait)
 }
 
 func (n *Node) Withdrawn(evt int32) {
@@ -185,33 +202,27 @@
 
 func (n *Node) ListBegins(whole bool) {
 	if whole {
-		for i := range n.epReady {
-			n.epReady[i] = false
-		}
+		clear(n.eps.ready)
 	}
 }
 
 func (n *Node) Listed(ep, dest int32, kind, zone int, state port.State, rate float64) {
 	n.destination(dest)
-	for int(ep) >= len(n.epReady) {
-		n.epReady, n.epZone, n.epOut = append(n.epReady, false), append(n.epZone, 0), append(n.epOut, 0)
-		n.epDest, n.epLane = append(n.epDest, -1), append(n.epLane, -1)
-	}
-	if n.epDest[ep] < 0 {
-		n.epDest[ep], n.epZone[ep] = dest, zone
+	n.eps.grow(int(ep))
+	if n.eps.lane[ep] < 0 {
+		n.eps.zone[ep] = zone
 		n.byDest[dest] = append(n.byDest[dest], ep)
 		perCall, routes := 1, false
 		if kind < len(n.kinds) {
 			perCall, routes = n.kinds[kind].PerCall, n.kinds[kind].Routes
 		}
-		if lane := n.destLane[dest]; routes || lane < 0 {
-			n.epLane[ep] = n.lanes.add(perCall)
-			n.destLane[dest] = n.epLane[ep]
-		} else {
-			n.epLane[ep] = lane
+		if n.eps.lane[ep] = n.destLane[dest]; routes || n.destLane[dest] < 0 {
+			n.eps.lane[ep] = n.lanes.add(perCall)
+			n.destLane[dest] = n.eps.lane[ep]
 		}
+		n.lanes.ends[n.eps.lane[ep]]++
 	}
-	n.epReady[ep] = state == port.Ready
+	n.eps.ready[ep] = state == port.Ready
 }
 
 func (n *Node) ListEnds()                                                   { n.dir.answered() }
@@ -285,9 +296,8 @@
 // endLate answers events whose time is up, whether they wait or have a send out: an unanswered one is lost.
 func (n *Node) endLate() {
 	for i := range n.events {
-		if e := &n.events[i]; e.live && n.now >= e.deadline {
-			n.giveUp(int32(i), 0)
-		} else if e.live && e.call < 0 && n.now >= n.lastSend(e) {
+		e := &n.events[i]
+		if e.live && (n.now >= e.deadline || (e.call < 0 && n.now >= n.lastSend(e))) {
 			n.giveUp(int32(i), 0)
 		}
 	}
@@ -304,11 +314,9 @@
 		if n.now < e.notBefore || (n.types[e.typ].Ordered && !n.keys.may(e.key, evt, e.sends > 0, n.now)) {
 			continue
 		}
-		ep := n.endpoint(e)
-		if ep < 0 {
-			continue
+		if ep := n.endpoint(e); ep >= 0 && n.send(evt, ep) {
+			sent = true
 		}
-		sent = n.send(evt, ep) || sent
 	}
 	n.lanes.endRound()
 	if sent {
@@ -316,35 +324,58 @@
 	}
 }
 
-// endpoint picks where an event goes, -1 for nowhere now.
+// rank renews the order of each destination's endpoints: the quickest to answer first.
+func (n *Node) rank() {
+	n.rankAt = n.now + rankEvery
+	for _, list := range n.byDest {
+		slices.SortStableFunc(list, func(a, b int32) int { return cmp.Compare(n.eps.mean[a], n.eps.mean[b]) })
+	}
+}
+
+// endpoint picks where an event goes, -1 for nowhere now: the first in order with room, else the one with the
+// fewest calls out. One set aside is tried singly, by an event that bears it.
 func (n *Node) endpoint(e *event) int32 {
-	best := int32(-1)
+	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
 	for _, ep := range n.byDest[e.dest] {
-		if !n.epReady[ep] || n.now < n.lanes.waitUntil[n.epLane[ep]] {
+		if !n.eps.ready[ep] || n.now < n.lanes.waitUntil[n.eps.lane[ep]] {
 			continue
 		}
-		if t := &n.types[e.typ]; e.mayRun && t.ByZone && n.epZone[ep] != e.ranZone {
+		if e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone {
 			continue // another zone does not know the mark: a second effect is the danger
 		}
-		if n.lanes.joinable(n.epLane[ep]) == ep {
+		if n.lanes.joinable(n.eps.lane[ep]) == ep {
 			return ep
 		}
-		if best < 0 || n.epOut[ep] < n.epOut[best] {
-			best = ep
+		switch {
+		case n.eps.suspect(ep, n.now):
+			if n.eps.out[ep] == 0 && n.eps.may(ep, n.now, n.lanes.share(n.eps.lane[ep])) &&
+				(trial < 0 || n.eps.failedAt[ep] < n.eps.failedAt[trial]) {
+				trial = ep
+			}
+		case best >= 0 && n.eps.out[best] < rankFill:
+		case best < 0 || n.eps.out[ep] < n.eps.out[best]:
+			if n.eps.may(ep, n.now, n.lanes.share(n.eps.lane[ep])) {
+				best = ep
+			}
 		}
 	}
+	// Danger: a trial at a silent endpoint costs a non-idempotent event its life, and any other its time-out.
+	bears := t.Safety != port.NonIdempotent || !n.eps.ranLast(trial) || n.now-e.came > t.MaxAge/2
+	if trial >= 0 && bears && (best < 0 || e.errors == 0) {
+		return trial
+	}
 	return best
 }
 
 // send sends an event, in a call that is being filled this round or in one of its own.
 func (n *Node) send(evt, ep int32) bool {
-	e, l, lane := &n.events[evt], &n.lanes, n.epLane[ep]
+	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
 	if l.joinable(lane) == ep {
 		e.call = l.filling[lane]
 	} else {
 		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A lane
 		// may hold no more slots than are left free, so each sick one still leaves half of what it found.
-		if free := n.room.Slots - n.slots; free <= 0 || l.out[lane] >= free || !l.may(lane, n.now) {
+		if free := n.room.Slots - n.slots; l.out[lane] >= free || !l.may(lane, n.now) {
 			return false
 		}
 		if last := len(n.idle) - 1; last >= 0 {
@@ -353,70 +384,171 @@
 			e.call = int32(len(n.calls))
 			n.calls = append(n.calls, call{})
 		}
-		n.calls[e.call] = call{lane: lane, endpoint: ep, at: n.now}
+		n.calls[e.call] = call{endpoint: ep, at: n.now}
 		n.slots++
-		n.epOut[ep]++
+		n.eps.out[ep]++
+		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
 		l.open(lane, ep, e.call, n.now)
 	}
-	l.fill(lane)
+	l.filled[lane]++
 	n.calls[e.call].events++
 	e.sends++
 	e.sentAt = n.now
-	n.out.Send(evt, ep, e.deadline-n.now)
+	timeout := e.deadline - n.now
+	if n.types[e.typ].Safety != port.NonIdempotent { // whose time-out is its end
+		timeout = min(timeout, patience*n.eps.timeout(ep))
+	}
+	n.out.Send(evt, ep, timeout)
 	return true
 }
 
-// ---- lanes: waits, the companion pace and cold returns
+// ---- endpoints: health, time-outs and cold returns
 
-// lanes holds the figures of each lane, by index.
-type lanes struct {
+// endpoints holds the figures of each endpoint, by index.
+type endpoints struct {
 	back  port.Recovery
 	nodes float64
 
-	perCall, out, bad []int
-	waitUntil         []int64
-	limit             []float64 // calls a second that the destination told
-	pace, credit      []float64 // calls a second, 0 for unpaced; calls that may go now
-	creditAt, cutAt   []int64
-	climbAt           []int64
-	recent            [][]int64 // sends of the last second
-	badSince, warmAt  []int64   // first of the failures in a row; first answer after an outage
-	sick              []bool
-	filling, fillEp   []int32 // the call that this round's sends may join, and its endpoint
-	filled            []int
-	open_             []int32 // lanes with a call being filled
+	lane            []int32
+	zone, out       []int
+	ready           []bool
+	mean, dev       []float64 // answer times
+	fails, timeouts []int     // in a row
+	failedAt, ackAt []int64   // first of the failures in a row; last good answer
+	overdueAt       []int64   // when the oldest call with no good answer since is overdue, 0 for none
+	aside, ran      []bool    // set aside; the last failure may have run
+	warmAt          []int64   // first good answer after it was set aside, -1 for never
+	credit          []float64 // calls that may go while cold
+	creditAt        []int64
+}
+
+func (p *endpoints) grow(ep int) {
+	for ep >= len(p.lane) {
+		p.lane, p.zone, p.out = append(p.lane, -1), append(p.zone, 0), append(p.out, 0)
+		p.ready, p.aside, p.ran = append(p.ready, false), append(p.aside, false), append(p.ran, false)
+		p.mean, p.dev, p.credit = append(p.mean, 0), append(p.dev, 0), append(p.credit, 1)
+		p.fails, p.timeouts = append(p.fails, 0), append(p.timeouts, 0)
+		p.failedAt, p.ackAt = append(p.failedAt, 0), append(p.ackAt, -1)
+		p.overdueAt, p.warmAt = append(p.overdueAt, 0), append(p.warmAt, -1)
+		p.creditAt = append(p.creditAt, 0)
+	}
+}
+
+// look finds the overdue calls: silence shows before any time-out ends.
+func (p *endpoints) look(now int64, calls []call) {
+	clear(p.overdueAt)
+	for i := range calls {
+		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] {
+			at := c.at + max(leastLate, int64(p.mean[c.endpoint]+overdueDevs*p.dev[c.endpoint]))
+			if p.overdueAt[c.endpoint] == 0 || at < p.overdueAt[c.endpoint] {
+				p.overdueAt[c.endpoint] = at
+			}
+		}
+	}
+}
+
+func (p *endpoints) suspect(ep int32, now int64) bool {
+	return p.aside[ep] || (p.overdueAt[ep] > 0 && now >= p.overdueAt[ep])
+}
+
+func (p *endpoints) ranLast(ep int32) bool { return ep >= 0 && p.ran[ep] }
+
+func (p *endpoints) timeout(ep int32) int64 {
+	t := unmeasured
+	if p.mean[ep] > 0 {
+		t = max(leastOut, int64(p.mean[ep]+timeoutDevs*p.dev[ep]))
+	}
+	return t << min(p.timeouts[ep], 6)
+}
+
+// judge takes the fate of one call.
+func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
+	switch how {
+	case port.Unsent:
+		return
+	case port.Acked:
+		if p.aside[ep] {
+			p.aside[ep], p.warmAt[ep] = false, now
+		}
+		p.fails[ep], p.timeouts[ep], p.ackAt[ep] = 0, 0, now
+		if p.mean[ep] == 0 {
+			p.mean[ep], p.dev[ep] = float64(took), float64(took)/2
+		}
+		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
+		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
+		return
+	case port.TimedOut:
+		p.timeouts[ep]++
+	}
+	if p.fails[ep]++; p.fails[ep] == 1 {
+		p.failedAt[ep] = now
+	}
+	p.ran[ep] = how.MayHaveRun()
+	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= refusedSpan) {
+		p.aside[ep], p.warmAt[ep] = true, -1
+	}
+}
+
+// may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The rule's
+// budget is shared out evenly, as all peers may send as much; share is the endpoint's calls a second when warm.
+func (p *endpoints) may(ep int32, now int64, share float64) bool {
+	warm := p.back.ColdShare
+	if !p.aside[ep] {
+		if p.warmAt[ep] < 0 || now-p.warmAt[ep] >= p.back.WarmAfter {
+			return true
+		}
+		warm += (1 - warm) * float64(now-p.warmAt[ep]) / float64(p.back.WarmAfter)
+	}
+	rate := coldRoom * p.back.FallMultiple * warm * share / p.nodes
+	p.credit[ep] = min(1, p.credit[ep]+rate*float64(now-p.creditAt[ep])/float64(second))
+	p.creditAt[ep] = now
+	return p.credit[ep] >= 1
+}
+
+// ---- lanes: waits and the companion pace
+
+// lanes holds the figures of each lane, by index.
+type lanes struct {
+	perCall, out, ends []int // events in a call, calls out, endpoints
+	waitUntil          []int64
+	limit              []float64 // calls a second that the destination told
+	pace, credit       []float64 // calls a second, 0 for unpaced; calls that may go now
+	creditAt, cutAt    []int64
+	climbAt            []int64
+	recent             [][]int64 // sends of the last second
+	filling, fillEp    []int32   // the call that this round's sends may join, and its endpoint
+	filled             []int
+	opened             []int32 // lanes with a call being filled
 }
 
 func (l *lanes) add(perCall int) int32 {
-	l.perCall, l.out, l.bad = append(l.perCall, perCall), append(l.out, 0), append(l.bad, 0)
-	l.waitUntil, l.limit = append(l.waitUntil, 0), append(l.limit, 0)
-	l.pace, l.credit = append(l.pace, 0), append(l.credit, 1)
-	l.creditAt, l.cutAt, l.climbAt = append(l.creditAt, 0), append(l.cutAt, 0), append(l.climbAt, 0)
-	l.recent, l.sick = append(l.recent, nil), append(l.sick, false)
-	l.badSince, l.warmAt = append(l.badSince, 0), append(l.warmAt, -1)
+	l.perCall, l.out, l.ends = append(l.perCall, perCall), append(l.out, 0), append(l.ends, 0)
+	l.waitUntil, l.limit, l.recent = append(l.waitUntil, 0), append(l.limit, 0), append(l.recent, nil)
+	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, 1), append(l.creditAt, 0)
+	l.cutAt, l.climbAt = append(l.cutAt, 0), append(l.climbAt, 0)
 	l.filling, l.fillEp, l.filled = append(l.filling, -1), append(l.fillEp, -1), append(l.filled, 0)
 	return int32(len(l.out) - 1)
 }
 
+// share is what one endpoint of a lane takes when warm, in calls a second.
+func (l *lanes) share(lane int32) float64 {
+	limit := l.limit[lane]
+	if limit == 0 {
+		limit = guessLimit
+	}
+	return limit / float64(l.ends[lane])
+}
+
 // judge takes the fate of one call.
-func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait, took int64, limit float64) {
+func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, limit float64) {
 	if limit > 0 {
 		l.limit[lane] = limit
 	}
-	switch how {
-	case port.Acked:
-		l.bad[lane] = 0
-		if l.sick[lane] {
-			l.sick[lane], l.warmAt[lane] = false, now
-		}
-		if l.pace[lane] > 0 {
-			l.pace[lane] *= 1 + paceClimb*float64(min(now-l.climbAt[lane], second))/float64(second)
-			l.climbAt[lane] = now
-		}
-		return
-	case port.Unsent, port.Cancelled:
-		return
-	case port.Declined:
+	switch {
+	case how == port.Acked && l.pace[lane] > 0:
+		l.pace[lane] *= 1 + paceClimb*float64(min(now-l.climbAt[lane], second))/float64(second)
+		l.climbAt[lane] = now
+	case how == port.Declined:
 		if wait > 0 {
 			l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
 		}
@@ -425,13 +557,6 @@
 			l.cutAt[lane], l.climbAt[lane] = now, now
 		}
 	}
-	if l.bad[lane]++; l.bad[lane] == 1 {
-		l.badSince[lane] = now
-	}
-	// Danger: pushing over what comes back cold. Failures in a row mean an outage; so do refusals, if they last.
-	if l.bad[lane] >= sickAfter && (how != port.Declined || now-l.badSince[lane] >= sickSpan) {
-		l.sick[lane], l.warmAt[lane] = true, -1
-	}
 }
 
 func (l *lanes) lastSecond(lane int32, now int64) int {
@@ -443,50 +568,17 @@
 	return len(r)
 }
 
-// rate is how many calls a second a lane may be sent now, and how many of them at once.
-func (l *lanes) rate(lane int32, now int64) (rate, depth float64) {
-	rate = l.pace[lane]
-	if r := l.recent[lane]; rate > 0 && len(r) > 0 && now-r[len(r)-1] > paceForget {
-		l.pace[lane], rate = 0, 0
-	}
-	depth = max(1, rate*float64(paceBurst)/float64(second))
-	if rate == 0 {
-		rate = math.Inf(1)
-	}
-	if cold := l.coldRate(lane, now); cold < rate {
-		rate, depth = cold, 1
-	}
-	return rate, depth
-}
-
-// coldRate is this node's part of what a destination back from an outage bears while it warms up; all peers
-// may send as much, so each takes an equal part.
-func (l *lanes) coldRate(lane int32, now int64) float64 {
-	share := l.back.ColdShare
-	if !l.sick[lane] {
-		if l.warmAt[lane] < 0 || now-l.warmAt[lane] >= l.back.WarmAfter {
-			return math.Inf(1)
-		}
-		share += (1 - share) * float64(now-l.warmAt[lane]) / float64(l.back.WarmAfter)
-	}
-	limit := l.limit[lane]
-	if limit == 0 {
-		limit = guessLimit
-	}
-	return coldRoom * l.back.FallMultiple * share * limit / l.nodes
-}
-
-// may takes the credit for one call where the lane's rate leaves it.
+// may takes the credit for one call where the lane's pace leaves it.
 func (l *lanes) may(lane int32, now int64) bool {
-	if l.sick[lane] && l.out[lane] > 0 {
-		return false // one call at a time tells whether an outage is over
+	if now-l.creditAt[lane] > paceForget {
+		l.pace[lane] = 0
 	}
-	rate, depth := l.rate(lane, now)
-	if math.IsInf(rate, 1) {
-		l.credit[lane], l.creditAt[lane] = 1, now
+	if l.pace[lane] == 0 {
+		l.creditAt[lane] = now
 		return true
 	}
-	l.credit[lane] = min(depth, l.credit[lane]+rate*float64(now-l.creditAt[lane])/float64(second))
+	depth := max(1, l.pace[lane]*float64(paceBurst)/float64(second))
+	l.credit[lane] = min(depth, l.credit[lane]+l.pace[lane]*float64(now-l.creditAt[lane])/float64(second))
 	l.creditAt[lane] = now
 	if l.credit[lane] < 1 {
 		return false
@@ -500,11 +592,9 @@
 	l.recent[lane] = append(l.recent[lane], now)
 	l.out[lane]++
 	l.filling[lane], l.fillEp[lane], l.filled[lane] = call, ep, 0
-	l.open_ = append(l.open_, lane)
+	l.opened = append(l.opened, lane)
 }
 
-func (l *lanes) fill(lane int32) { l.filled[lane]++ }
-
 // joinable is the endpoint of a call of this round that has room, -1 for none.
 func (l *lanes) joinable(lane int32) int32 {
 	if l.filling[lane] < 0 || l.filled[lane] >= l.perCall[lane] {
@@ -514,10 +604,10 @@
 }
 
 func (l *lanes) endRound() {
-	for _, lane := range l.open_ {
+	for _, lane := range l.opened {
 		l.filling[lane] = -1
 	}
-	l.open_ = l.open_[:0]
+	l.opened = l.opened[:0]
 }
 
 // ---- order per key
@@ -574,7 +664,7 @@
 }
 
 // ask asks for changes until a watch stands: what is not asked for counts as told all the same.
-func (d *directory) ask(now int64, out port.Writer, chance *pcg) {
+func (d *directory) ask(now int64, out port.Writer) {
 	if d.asked && !d.watched && now >= d.at {
 		out.Watch(true)
 		d.at = now + max(askFirst, d.within/2)
