--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,10 +76,12 @@
 
 // call is one call out: one slot, one fate.
 type call struct {
-	endpoint int32
-	at       int64
-	events   int // outcomes still to come
-	judged   bool
+	endpoint  int32
+	at        int64
+	events    int // outcomes still to come
+	judged    bool
+	once      bool // holds a non-idempotent event: calling it off would end it
+	calledOff bool
 }
 
 // Node is the decision module of one delivery node.
@@ -129,6 +131,7 @@
 		n.rank()
 	}
 	n.endLate()
+	n.freeSlot()
 	n.dispatch()
 	pause := restBeat
 	if len(n.waiting) > 0 || n.slots > 0 {
@@ -303,6 +306,34 @@
 	}
 }
 
+// freeSlot calls off the sends of the call that is longest past its time-out, once slots are scarce. Danger: a
+// moment's loss on the way leaves one silent call with each of many destinations, and these hold every slot.
+func (n *Node) freeSlot() {
+	if !n.room.Cancels || len(n.waiting) == 0 || n.slots < n.room.Slots {
+		return
+	}
+	worst, by, silent := int32(-1), 1.0, 0
+	for i := range n.calls {
+		c := &n.calls[i]
+		late := float64(n.now-c.at) / float64(n.eps.timeout(c.endpoint))
+		if c.events > 0 && n.eps.suspect(c.endpoint, n.now) {
+			silent++
+		}
+		if c.events > 0 && !c.calledOff && !c.once && late >= by {
+			worst, by = int32(i), late
+		}
+	}
+	if worst < 0 || silent*4 < 3*n.slots {
+		return
+	}
+	n.calls[worst].calledOff = true
+	for i := range n.events {
+		if e := &n.events[i]; e.call == worst {
+			n.out.Cancel(int32(i), e.sends-1)
+		}
+	}
+}
+
 // ---- sending
 
 // dispatch sends what may go, in order, as slots, waits, paces and turns allow.
@@ -395,7 +426,9 @@
 	e.sends++
 	e.sentAt = n.now
 	timeout := e.deadline - n.now
-	if n.types[e.typ].Safety != port.NonIdempotent { // whose time-out is its end
+	if n.types[e.typ].Safety == port.NonIdempotent {
+		n.calls[e.call].once = true
+	} else { // of the first, a time-out would be the end
 		timeout = min(timeout, patience*n.eps.timeout(ep))
 	}
 	n.out.Send(evt, ep, timeout)
@@ -464,7 +497,7 @@
 // judge takes the fate of one call.
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
 	switch how {
-	case port.Unsent:
+	case port.Unsent, port.Cancelled: // called off for its slot: no destination is to blame
 		return
 	case port.Acked:
 		if p.aside[ep] {
