--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,6 +12,7 @@
 //  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
 //  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
 //  5. Slot shares: a lane holds at most as many slots as are left free.
+//  6. Early decline: when the room is nearly full, the destination with most events waiting gives one back.
 package choice
 
 import (
@@ -59,6 +60,7 @@
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
+	roomPart    = 12             // the last such part of the room is kept free: a round's newcomers fit in
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 2              // calls out at an endpoint before the next in order is used: few queue there
 )
@@ -132,6 +134,7 @@
 	}
 	n.endLate()
 	n.freeSlot()
+	n.makeRoom()
 	n.dispatch()
 	pause := restBeat
 	if len(n.waiting) > 0 || n.slots > 0 {
@@ -334,6 +337,42 @@
 	}
 }
 
+// makeRoom declines early while the room is nearly full. Danger: a sick destination's events fill the room, and
+// those of healthy ones are turned away at the door. The longest queue gives way, its latest comer first.
+func (n *Node) makeRoom() {
+	held := 0
+	for i := range n.events {
+		if n.events[i].live {
+			held++
+		}
+	}
+	queued := make([]int, len(n.byDest))
+	for _, evt := range n.waiting {
+		if e := &n.events[evt]; e.live && !e.mayRun {
+			queued[e.dest]++
+		}
+	}
+	for ; held*roomPart > n.room.Events*(roomPart-1); held-- {
+		longest := int32(0)
+		for d := range queued {
+			if queued[d] > queued[longest] {
+				longest = int32(d)
+			}
+		}
+		if len(queued) == 0 || queued[longest] == 0 {
+			return
+		}
+		last := int32(-1)
+		for _, evt := range n.waiting {
+			if e := &n.events[evt]; e.live && !e.mayRun && e.dest == longest && (last < 0 || e.came >= n.events[last].came) {
+				last = evt
+			}
+		}
+		n.giveUp(last, n.room.ComeBack)
+		queued[longest]--
+	}
+}
+
 // ---- sending
 
 // dispatch sends what may go, in order, as slots, waits, paces and turns allow.
