--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	dest, call                   int32 // call is -1 while nothing is out
 	key                          uint64
 	came, deadline, notBefore    int64
+	turn                         int64 // its place among those that wait
 	sentAt, ranAt                int64 // last send; first send that may have run
 	ranZone                      int
 	mayRun, live                 bool
@@ -378,6 +379,7 @@
 // dispatch sends what may go, in order, as slots, waits, paces and turns allow.
 func (n *Node) dispatch() {
 	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return !n.events[evt].live })
+	n.order()
 	sent := false
 	for _, evt := range n.waiting {
 		e := &n.events[evt]
@@ -394,6 +396,25 @@
 	}
 }
 
+// order puts the events that wait in the order of their turn: those that can still make their SLO time first, by
+// the end of it. Danger: in the order of coming, a backlog makes every event late.
+func (n *Node) order() {
+	for _, evt := range n.waiting {
+		e := &n.events[evt]
+		t := &n.types[e.typ]
+		e.turn = e.came + t.SLO
+		if ends := n.byDest[e.dest]; len(ends) > 0 && n.now+int64(n.eps.mean[ends[0]]) > e.turn {
+			e.turn += t.MaxAge
+		}
+	}
+	slices.SortStableFunc(n.waiting, func(a, b int32) int {
+		if u, v := n.prio(a), n.prio(b); u != v {
+			return cmp.Compare(v, u)
+		}
+		return cmp.Compare(n.events[a].turn, n.events[b].turn)
+	})
+}
+
 // rank renews the order of each destination's endpoints: the quickest to answer first.
 func (n *Node) rank() {
 	n.rankAt = n.now + rankEvery
@@ -773,3 +794,12 @@
 }
 
 func (p *pcg) float() float64 { return float64(p.next()) / (1 << 32) }
+
+func (n *Node) prio(evt int32) float64 {
+	e := &n.events[evt]
+	t := &n.types[e.typ]
+	if e.turn > e.came+t.SLO {
+		return t.Utility / 4
+	}
+	return t.Utility
+}
