--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,6 +61,7 @@
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
 	roomPart    = 12             // the last such part of the room is kept free: a round's newcomers fit in
+	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 2              // calls out at an endpoint before the next in order is used: few queue there
 )
@@ -71,8 +72,8 @@
 	dest, call                   int32 // call is -1 while nothing is out
 	key                          uint64
 	came, deadline, notBefore    int64
-	turn                         int64 // its place among those that wait
-	sentAt, ranAt                int64 // last send; first send that may have run
+	loss                         float64 // utility lost by waiting on
+	sentAt, ranAt                int64   // last send; first send that may have run
 	ranZone                      int
 	mayRun, live                 bool
 }
@@ -155,7 +156,7 @@
 		n.events = append(n.events, event{})
 	}
 	n.destination(dest)
-	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now,
+	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now + left - n.types[typ].MaxAge,
 		deadline: n.now + left - answerBefore, notBefore: n.now, live: true}
 	if n.types[typ].Ordered {
 		n.keys.join(key, evt)
@@ -396,25 +397,32 @@
 	}
 }
 
-// order puts the events that wait in the order of their turn: those that can still make their SLO time first, by
-// the end of it. Danger: in the order of coming, a backlog makes every event late.
+// order puts first the events that lose most utility by waiting longer; in the order of coming, events that lose
+// fast would wait behind a backlog of those that lose little.
 func (n *Node) order() {
 	for _, evt := range n.waiting {
 		e := &n.events[evt]
-		t := &n.types[e.typ]
-		e.turn = e.came + t.SLO
-		if ends := n.byDest[e.dest]; len(ends) > 0 && n.now+int64(n.eps.mean[ends[0]]) > e.turn {
-			e.turn += t.MaxAge
-		}
+		age := n.now - e.came
+		e.loss = worth(&n.types[e.typ], age) - worth(&n.types[e.typ], age+waitAhead)
 	}
 	slices.SortStableFunc(n.waiting, func(a, b int32) int {
-		if u, v := n.prio(a), n.prio(b); u != v {
-			return cmp.Compare(v, u)
-		}
-		return cmp.Compare(n.events[a].turn, n.events[b].turn)
+		return cmp.Or(cmp.Compare(n.events[b].loss, n.events[a].loss), cmp.Compare(n.events[a].came, n.events[b].came))
 	})
 }
 
+// worth is the utility of an event delivered at an age.
+func worth(t *port.StreamType, age int64) float64 {
+	switch {
+	case age <= t.SLO:
+		return t.Utility
+	case age >= t.MaxAge:
+		return 0
+	case t.Halving:
+		return t.Utility * max(t.LateUtility, math.Pow(0.5, float64(age-t.SLO)/float64(t.SLO)))
+	}
+	return t.Utility * (1 - (1-t.LateUtility)*float64(age-t.SLO)/float64(t.MaxAge-t.SLO))
+}
+
 // rank renews the order of each destination's endpoints: the quickest to answer first.
 func (n *Node) rank() {
 	n.rankAt = n.now + rankEvery
@@ -794,12 +802,3 @@
 }
 
 func (p *pcg) float() float64 { return float64(p.next()) / (1 << 32) }
-
-func (n *Node) prio(evt int32) float64 {
-	e := &n.events[evt]
-	t := &n.types[e.typ]
-	if e.turn > e.came+t.SLO {
-		return t.Utility / 4
-	}
-	return t.Utility
-}
