--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,17 +75,15 @@
 	loss                         float64 // utility lost by waiting on
 	sentAt, ranAt                int64   // last send; first send that may have run
 	ranZone                      int
-	mayRun, live                 bool
+	mayRun, live, calledOff      bool
 }
 
 // call is one call out: one slot, one fate.
 type call struct {
-	endpoint  int32
-	at        int64
-	events    int // outcomes still to come
-	judged    bool
-	once      bool // holds a non-idempotent event: calling it off would end it
-	calledOff bool
+	endpoint int32
+	at       int64
+	events   int // outcomes still to come
+	judged   bool
 }
 
 // Node is the decision module of one delivery node.
@@ -135,7 +133,7 @@
 		n.rank()
 	}
 	n.endLate()
-	n.freeSlot()
+	n.callOff()
 	n.makeRoom()
 	n.dispatch()
 	pause := restBeat
@@ -311,31 +309,26 @@
 	}
 }
 
-// freeSlot calls off the sends of the call that is longest past its time-out, once slots are scarce. Danger: a
-// moment's loss on the way leaves one silent call with each of many destinations, and these hold every slot.
-func (n *Node) freeSlot() {
-	if !n.room.Cancels || len(n.waiting) == 0 || n.slots < n.room.Slots {
+// callOff ends the wait for a silent endpoint where a sibling is well. Danger: a loss on the way leaves a silent
+// call with each of many destinations, which hold the slots. Where the whole destination is slow, a repeat only
+// adds to its load: those calls wait on.
+func (n *Node) callOff() {
+	if !n.room.Cancels {
 		return
 	}
-	worst, by, silent := int32(-1), 1.0, 0
-	for i := range n.calls {
-		c := &n.calls[i]
-		late := float64(n.now-c.at) / float64(n.eps.timeout(c.endpoint))
-		if c.events > 0 && n.eps.suspect(c.endpoint, n.now) {
-			silent++
-		}
-		if c.events > 0 && !c.calledOff && !c.once && late >= by {
-			worst, by = int32(i), late
-		}
-	}
-	if worst < 0 || silent*4 < 3*n.slots {
-		return
-	}
-	n.calls[worst].calledOff = true
 	for i := range n.events {
-		if e := &n.events[i]; e.call == worst {
-			n.out.Cancel(int32(i), e.sends-1)
+		e := &n.events[i]
+		if e.call < 0 || e.calledOff || !e.live || n.types[e.typ].Safety == port.NonIdempotent {
+			continue
+		}
+		c := &n.calls[e.call]
+		if n.now-c.at < n.eps.timeout(c.endpoint) || !slices.ContainsFunc(n.byDest[e.dest], func(ep int32) bool {
+			return ep != c.endpoint && n.eps.ready[ep] && !n.eps.suspect(ep, n.now)
+		}) {
+			continue
 		}
+		n.out.Cancel(int32(i), e.sends-1)
+		e.calledOff = true
 	}
 }
 
@@ -492,11 +485,9 @@
 	l.filled[lane]++
 	n.calls[e.call].events++
 	e.sends++
-	e.sentAt = n.now
+	e.sentAt, e.calledOff = n.now, false
 	timeout := e.deadline - n.now
-	if n.types[e.typ].Safety == port.NonIdempotent {
-		n.calls[e.call].once = true
-	} else { // of the first, a time-out would be the end
+	if n.types[e.typ].Safety != port.NonIdempotent { // whose time-out is its end
 		timeout = min(timeout, patience*n.eps.timeout(ep))
 	}
 	n.out.Send(evt, ep, timeout)
@@ -565,7 +556,7 @@
 // judge takes the fate of one call.
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
 	switch how {
-	case port.Unsent, port.Cancelled: // called off for its slot: no destination is to blame
+	case port.Unsent:
 		return
 	case port.Acked:
 		if p.aside[ep] {
@@ -578,7 +569,7 @@
 		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
 		return
-	case port.TimedOut:
+	case port.TimedOut, port.Cancelled:
 		p.timeouts[ep]++
 	}
 	if p.fails[ep]++; p.fails[ep] == 1 {
