--- a/choice/choice.go
+++ b/choice/choice.go
@@ -500,6 +500,7 @@
 type endpoints struct {
 	back  port.Recovery
 	nodes float64
+	wide  bool
 
 	lane            []int32
 	zone, out       []int
@@ -529,6 +530,18 @@
 // look finds the overdue calls: silence shows before any time-out ends.
 func (p *endpoints) look(now int64, calls []call) {
 	clear(p.overdueAt)
+	defer func() {
+		busy, silent := 0, 0
+		for ep := range p.out {
+			if p.out[ep] > 0 {
+				busy++
+				if p.overdueAt[ep] > 0 && now >= p.overdueAt[ep] {
+					silent++
+				}
+			}
+		}
+		p.wide = silent >= 3 && 2*silent > busy
+	}()
 	for i := range calls {
 		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] {
 			at := c.at + max(leastLate, int64(p.mean[c.endpoint]+overdueDevs*p.dev[c.endpoint]))
@@ -570,6 +583,9 @@
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
 		return
 	case port.TimedOut, port.Cancelled:
+		if p.wide {
+			return
+		}
 		p.timeouts[ep]++
 	}
 	if p.fails[ep]++; p.fails[ep] == 1 {
