--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,6 +60,7 @@
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
+	scarcePart  = 4              // slots are scarce with less than this part of them free
 	roomPart    = 12             // the last such part of the room is kept free: a round's newcomers fit in
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
@@ -83,12 +84,14 @@
 	endpoint int32
 	at       int64
 	events   int // outcomes still to come
+	round    int64
 	judged   bool
 }
 
 // Node is the decision module of one delivery node.
 type Node struct {
 	now    int64
+	round  int64
 	out    port.Writer
 	chance pcg
 	types  []port.StreamType
@@ -100,6 +103,7 @@
 	calls   []call
 	idle    []int32 // places in calls that are free
 	slots   int     // calls out
+	held    int     // live events
 	wakeAt  int64
 
 	dir   directory
@@ -125,7 +129,7 @@
 
 // Round takes a round's news and writes the decisions.
 func (n *Node) Round(now int64, feed port.Feed, out port.Writer) {
-	n.now, n.out = now, out
+	n.now, n.out, n.round = now, out, n.round+1
 	feed.Deliver(n)
 	n.dir.ask(now, out)
 	n.eps.look(now, n.calls)
@@ -160,6 +164,7 @@
 		n.keys.join(key, evt)
 	}
 	n.waiting = append(n.waiting, evt)
+	n.held++
 }
 
 func (n *Node) Begun(evt int32, send int) {
@@ -192,12 +197,14 @@
 			n.keys.hold(e.key, n.now) // the send may still be running: the key's next event must not overtake it
 		}
 	}
-	if ended || !e.live {
-		e.live = false
+	switch {
+	case !e.live:
 		n.keys.leave(e.key, evt, n.now)
-		return
+	case ended:
+		n.close(evt)
+	default:
+		n.retry(evt, how, wait)
 	}
-	n.retry(evt, how, wait)
 }
 
 func (n *Node) Withdrawn(evt int32) {
@@ -294,6 +301,7 @@
 func (n *Node) close(evt int32) {
 	e := &n.events[evt]
 	e.live = false
+	n.held--
 	if e.call < 0 {
 		n.keys.leave(e.key, evt, n.now)
 	}
@@ -313,7 +321,7 @@
 // call with each of many destinations, which hold the slots. Where the whole destination is slow, a repeat only
 // adds to its load: those calls wait on.
 func (n *Node) callOff() {
-	if !n.room.Cancels {
+	if !n.room.Cancels || scarcePart*(n.room.Slots-n.slots) > n.room.Slots {
 		return
 	}
 	for i := range n.events {
@@ -333,38 +341,21 @@
 }
 
 // makeRoom declines early while the room is nearly full. Danger: a sick destination's events fill the room, and
-// those of healthy ones are turned away at the door. The longest queue gives way, its latest comer first.
+// those of healthy ones are turned away at the door. The longest queue gives back its last.
 func (n *Node) makeRoom() {
-	held := 0
-	for i := range n.events {
-		if n.events[i].live {
-			held++
-		}
-	}
-	queued := make([]int, len(n.byDest))
-	for _, evt := range n.waiting {
-		if e := &n.events[evt]; e.live && !e.mayRun {
-			queued[e.dest]++
-		}
-	}
-	for ; held*roomPart > n.room.Events*(roomPart-1); held-- {
-		longest := int32(0)
-		for d := range queued {
-			if queued[d] > queued[longest] {
-				longest = int32(d)
+	for n.held*roomPart > n.room.Events*(roomPart-1) {
+		last, longest, queued := int32(-1), 0, make([]int, len(n.byDest))
+		for _, evt := range n.waiting {
+			if e := &n.events[evt]; e.live && !e.mayRun {
+				if queued[e.dest]++; queued[e.dest] >= longest {
+					last, longest = evt, queued[e.dest]
+				}
 			}
 		}
-		if len(queued) == 0 || queued[longest] == 0 {
+		if last < 0 {
 			return
 		}
-		last := int32(-1)
-		for _, evt := range n.waiting {
-			if e := &n.events[evt]; e.live && !e.mayRun && e.dest == longest && (last < 0 || e.came >= n.events[last].came) {
-				last = evt
-			}
-		}
 		n.giveUp(last, n.room.ComeBack)
-		queued[longest]--
 	}
 }
 
@@ -384,7 +375,6 @@
 			sent = true
 		}
 	}
-	n.lanes.endRound()
 	if sent {
 		n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return n.events[evt].call >= 0 })
 	}
@@ -435,7 +425,7 @@
 		if e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone {
 			continue // another zone does not know the mark: a second effect is the danger
 		}
-		if n.lanes.joinable(n.eps.lane[ep]) == ep {
+		if n.joinable(ep) >= 0 {
 			return ep
 		}
 		switch {
@@ -462,12 +452,10 @@
 // send sends an event, in a call that is being filled this round or in one of its own.
 func (n *Node) send(evt, ep int32) bool {
 	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
-	if l.joinable(lane) == ep {
-		e.call = l.filling[lane]
-	} else {
+	if e.call = n.joinable(ep); e.call < 0 {
 		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A lane
 		// may hold no more slots than are left free, so each sick one still leaves half of what it found.
-		if free := n.room.Slots - n.slots; l.out[lane] >= free || !l.may(lane, n.now) {
+		if l.out[lane] >= n.room.Slots-n.slots || !l.may(lane, n.now) {
 			return false
 		}
 		if last := len(n.idle) - 1; last >= 0 {
@@ -476,13 +464,15 @@
 			e.call = int32(len(n.calls))
 			n.calls = append(n.calls, call{})
 		}
-		n.calls[e.call] = call{endpoint: ep, at: n.now}
+		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round}
 		n.slots++
 		n.eps.out[ep]++
 		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
-		l.open(lane, ep, e.call, n.now)
+		l.out[lane]++
+		l.last[lane] = e.call
+		l.lastSecond(lane, n.now)
+		l.recent[lane] = append(l.recent[lane], n.now)
 	}
-	l.filled[lane]++
 	n.calls[e.call].events++
 	e.sends++
 	e.sentAt, e.calledOff = n.now, false
@@ -494,13 +484,23 @@
 	return true
 }
 
+// joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none.
+func (n *Node) joinable(ep int32) int32 {
+	lane := n.eps.lane[ep]
+	last := n.lanes.last[lane]
+	if last < 0 || n.calls[last].round != n.round || n.calls[last].endpoint != ep ||
+		n.calls[last].events >= n.lanes.perCall[lane] {
+		return -1
+	}
+	return last
+}
+
 // ---- endpoints: health, time-outs and cold returns
 
 // endpoints holds the figures of each endpoint, by index.
 type endpoints struct {
 	back  port.Recovery
 	nodes float64
-	wide  bool
 
 	lane            []int32
 	zone, out       []int
@@ -530,18 +530,6 @@
 // look finds the overdue calls: silence shows before any time-out ends.
 func (p *endpoints) look(now int64, calls []call) {
 	clear(p.overdueAt)
-	defer func() {
-		busy, silent := 0, 0
-		for ep := range p.out {
-			if p.out[ep] > 0 {
-				busy++
-				if p.overdueAt[ep] > 0 && now >= p.overdueAt[ep] {
-					silent++
-				}
-			}
-		}
-		p.wide = silent >= 3 && 2*silent > busy
-	}()
 	for i := range calls {
 		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] {
 			at := c.at + max(leastLate, int64(p.mean[c.endpoint]+overdueDevs*p.dev[c.endpoint]))
@@ -569,7 +557,7 @@
 // judge takes the fate of one call.
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
 	switch how {
-	case port.Unsent:
+	case port.Unsent, port.Cancelled: // called off: the silence may be of the way there
 		return
 	case port.Acked:
 		if p.aside[ep] {
@@ -582,10 +570,7 @@
 		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
 		return
-	case port.TimedOut, port.Cancelled:
-		if p.wide {
-			return
-		}
+	case port.TimedOut:
 		p.timeouts[ep]++
 	}
 	if p.fails[ep]++; p.fails[ep] == 1 {
@@ -608,9 +593,14 @@
 		warm += (1 - warm) * float64(now-p.warmAt[ep]) / float64(p.back.WarmAfter)
 	}
 	rate := coldRoom * p.back.FallMultiple * warm * share / p.nodes
-	p.credit[ep] = min(1, p.credit[ep]+rate*float64(now-p.creditAt[ep])/float64(second))
-	p.creditAt[ep] = now
-	return p.credit[ep] >= 1
+	return refill(&p.credit[ep], &p.creditAt[ep], now, rate, 1)
+}
+
+// refill adds the calls that a rate has brought since the last look, up to a depth, and tells if one may go.
+func refill(credit *float64, at *int64, now int64, rate, depth float64) bool {
+	*credit = min(depth, *credit+rate*float64(now-*at)/float64(second))
+	*at = now
+	return *credit >= 1
 }
 
 // ---- lanes: waits and the companion pace
@@ -624,17 +614,14 @@
 	creditAt, cutAt    []int64
 	climbAt            []int64
 	recent             [][]int64 // sends of the last second
-	filling, fillEp    []int32   // the call that this round's sends may join, and its endpoint
-	filled             []int
-	opened             []int32 // lanes with a call being filled
+	last               []int32   // the call opened last
 }
 
 func (l *lanes) add(perCall int) int32 {
 	l.perCall, l.out, l.ends = append(l.perCall, perCall), append(l.out, 0), append(l.ends, 0)
 	l.waitUntil, l.limit, l.recent = append(l.waitUntil, 0), append(l.limit, 0), append(l.recent, nil)
 	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, 1), append(l.creditAt, 0)
-	l.cutAt, l.climbAt = append(l.cutAt, 0), append(l.climbAt, 0)
-	l.filling, l.fillEp, l.filled = append(l.filling, -1), append(l.fillEp, -1), append(l.filled, 0)
+	l.cutAt, l.climbAt, l.last = append(l.cutAt, 0), append(l.climbAt, 0), append(l.last, -1)
 	return int32(len(l.out) - 1)
 }
 
@@ -668,12 +655,8 @@
 }
 
 func (l *lanes) lastSecond(lane int32, now int64) int {
-	r := l.recent[lane]
-	for len(r) > 0 && r[0] <= now-second {
-		r = r[1:]
-	}
-	l.recent[lane] = r
-	return len(r)
+	l.recent[lane] = slices.DeleteFunc(l.recent[lane], func(at int64) bool { return at <= now-second })
+	return len(l.recent[lane])
 }
 
 // may takes the credit for one call where the lane's pace leaves it.
@@ -686,38 +669,13 @@
 		return true
 	}
 	depth := max(1, l.pace[lane]*float64(paceBurst)/float64(second))
-	l.credit[lane] = min(depth, l.credit[lane]+l.pace[lane]*float64(now-l.creditAt[lane])/float64(second))
-	l.creditAt[lane] = now
-	if l.credit[lane] < 1 {
+	if !refill(&l.credit[lane], &l.creditAt[lane], now, l.pace[lane], depth) {
 		return false
 	}
 	l.credit[lane]--
 	return true
 }
 
-func (l *lanes) open(lane, ep, call int32, now int64) {
-	l.lastSecond(lane, now)
-	l.recent[lane] = append(l.recent[lane], now)
-	l.out[lane]++
-	l.filling[lane], l.fillEp[lane], l.filled[lane] = call, ep, 0
-	l.opened = append(l.opened, lane)
-}
-
-// joinable is the endpoint of a call of this round that has room, -1 for none.
-func (l *lanes) joinable(lane int32) int32 {
-	if l.filling[lane] < 0 || l.filled[lane] >= l.perCall[lane] {
-		return -1
-	}
-	return l.fillEp[lane]
-}
-
-func (l *lanes) endRound() {
-	for _, lane := range l.opened {
-		l.filling[lane] = -1
-	}
-	l.opened = l.opened[:0]
-}
-
 // ---- order per key
 
 type turn struct {
