--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	paceCut      = 0.5          // a refusal halves the pace: the design's figure
 	paceLeast    = 1.0          // calls a second below which a pace never falls: keeps signs coming
 	paceClimb    = 0.1          // share by which a pace climbs each second while all is served
+	paceBack     = 0.5          // below our even part of a told limit, it climbs by so much of that part a second
 	paceForget   = 60 * second  // a lane idle for a minute starts unpaced
 	paceBurst    = second / 2   // calls saved up while idle, in time at the pace: under the shortest span
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
@@ -100,8 +101,7 @@
 
 	events  []event
 	waiting []int32 // live events with nothing out, in the order of their coming
-	calls   []call
-	idle    []int32 // places in calls that are free
+	calls   []call  // those with no outcome to come are free to be used again
 	slots   int     // calls out
 	held    int     // live events
 	wakeAt  int64
@@ -121,9 +121,10 @@
 	kinds []port.Partner, room port.Room, back port.Recovery, dir port.Directory, fleet port.Fleet,
 	orderPause int64) *Node {
 	return &Node{chance: newPCG(seed), types: types, kinds: kinds, room: room,
-		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
-		keys: turns{pause: orderPause, lines: make(map[uint64]*turn)},
-		eps:  endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
+		dir:   directory{asked: dir.Asked, within: dir.AskWithin},
+		keys:  turns{pause: orderPause, lines: make(map[uint64]*turn)},
+		eps:   endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
+		lanes: lanes{nodes: float64(max(1, fleet.Nodes))},
 	}
 }
 
@@ -185,7 +186,6 @@
 			n.slots--
 			n.eps.out[ep]--
 			n.lanes.out[n.eps.lane[ep]]--
-			n.idle = append(n.idle, e.call)
 		}
 		e.call = -1
 	}
@@ -234,6 +234,7 @@
 			n.destLane[dest] = n.eps.lane[ep]
 		}
 		n.lanes.ends[n.eps.lane[ep]]++
+		n.lanes.limit[n.eps.lane[ep]] = rate
 	}
 	n.eps.ready[ep] = state == port.Ready
 }
@@ -442,11 +443,11 @@
 		}
 	}
 	// Danger: a trial at a silent endpoint costs a non-idempotent event its life, and any other its time-out.
-	bears := t.Safety != port.NonIdempotent || !n.eps.ranLast(trial) || n.now-e.came > t.MaxAge/2
-	if trial >= 0 && bears && (best < 0 || e.errors == 0) {
-		return trial
+	if trial < 0 || (best >= 0 && e.errors > 0) ||
+		(t.Safety == port.NonIdempotent && n.eps.ran[trial] && n.now-e.came <= t.MaxAge/2) {
+		return best
 	}
-	return best
+	return trial
 }
 
 // send sends an event, in a call that is being filled this round or in one of its own.
@@ -458,9 +459,7 @@
 		if l.out[lane] >= n.room.Slots-n.slots || !l.may(lane, n.now) {
 			return false
 		}
-		if last := len(n.idle) - 1; last >= 0 {
-			e.call, n.idle = n.idle[last], n.idle[:last]
-		} else {
+		if e.call = int32(slices.IndexFunc(n.calls, func(c call) bool { return c.events == 0 })); e.call < 0 {
 			e.call = int32(len(n.calls))
 			n.calls = append(n.calls, call{})
 		}
@@ -544,8 +543,6 @@
 	return p.aside[ep] || (p.overdueAt[ep] > 0 && now >= p.overdueAt[ep])
 }
 
-func (p *endpoints) ranLast(ep int32) bool { return ep >= 0 && p.ran[ep] }
-
 func (p *endpoints) timeout(ep int32) int64 {
 	t := unmeasured
 	if p.mean[ep] > 0 {
@@ -607,6 +604,8 @@
 
 // lanes holds the figures of each lane, by index.
 type lanes struct {
+	nodes float64
+
 	perCall, out, ends []int // events in a call, calls out, endpoints
 	waitUntil          []int64
 	limit              []float64 // calls a second that the destination told
@@ -641,7 +640,12 @@
 	}
 	switch {
 	case how == port.Acked && l.pace[lane] > 0:
-		l.pace[lane] *= 1 + paceClimb*float64(min(now-l.climbAt[lane], second))/float64(second)
+		span := float64(min(now-l.climbAt[lane], second)) / float64(second)
+		if fair := l.limit[lane] / l.nodes; l.pace[lane] < fair {
+			l.pace[lane] = min(fair, l.pace[lane]+paceBack*fair*span)
+		} else {
+			l.pace[lane] *= 1 + paceClimb*span
+		}
 		l.climbAt[lane] = now
 	case how == port.Declined:
 		if wait > 0 {
--- a/simwire/env.go
+++ b/simwire/env.go
@@ -22,6 +22,7 @@
 	Fleet      port.Fleet
 	OrderPause int64
 
+	rated           bool
 	leftAt, limitAt int
 }
 
@@ -187,6 +188,7 @@
 		Notes:  e.flag("ceilings.peer_messages"),
 		Probes: e.flag("ceilings.probes"),
 	}
+	s.rated = e.values["weight_kind"] == "nominal" || e.values["weight_kind"] == "rough"
 	names := split(e.values["feedback.names"])
 	s.leftAt, s.limitAt = slices.Index(names, "x0"), slices.Index(names, "x1")
 	s.OrderPause = e.time("rules.order_pause_ms", false)
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -120,7 +120,8 @@
 	epOf            map[uint32]int32
 	eps             []uint32
 	destOf          map[uint32]int32
-	leftAt, limitAt int // where a load report holds the share left and the limit, -1 for nowhere
+	rated           bool // the list tells rates
+	leftAt, limitAt int  // where a load report holds the share left and the limit, -1 for nowhere
 }
 
 // item is one event of a batch: where its record is and, for a list, its entries.
@@ -256,7 +257,7 @@
 				return bad("Launch: %v", err)
 			}
 			*cur = instance{number: cur.number, link: l, listed: true, news: cur.news[:0],
-				leftAt: s.leftAt, limitAt: s.limitAt, decider: l.start(le.Uint64(r[1:]), s), evtOf: make(map[uint64]int32),
+				rated: s.rated, leftAt: s.leftAt, limitAt: s.limitAt, decider: l.start(le.Uint64(r[1:]), s), evtOf: make(map[uint64]int32),
 				epOf: make(map[uint32]int32), destOf: make(map[uint32]int32)}
 			continue
 		case evTopology:
@@ -372,8 +373,11 @@
 			n.epOf[id] = ep
 			n.eps = append(n.eps, id)
 		}
-		to.Listed(ep, n.dest(uint32(le.Uint16(e[7:]))), int(e[6]), int(le.Uint16(e[4:])),
-			port.State(e[9]), single(e[10:]))
+		rate := single(e[10:])
+		if !n.rated || !usable(rate, 1e9) {
+			rate = 0
+		}
+		to.Listed(ep, n.dest(uint32(le.Uint16(e[7:]))), int(e[6]), int(le.Uint16(e[4:])), port.State(e[9]), rate)
 	}
 	to.ListEnds()
 }
