--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,7 @@
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
-	coldRoom     = 0.8         // part of the rule's budget that is used: leaves room for sends on their way
+	coldRoom     = 0.95        // part of the budget that is used: the told limit is itself under what a destination can do
 	guessLimit   = 2.0         // calls a second assumed of a lane that told no limit: small partners take that
 
 	// Health, time-outs and the order of endpoints.
@@ -65,7 +65,7 @@
 	roomPart    = 12             // the last such part of the room is kept free: a round's newcomers fit in
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
-	rankFill    = 2              // calls out at an endpoint before the next in order is used: few queue there
+	rankFill    = 1              // calls out at an endpoint before the next in order is used: none queue there
 )
 
 // event is one event from its coming to its end.
