--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,7 +12,6 @@
 //  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
 //  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
 //  5. Slot shares: a lane holds at most as many slots as are left free.
-//  6. Early decline: when the room is nearly full, the destination with most events waiting gives one back.
 package choice
 
 import (
@@ -62,7 +61,6 @@
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
 	scarcePart  = 4              // slots are scarce with less than this part of them free
-	roomPart    = 12             // the last such part of the room is kept free: a round's newcomers fit in
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: none queue there
@@ -104,7 +102,6 @@
 	waiting []int32 // live events with nothing out, in the order of their coming
 	calls   []call  // those with no outcome to come are free to be used again
 	slots   int     // calls out
-	held    int     // live events
 	wakeAt  int64
 
 	dir   directory
@@ -144,7 +141,6 @@
 	}
 	n.endLate()
 	n.callOff()
-	n.makeRoom()
 	n.dispatch()
 	pause := restBeat
 	if len(n.waiting) > 0 || n.slots > 0 {
@@ -171,7 +167,6 @@
 		n.keys.join(key, evt)
 	}
 	n.waiting = append(n.waiting, evt)
-	n.held++
 }
 
 func (n *Node) Begun(evt int32, send int) {
@@ -309,7 +304,6 @@
 func (n *Node) close(evt int32) {
 	e := &n.events[evt]
 	e.live = false
-	n.held--
 	if e.call < 0 {
 		n.keys.leave(e.key, evt, n.now)
 	}
@@ -348,25 +342,6 @@
 	}
 }
 
-// makeRoom declines early while the room is nearly full. Danger: a sick destination's events fill the room, and
-// those of healthy ones are turned away at the door. The longest queue gives back its last.
-func (n *Node) makeRoom() {
-	for n.held*roomPart > n.room.Events*(roomPart-1) {
-		last, longest, queued := int32(-1), 0, make([]int, len(n.byDest))
-		for _, evt := range n.waiting {
-			if e := &n.events[evt]; e.live && !e.mayRun {
-				if queued[e.dest]++; queued[e.dest] >= longest {
-					last, longest = evt, queued[e.dest]
-				}
-			}
-		}
-		if last < 0 {
-			return
-		}
-		n.giveUp(last, n.room.ComeBack)
-	}
-}
-
 // ---- sending
 
 // dispatch sends what may go, in order, as slots, waits, paces and turns allow.
