--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,7 +60,7 @@
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
-	scarcePart  = 4              // slots are scarce with less than this part of them free
+	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two on a small node
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: none queue there
