--- a/choice/choice.go
+++ b/choice/choice.go
@@ -106,6 +106,7 @@
 
 	dir   directory
 	keys  turns
+	notes bool  // peers may be told things
 	pause int64 // a key rests so long after a send that may still run
 	lanes lanes
 
@@ -121,7 +122,7 @@
 	orderPause int64) *Node {
 	return &Node{chance: newPCG(seed), types: types, kinds: kinds, room: room,
 		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
-		keys: turns{}, pause: orderPause,
+		keys: turns{}, pause: orderPause, notes: fleet.Notes,
 		eps:   endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
 		lanes: lanes{nodes: float64(max(1, fleet.Nodes))},
 	}
@@ -181,7 +182,9 @@
 		if !c.judged {
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
-			n.eps.judge(ep, n.now, how, took)
+			if n.eps.judge(ep, n.now, how, took) && n.notes {
+				n.out.TellGood(ep)
+			}
 		}
 		if c.events--; c.events == 0 {
 			n.slots--
@@ -243,9 +246,15 @@
 func (n *Node) ListEnds()                                                   { n.dir.answered() }
 func (n *Node) ListFailed()                                                 { n.dir.failed(n.now, &n.chance) }
 func (n *Node) Probed(ep int32, how port.Outcome, took int64, l, r float64) {}
-func (n *Node) PeerGood(peer int, ep int32)                                 {}
 func (n *Node) Woken()                                                      { n.wakeAt = 0 }
 
+// PeerGood: a peer had a good answer from an endpoint; one set aside here comes back cold.
+func (n *Node) PeerGood(peer int, ep int32) {
+	if n.eps.aside[ep] {
+		n.eps.takeBack(ep, n.now)
+	}
+}
+
 func (n *Node) destination(dest int32) {
 	for int(dest) >= len(n.byDest) {
 		n.byDest, n.destLane = append(n.byDest, nil), append(n.destLane, -1)
@@ -521,13 +530,13 @@
 }
 
 // judge takes the fate of one call.
-func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
+func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) (returned bool) {
 	switch how {
 	case port.Unsent, port.Cancelled: // called off: the silence may be of the way there
-		return
+		return false
 	case port.Acked:
-		if p.aside[ep] {
-			p.aside[ep], p.warmAt[ep] = false, now
+		if returned = p.aside[ep]; returned {
+			p.takeBack(ep, now)
 		}
 		p.fails[ep], p.timeouts[ep], p.ackAt[ep] = 0, 0, now
 		if p.mean[ep] == 0 {
@@ -535,7 +544,7 @@
 		}
 		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
-		return
+		return returned
 	case port.TimedOut:
 		p.timeouts[ep]++
 	}
@@ -546,6 +555,12 @@
 	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= refusedSpan) {
 		p.aside[ep], p.warmAt[ep] = true, -1
 	}
+	return false
+}
+
+// takeBack takes an endpoint back that was set aside: from here on it warms up.
+func (p *endpoints) takeBack(ep int32, now int64) {
+	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep] = false, now, 0, 0
 }
 
 // may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The rule's
