--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,7 +36,7 @@
 	paceCut      = 0.5          // a refusal halves the pace: the design's figure
 	paceLeast    = 1.0          // calls a second below which a pace never falls: keeps signs coming
 	paceClimb    = 0.1          // share by which a pace climbs each second while all is served
-	paceBack     = 0.5          // below our even part of a told limit, it climbs by so much of that part a second
+	paceBack     = 0.5          // below our even part of a told limit it climbs by so much of that a second
 	paceForget   = 60 * second  // a lane idle for a minute starts unpaced
 	paceBurst    = second / 2   // calls saved up while idle, in time at the pace: under the shortest span
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
@@ -47,23 +47,23 @@
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
-	coldRoom     = 0.95        // part of the budget that is used: the told limit is itself under what a destination can do
-	guessLimit   = 2.0         // calls a second assumed of a lane that told no limit: small partners take that
+	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
+	guessLimit   = 2.0         // calls a second assumed of a lane that told no limit: about the least one takes
 
 	// Health, time-outs and the order of endpoints.
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
-	refusedSpan = 1 * second     // refusals count as failures only if they go on this long: a burst is shorter
+	refusedSpan = 1 * second     // refusals set aside only if they go on this long: a burst is shorter
 	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
 	overdueDevs = 4.0            // an answer is overdue this many deviations past the mean: the usual figure
 	timeoutDevs = 8.0            // and a time-out twice as many
-	leastLate   = second / 2     // no answer is overdue before this: jitter and a stall of a moment are no sign
+	leastLate   = second / 2     // no answer is overdue before this: a stall of a moment is no sign
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
-	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two on a small node
+	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
-	rankFill    = 1              // calls out at an endpoint before the next in order is used: none queue there
+	rankFill    = 1              // calls out at an endpoint before the next in order is used: no queue there
 )
 
 // event is one event from its coming to its end.
@@ -137,7 +137,9 @@
 	if now >= n.rankAt { // the quickest to answer first
 		n.rankAt = now + rankEvery
 		for _, list := range n.byDest {
-			slices.SortStableFunc(list, func(a, b int32) int { return cmp.Compare(n.eps.mean[a], n.eps.mean[b]) })
+			slices.SortStableFunc(list, func(a, b int32) int {
+				return cmp.Compare(n.eps.mean[a], n.eps.mean[b])
+			})
 		}
 	}
 	n.endLate()
@@ -161,10 +163,11 @@
 		n.events = append(n.events, event{})
 	}
 	n.destination(dest)
-	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now + left - n.types[typ].MaxAge,
-		deadline: n.now + left - answerBefore, notBefore: n.now, live: true, value: n.types[typ].Utility,
-		slo: min(n.types[typ].MaxAge, n.types[typ].SLO+int64(n.types[typ].SLOPerWork*float64(work)))}
-	if n.types[typ].Ordered {
+	t, age := &n.types[typ], n.types[typ].MaxAge-left // handed in before, it is no longer new
+	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age, notBefore: n.now,
+		deadline: n.now + left - answerBefore, live: true, value: t.Utility,
+		slo: min(t.MaxAge, t.SLO+int64(t.SLOPerWork*float64(work)))}
+	if t.Ordered {
 		n.keys.join(key, evt)
 	}
 	n.waiting = append(n.waiting, evt)
@@ -198,7 +201,7 @@
 			e.mayRun, e.ranAt, e.ranZone = true, e.sentAt, n.eps.zone[ep]
 		}
 		if k := n.keys[e.key]; k != nil && how != port.Errored && n.types[e.typ].Ordered {
-			k.freeAt = n.now + n.pause // the send may still be running: the key's next event must not overtake it
+			k.freeAt = n.now + n.pause // the send may still run: the key's next event must not overtake it
 		}
 	}
 	switch {
@@ -248,9 +251,9 @@
 func (n *Node) Probed(ep int32, how port.Outcome, took int64, l, r float64) {}
 func (n *Node) Woken()                                                      { n.wakeAt = 0 }
 
-// PeerGood: a peer had a good answer from an endpoint; one set aside here comes back cold.
+// PeerGood: a peer had a good answer from an endpoint; one under suspicion here comes back, cold.
 func (n *Node) PeerGood(peer int, ep int32) {
-	if n.eps.aside[ep] {
+	if n.eps.suspect(ep, n.now) {
 		n.eps.takeBack(ep, n.now)
 	}
 }
@@ -273,7 +276,8 @@
 	delay := wait
 	switch {
 	case how == port.Declined && wait == 0:
-		delay = min(refusalBase, t.MaxAge/refusalPart) + min(extraBase, t.MaxAge/extraPart)<<min(e.refusals, 20)
+		delay = min(refusalBase, t.MaxAge/refusalPart)
+		delay += min(extraBase, t.MaxAge/extraPart) << min(e.refusals, 20)
 		e.refusals++
 	case how != port.Declined:
 		delay = errorBase << min(e.errors, 20)
@@ -290,8 +294,8 @@
 	n.waiting = append(n.waiting, evt)
 }
 
-// lastSend is when an event can be sent at the latest: past it a send would come too late, or its mark would be
-// forgotten and it could take effect twice.
+// lastSend is when an event can be sent at the latest: past it a send would come too late, or its mark would
+// be forgotten and it could take effect twice.
 func (n *Node) lastSend(e *event) int64 {
 	if t := &n.types[e.typ]; e.mayRun && t.Safety == port.Deduplicated {
 		return min(e.deadline, e.ranAt+t.Window-windowMargin)
@@ -328,9 +332,9 @@
 	}
 }
 
-// callOff ends the wait for a silent endpoint where a sibling is well. Danger: a loss on the way leaves a silent
-// call with each of many destinations, which hold the slots. Where the whole destination is slow, a repeat only
-// adds to its load: those calls wait on.
+// callOff ends the wait for a silent endpoint where a sibling is well. Danger: a loss on the way leaves a
+// silent call with each of many destinations, which hold the slots. Where the whole destination is slow, a
+// repeat only adds to its load: those calls wait on.
 func (n *Node) callOff() {
 	if !n.room.Cancels || scarcePart*(n.room.Slots-n.slots) > n.room.Slots {
 		return
@@ -341,13 +345,11 @@
 			continue
 		}
 		c := &n.calls[e.call]
-		if n.now-c.at < n.eps.timeout(c.endpoint) || !slices.ContainsFunc(n.byDest[e.dest], func(ep int32) bool {
-			return ep != c.endpoint && n.eps.ready[ep] && !n.eps.suspect(ep, n.now)
-		}) {
-			continue
+		well := func(ep int32) bool { return ep != c.endpoint && n.eps.ready[ep] && !n.eps.suspect(ep, n.now) }
+		if n.now-c.at >= n.eps.timeout(c.endpoint) && slices.ContainsFunc(n.byDest[e.dest], well) {
+			n.out.Cancel(int32(i), e.sends-1)
+			e.calledOff = true
 		}
-		n.out.Cancel(int32(i), e.sends-1)
-		e.calledOff = true
 	}
 }
 
@@ -369,8 +371,8 @@
 	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return n.events[evt].call >= 0 })
 }
 
-// order puts first the events that lose most utility by waiting longer; in the order of coming, events that lose
-// fast would wait behind a backlog of those that lose little.
+// order puts first the events that lose most utility by waiting longer. Danger: in the order of coming, those
+// that lose fast wait behind a backlog of those that lose little.
 func (n *Node) order() {
 	for _, evt := range n.waiting {
 		e := &n.events[evt]
@@ -378,7 +380,8 @@
 		e.loss = e.value * (worth(&n.types[e.typ], e.slo, age) - worth(&n.types[e.typ], e.slo, age+waitAhead))
 	}
 	slices.SortStableFunc(n.waiting, func(a, b int32) int {
-		return cmp.Or(cmp.Compare(n.events[b].loss, n.events[a].loss), cmp.Compare(n.events[a].came, n.events[b].came))
+		x, y := &n.events[a], &n.events[b]
+		return cmp.Or(cmp.Compare(y.loss, x.loss), cmp.Compare(x.came, y.came))
 	})
 }
 
@@ -429,12 +432,12 @@
 	return trial
 }
 
-// send sends an event, in a call that is being filled this round or in one of its own, if there is room for it.
+// send sends an event, in a call that is being filled this round or in one of its own, if there is room.
 func (n *Node) send(evt, ep int32) {
 	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
 	if e.call = n.joinable(ep); e.call < 0 {
-		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A lane
-		// may hold no more slots than are left free, so each sick one still leaves half of what it found.
+		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A
+		// lane may hold no more slots than are left free, so each sick one still leaves half of what it found.
 		if l.out[lane] >= n.room.Slots-n.slots || !l.may(lane, n.now) {
 			return
 		}
@@ -560,11 +563,11 @@
 
 // takeBack takes an endpoint back that was set aside: from here on it warms up.
 func (p *endpoints) takeBack(ep int32, now int64) {
-	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep] = false, now, 0, 0
+	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep], p.ackAt[ep] = false, now, 0, 0, now
 }
 
-// may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The rule's
-// budget is shared out evenly, as all peers may send as much; share is the endpoint's calls a second when warm.
+// may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The
+// rule's budget is shared out evenly, as all peers may send as much; share is what the endpoint takes warm.
 func (p *endpoints) may(ep int32, now int64, share float64) bool {
 	warm := p.back.ColdShare
 	if !p.aside[ep] {
@@ -604,7 +607,7 @@
 	l.perCall, l.out, l.ends = append(l.perCall, perCall), append(l.out, 0), append(l.ends, 0)
 	l.waitUntil, l.limit, l.recent = append(l.waitUntil, 0), append(l.limit, 0), append(l.recent, nil)
 	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, 1), append(l.creditAt, 0)
-	l.cutAt, l.climbAt, l.last = append(l.cutAt, 0), append(l.climbAt, 0), append(l.last, -1)
+	l.cutAt, l.climbAt, l.last = append(l.cutAt, -paceCutEvery), append(l.climbAt, 0), append(l.last, -1)
 	return int32(len(l.out) - 1)
 }
 
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,399 @@
+package choice
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"jaspersill/port"
+)
+
+// TestScenarios plays testdata/*.txt. A scenario is a name ("== name"), facts read at start, then steps:
+//
+//	at TIME: NEWS; NEWS => DECISIONS     one round
+//	to TIME => DECISIONS                 a round each 10 ms until then
+//
+// News: event E TYPE DEST [left D] [key N] | OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP |
+// list full|delta|failed EP:DEST[:STATE[:ZONE[:KIND]]]... | reply EP OUTCOME D [limit N], which answers the sends to EP.
+// Decisions, in order, all of them: send E EP | decline E | discard E | cancel E | watch | good EP, each with
+// [@FROM..TO] for its time; or "sends EP FROM..TO" for how many go to EP and nothing said of the rest.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for part := range strings.SplitSeq("\n"+string(text), "\n== ") {
+			if name, body, ok := strings.Cut(part, "\n"); ok && name != "" {
+				t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) { play(t, body) })
+			}
+		}
+	}
+}
+
+func play(t *testing.T, body string) {
+	p := &player{t: t, types: map[string]int{}, auto: map[string]reply{},
+		room:  port.Room{Slots: 8, Events: 100, Sends: 6, Cancels: true, ComeBack: 2 * second},
+		back:  port.Recovery{ColdShare: 0.25, WarmAfter: 10 * second, FallMultiple: 2, FallAfter: 2 * second},
+		fleet: port.Fleet{Nodes: 1}}
+	for line := range strings.SplitSeq(body, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		if p.line = strings.TrimSpace(line); p.line != "" {
+			p.step(p.line)
+		}
+	}
+}
+
+// epoch is the clock at the start: it has no particular value.
+const epoch = 1000 * second
+
+type reply struct {
+	how   port.Outcome
+	after int64
+	limit float64
+	ever  bool
+}
+
+type due struct {
+	at    int64
+	evt   int32
+	ep    int32
+	how   port.Outcome
+	took  int64
+	wait  int64
+	limit float64
+}
+
+type decision struct {
+	at   int64
+	text string
+}
+
+// player is the world of one scenario: it feeds the module, takes its decisions and keeps the rules in sight.
+type player struct {
+	t     *testing.T
+	line  string
+	types map[string]int
+	decl  []port.StreamType
+	kinds []port.Partner
+	room  port.Room
+	back  port.Recovery
+	dir   port.Directory
+	fleet port.Fleet
+	pause int64
+
+	node  *Node
+	now   int64
+	evts  []string
+	eps   []string
+	dests []string
+	sends []int
+	ended []bool
+	outs  []*due // the send out, by event
+	late  []int64
+	ready map[string]bool
+	dues  []due
+	auto  map[string]reply
+	news  []func(port.Intake)
+	got   []decision
+}
+
+func (p *player) fail(format string, a ...any) {
+	p.t.Helper()
+	p.t.Fatalf("%q: %s", p.line, fmt.Sprintf(format, a...))
+}
+
+func (p *player) dur(s string) int64 {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		p.fail("%v", err)
+	}
+	return int64(d)
+}
+
+func (p *player) num(s string) float64 {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		p.fail("%v", err)
+	}
+	return f
+}
+
+// options reads "name value" pairs.
+func (p *player) options(words []string, from int) map[string]string {
+	o := map[string]string{}
+	for i := from; i+1 < len(words); i += 2 {
+		o[words[i]] = words[i+1]
+	}
+	return o
+}
+
+func index(names *[]string, name string) int32 {
+	i := slices.Index(*names, name)
+	if i < 0 {
+		i = len(*names)
+		*names = append(*names, name)
+	}
+	return int32(i)
+}
+
+var outcomes = map[string]port.Outcome{"acked": port.Acked, "errored": port.Errored, "declined": port.Declined,
+	"timedout": port.TimedOut, "nolink": port.ConnectFailed, "reset": port.Reset, "unsent": port.Unsent}
+
+func (p *player) step(line string) {
+	w := strings.Fields(line)
+	o := p.options(w, 2)
+	switch w[0] {
+	case "type": // type NAME safety S slo D age D utility N late N window D ordered 1 zone 1
+		p.types[w[1]] = len(p.decl)
+		typ := port.StreamType{SLO: p.dur(o["slo"]), MaxAge: p.dur(o["age"]), Utility: 1, LateUtility: 0.5,
+			Ordered: o["ordered"] != "", ByZone: o["zone"] != "",
+			Safety: port.Safety(slices.Index([]string{"idempotent", "deduplicated", "once"}, o["safety"]))}
+		if o["utility"] != "" {
+			typ.Utility = p.num(o["utility"])
+		}
+		if o["late"] != "" {
+			typ.LateUtility = p.num(o["late"])
+		}
+		if o["window"] != "" {
+			typ.Window = p.dur(o["window"])
+		}
+		p.decl = append(p.decl, typ)
+	case "kind": // kind NAME percall N routes 1
+		p.kinds = append(p.kinds, port.Partner{PerCall: int(p.num(o["percall"])), Routes: o["routes"] != ""})
+	case "room": // room x slots N sends N
+		p.room.Slots, p.room.Sends = int(p.num(o["slots"])), int(p.num(o["sends"]))
+	case "nodes":
+		p.fleet.Nodes, p.fleet.Notes = int(p.num(w[1])), true
+	case "pause":
+		p.pause = p.dur(w[1])
+	case "directory":
+		p.dir = port.Directory{Asked: true, AskWithin: p.dur(w[1])}
+	case "at":
+		head, want, _ := strings.Cut(line, "=>")
+		when, news, _ := strings.Cut(strings.TrimPrefix(head, "at "), ":")
+		p.now = epoch + p.dur(strings.TrimSpace(when))
+		for item := range strings.SplitSeq(news, ";") {
+			if f := strings.Fields(item); len(f) > 0 {
+				p.take(f)
+			}
+		}
+		p.round()
+		p.expect(want)
+	case "to":
+		head, want, _ := strings.Cut(line, "=>")
+		for end := epoch + p.dur(strings.Fields(head)[1]); p.now+beat <= end; {
+			p.now += beat
+			p.round()
+		}
+		p.expect(want)
+	default:
+		p.fail("unknown word %q", w[0])
+	}
+}
+
+func (p *player) round() {
+	if p.node == nil {
+		p.node = New(7, p.decl, nil, 1, p.kinds, p.room, p.back, p.dir, p.fleet, p.pause)
+	}
+	p.dues = slices.DeleteFunc(p.dues, func(d due) bool {
+		if d.at <= p.now {
+			p.finish(d)
+		}
+		return d.at <= p.now
+	})
+	p.node.Round(p.now, p, p)
+	p.news = nil
+	for e := range p.late {
+		if !p.ended[e] && p.now > p.late[e] {
+			p.fail("%s has no final answer at %v", p.evts[e], time.Duration(p.now))
+		}
+	}
+}
+
+func (p *player) finish(d due) {
+	if p.outs[d.evt] == nil {
+		p.fail("outcome for %s, which has no send out", p.evts[d.evt])
+	}
+	p.outs[d.evt] = nil
+	ended := p.ended[d.evt] || d.how == port.Acked
+	p.ended[d.evt] = ended
+	n := p.sends[d.evt] - 1
+	p.news = append(p.news, func(to port.Intake) {
+		to.Outcome(d.evt, n, d.ep, d.how, d.wait, d.took, ended, 0, d.limit)
+	})
+}
+
+func (p *player) take(f []string) {
+	switch f[0] {
+	case "event":
+		o := p.options(f, 4)
+		typ := p.types[f[2]]
+		e, dest, left := index(&p.evts, f[1]), index(&p.dests, f[3]), p.decl[typ].MaxAge
+		if o["left"] != "" {
+			left = p.dur(o["left"])
+		}
+		key := uint64(0)
+		if o["key"] != "" {
+			key = uint64(p.num(o["key"]))
+		}
+		p.sends, p.ended, p.outs = append(p.sends, 0), append(p.ended, false), append(p.outs, nil)
+		p.late = append(p.late, p.now+left)
+		p.news = append(p.news, func(to port.Intake) { to.Event(e, typ, 0, key, left, 0, dest) })
+	case "withdrawn":
+		e := index(&p.evts, f[1])
+		p.ended[e] = true
+		p.news = append(p.news, func(to port.Intake) { to.Withdrawn(e) })
+	case "good":
+		ep := index(&p.eps, f[1])
+		p.news = append(p.news, func(to port.Intake) { to.PeerGood(1, ep) })
+	case "reply":
+		how, ever := outcomes[f[2]]
+		r := reply{how: how, after: p.dur(f[3]), ever: ever}
+		if o := p.options(f, 4); o["limit"] != "" {
+			r.limit = p.num(o["limit"])
+		}
+		p.auto[f[1]] = r
+	case "list":
+		p.list(f[1], f[2:])
+	default:
+		how, ok := outcomes[f[0]]
+		if !ok {
+			p.fail("unknown news %q", f[0])
+		}
+		e := index(&p.evts, f[1])
+		if p.outs[e] == nil {
+			p.fail("%s has no send out", f[1])
+		}
+		d := *p.outs[e]
+		o := p.options(f, 2)
+		if d.how, d.took = how, p.now-d.at; o["wait"] != "" {
+			d.wait = p.dur(o["wait"])
+		}
+		if o["limit"] != "" {
+			d.limit = p.num(o["limit"])
+		}
+		p.finish(d)
+	}
+}
+
+func (p *player) list(how string, entries []string) {
+	if how == "failed" {
+		p.news = append(p.news, func(to port.Intake) { to.ListFailed() })
+		return
+	}
+	p.news = append(p.news, func(to port.Intake) { to.ListBegins(how == "full") })
+	if p.ready == nil || how == "full" {
+		p.ready = map[string]bool{}
+	}
+	for _, entry := range entries {
+		part := append(strings.Split(entry, ":"), "ready", "0", "0")[:5]
+		if n := strings.Count(entry, ":"); n >= 2 {
+			part = append(strings.Split(entry, ":"), []string{"ready", "0", "0"}[n-1:]...)
+		}
+		state := map[string]port.State{"ready": port.Ready, "draining": port.Draining, "gone": port.Gone}[part[2]]
+		p.ready[part[0]] = state == port.Ready
+		ep, dest := index(&p.eps, part[0]), index(&p.dests, part[1])
+		p.news = append(p.news, func(to port.Intake) {
+			to.Listed(ep, dest, int(p.num(part[4])), int(p.num(part[3])), state, 0)
+		})
+	}
+	p.news = append(p.news, func(to port.Intake) { to.ListEnds() })
+}
+
+func (p *player) expect(want string) {
+	p.t.Helper()
+	defer func() { p.got = nil }()
+	if f := strings.Fields(want); len(f) == 3 && f[0] == "sends" {
+		n := 0
+		for _, d := range p.got {
+			if w := strings.Fields(d.text); w[0] == "send" && w[2] == f[1] {
+				n++
+			}
+		}
+		if lo, hi, _ := strings.Cut(f[2], ".."); n < int(p.num(lo)) || n > int(p.num(hi)) {
+			p.fail("%d sends", n)
+		}
+		return
+	}
+	i := 0
+	for item := range strings.SplitSeq(want, ";") {
+		text, span, timed := strings.Cut(strings.TrimSpace(item), " @")
+		if text == "" {
+			continue
+		}
+		if i >= len(p.got) || p.got[i].text != text {
+			p.fail("want %q as decision %d, got %v", text, i, p.got)
+		}
+		if lo, hi, _ := strings.Cut(span, ".."); timed && (p.got[i].at < epoch+p.dur(lo) || p.got[i].at > epoch+p.dur(hi)) {
+			p.fail("%q came at %v", text, time.Duration(p.got[i].at-epoch))
+		}
+		i++
+	}
+	if i < len(p.got) {
+		p.fail("more than was wanted: %v", p.got[i:])
+	}
+}
+
+// Deliver implements port.Feed; the methods below implement port.Writer.
+func (p *player) Deliver(to port.Intake) {
+	for _, item := range p.news {
+		item(to)
+	}
+}
+
+func (p *player) note(text string) { p.got = append(p.got, decision{p.now, text}) }
+
+func (p *player) Send(evt, ep int32, timeout int64) {
+	name := p.eps[ep]
+	if p.ended[evt] || p.outs[evt] != nil || !p.ready[name] || timeout <= 0 {
+		p.fail("send of %s to %s with time-out %v is against the rules", p.evts[evt], name, time.Duration(timeout))
+	}
+	d := &due{at: p.now, evt: evt, ep: ep}
+	p.sends[evt]++
+	p.outs[evt] = d
+	if r, ok := p.auto[name]; ok {
+		a := due{at: p.now + r.after, evt: evt, ep: ep, how: r.how, took: r.after, limit: r.limit}
+		if !r.ever || timeout < r.after {
+			a.at, a.how, a.took = p.now+timeout, port.TimedOut, timeout
+		}
+		p.dues = append(p.dues, a)
+	}
+	p.note("send " + p.evts[evt] + " " + name)
+}
+
+func (p *player) end(evt int32, word string) {
+	if p.ended[evt] {
+		p.fail("%s is answered twice", p.evts[evt])
+	}
+	p.ended[evt] = true
+	p.note(word + " " + p.evts[evt])
+}
+
+func (p *player) Cancel(evt int32, send int) {
+	p.note("cancel " + p.evts[evt])
+	for i := range p.dues {
+		if p.dues[i].evt == evt {
+			p.dues[i].at, p.dues[i].how, p.dues[i].took = p.now, port.Cancelled, 0
+		}
+	}
+}
+
+func (p *player) Decline(evt int32, comeBack int64) { p.end(evt, "decline") }
+func (p *player) Discard(evt int32)                 { p.end(evt, "discard") }
+func (p *player) Wake(int64)                        {}
+func (p *player) Watch(bool)                        { p.note("watch") }
+func (p *player) FetchList()                        { p.note("fetch") }
+func (p *player) Probe(ep int32)                    { p.note("probe " + p.eps[ep]) }
+func (p *player) CloseIdle(ep int32)                { p.note("close " + p.eps[ep]) }
+func (p *player) TellGood(ep int32)                 { p.note("good " + p.eps[ep]) }
+func (p *player) Log(string)                        {}
