--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,7 @@
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
-	guessLimit   = 2.0         // calls a second assumed of a lane that told no limit: about the least one takes
+	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	// Health, time-outs and the order of endpoints.
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -19,7 +20,7 @@
 //	to TIME => DECISIONS                 a round each 10 ms until then
 //
 // News: event E TYPE DEST [left D] [key N] | OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP |
-// list full|delta|failed EP:DEST[:STATE[:ZONE[:KIND]]]... | reply EP OUTCOME D [limit N], which answers the sends to EP.
+// list full|delta|failed EP:DEST[:STATE[:ZONE]]... | reply EP OUTCOME D [limit N], which answers the sends to EP.
 // Decisions, in order, all of them: send E EP | decline E | discard E | cancel E | watch | good EP, each with
 // [@FROM..TO] for its time; or "sends EP FROM..TO" for how many go to EP and nothing said of the rest.
 func TestScenarios(t *testing.T) {
@@ -41,10 +42,12 @@
 }
 
 func play(t *testing.T, body string) {
-	p := &player{t: t, types: map[string]int{}, auto: map[string]reply{},
-		room:  port.Room{Slots: 8, Events: 100, Sends: 6, Cancels: true, ComeBack: 2 * second},
-		back:  port.Recovery{ColdShare: 0.25, WarmAfter: 10 * second, FallMultiple: 2, FallAfter: 2 * second},
-		fleet: port.Fleet{Nodes: 1}}
+	p := &player{t: t, types: map[string]int{}, auto: map[string]due{},
+		room: port.Room{Slots: 8, Events: 100, Sends: 6, Cancels: true, ComeBack: 2 * second},
+		back: port.Recovery{ColdShare: 0.25, WarmAfter: 10 * second, FallMultiple: 2, FallAfter: 2 * second},
+	}
+	body = "type alert idempotent slo 4s age 28s utility 1 late 0.5\ntype charge once slo 4s age 24s utility 4 late 0.5\n" +
+		"type status idempotent slo 1s age 8s utility 3\n" + body
 	for line := range strings.SplitSeq(body, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		if p.line = strings.TrimSpace(line); p.line != "" {
@@ -56,21 +59,13 @@
 // epoch is the clock at the start: it has no particular value.
 const epoch = 1000 * second
 
-type reply struct {
-	how   port.Outcome
-	after int64
-	limit float64
-	ever  bool
-}
-
+// due is an outcome, given by the scenario or still to come.
 type due struct {
-	at    int64
-	evt   int32
-	ep    int32
-	how   port.Outcome
-	took  int64
-	wait  int64
-	limit float64
+	at, took, wait int64
+	evt, ep        int32
+	how            port.Outcome
+	limit          float64
+	never          bool
 }
 
 type decision struct {
@@ -80,31 +75,30 @@
 
 // player is the world of one scenario: it feeds the module, takes its decisions and keeps the rules in sight.
 type player struct {
-	t     *testing.T
-	line  string
-	types map[string]int
-	decl  []port.StreamType
-	kinds []port.Partner
-	room  port.Room
-	back  port.Recovery
-	dir   port.Directory
-	fleet port.Fleet
-	pause int64
+	port.Writer // what no scenario speaks of
+	t           *testing.T
+	line        string
+	types       map[string]int
+	decl        []port.StreamType
+	kinds       []port.Partner
+	room        port.Room
+	back        port.Recovery
+	dir         port.Directory
+	fleet       port.Fleet
+	pause       int64
+	node        *Node
+	now         int64
 
-	node  *Node
-	now   int64
-	evts  []string
-	eps   []string
-	dests []string
-	sends []int
-	ended []bool
-	outs  []*due // the send out, by event
-	late  []int64
-	ready map[string]bool
-	dues  []due
-	auto  map[string]reply
-	news  []func(port.Intake)
-	got   []decision
+	evts, eps, dests []string
+	sends            []int
+	ended            []bool
+	outs             []*due // the send out, by event
+	late             []int64
+	ready            map[string]bool
+	dues             []due
+	auto             map[string]due
+	news             []func(port.Intake)
+	got              []decision
 }
 
 func (p *player) fail(format string, a ...any) {
@@ -120,21 +114,20 @@
 	return int64(d)
 }
 
-func (p *player) num(s string) float64 {
-	f, err := strconv.ParseFloat(s, 64)
-	if err != nil {
-		p.fail("%v", err)
-	}
-	return f
-}
-
-// options reads "name value" pairs.
-func (p *player) options(words []string, from int) map[string]string {
+// options reads the "name value" pairs behind a line's first words; what is absent is 0.
+func (p *player) options(words []string, from int) (num func(string) float64, dur func(string) int64) {
 	o := map[string]string{}
 	for i := from; i+1 < len(words); i += 2 {
 		o[words[i]] = words[i+1]
 	}
-	return o
+	num = func(name string) float64 {
+		f, err := strconv.ParseFloat(cmp.Or(o[name], "0"), 64)
+		if err != nil {
+			p.fail("%v", err)
+		}
+		return f
+	}
+	return num, func(name string) int64 { return p.dur(cmp.Or(o[name], "0s")) }
 }
 
 func index(names *[]string, name string) int32 {
@@ -151,33 +144,19 @@
 
 func (p *player) step(line string) {
 	w := strings.Fields(line)
-	o := p.options(w, 2)
+	num, dur := p.options(w, cmp.Or(map[string]int{"start": 2}[w[0]], 3))
 	switch w[0] {
-	case "type": // type NAME safety S slo D age D utility N late N window D ordered 1 zone 1
+	case "type": // type NAME SAFETY slo D age D utility N late N window D ordered 1 zone 1
 		p.types[w[1]] = len(p.decl)
-		typ := port.StreamType{SLO: p.dur(o["slo"]), MaxAge: p.dur(o["age"]), Utility: 1, LateUtility: 0.5,
-			Ordered: o["ordered"] != "", ByZone: o["zone"] != "",
-			Safety: port.Safety(slices.Index([]string{"idempotent", "deduplicated", "once"}, o["safety"]))}
-		if o["utility"] != "" {
-			typ.Utility = p.num(o["utility"])
-		}
-		if o["late"] != "" {
-			typ.LateUtility = p.num(o["late"])
-		}
-		if o["window"] != "" {
-			typ.Window = p.dur(o["window"])
-		}
-		p.decl = append(p.decl, typ)
-	case "kind": // kind NAME percall N routes 1
-		p.kinds = append(p.kinds, port.Partner{PerCall: int(p.num(o["percall"])), Routes: o["routes"] != ""})
-	case "room": // room x slots N sends N
-		p.room.Slots, p.room.Sends = int(p.num(o["slots"])), int(p.num(o["sends"]))
-	case "nodes":
-		p.fleet.Nodes, p.fleet.Notes = int(p.num(w[1])), true
-	case "pause":
-		p.pause = p.dur(w[1])
-	case "directory":
-		p.dir = port.Directory{Asked: true, AskWithin: p.dur(w[1])}
+		p.decl = append(p.decl, port.StreamType{SLO: dur("slo"), MaxAge: dur("age"), Utility: num("utility"),
+			LateUtility: num("late"), Window: dur("window"), Ordered: num("ordered") > 0, ByZone: num("zone") > 0,
+			Safety: port.Safety(slices.Index([]string{"idempotent", "deduplicated", "once"}, w[2]))})
+	case "start": // start with slots N sends N nodes N pause D percall N routes 1 directory D
+		p.room.Slots, p.room.Sends = cmp.Or(int(num("slots")), p.room.Slots), cmp.Or(int(num("sends")), p.room.Sends)
+		p.fleet = port.Fleet{Nodes: int(num("nodes")), Notes: true}
+		p.pause = dur("pause")
+		p.kinds = []port.Partner{{PerCall: max(1, int(num("percall"))), Routes: num("routes") > 0}}
+		p.dir = port.Directory{Asked: dur("directory") > 0, AskWithin: dur("directory")}
 	case "at":
 		head, want, _ := strings.Cut(line, "=>")
 		when, news, _ := strings.Cut(strings.TrimPrefix(head, "at "), ":")
@@ -225,9 +204,8 @@
 		p.fail("outcome for %s, which has no send out", p.evts[d.evt])
 	}
 	p.outs[d.evt] = nil
-	ended := p.ended[d.evt] || d.how == port.Acked
-	p.ended[d.evt] = ended
-	n := p.sends[d.evt] - 1
+	p.ended[d.evt] = p.ended[d.evt] || d.how == port.Acked
+	n, ended := p.sends[d.evt]-1, p.ended[d.evt]
 	p.news = append(p.news, func(to port.Intake) {
 		to.Outcome(d.evt, n, d.ep, d.how, d.wait, d.took, ended, 0, d.limit)
 	})
@@ -236,16 +214,9 @@
 func (p *player) take(f []string) {
 	switch f[0] {
 	case "event":
-		o := p.options(f, 4)
-		typ := p.types[f[2]]
-		e, dest, left := index(&p.evts, f[1]), index(&p.dests, f[3]), p.decl[typ].MaxAge
-		if o["left"] != "" {
-			left = p.dur(o["left"])
-		}
-		key := uint64(0)
-		if o["key"] != "" {
-			key = uint64(p.num(o["key"]))
-		}
+		num, dur := p.options(f, 4)
+		e, typ, dest, key := index(&p.evts, f[1]), p.types[f[2]], index(&p.dests, f[3]), uint64(num("key"))
+		left := cmp.Or(dur("left"), p.decl[typ].MaxAge)
 		p.sends, p.ended, p.outs = append(p.sends, 0), append(p.ended, false), append(p.outs, nil)
 		p.late = append(p.late, p.now+left)
 		p.news = append(p.news, func(to port.Intake) { to.Event(e, typ, 0, key, left, 0, dest) })
@@ -258,11 +229,8 @@
 		p.news = append(p.news, func(to port.Intake) { to.PeerGood(1, ep) })
 	case "reply":
 		how, ever := outcomes[f[2]]
-		r := reply{how: how, after: p.dur(f[3]), ever: ever}
-		if o := p.options(f, 4); o["limit"] != "" {
-			r.limit = p.num(o["limit"])
-		}
-		p.auto[f[1]] = r
+		num, _ := p.options(f, 4)
+		p.auto[f[1]] = due{how: how, took: p.dur(f[3]), never: !ever, limit: num("limit")}
 	case "list":
 		p.list(f[1], f[2:])
 	default:
@@ -274,14 +242,9 @@
 		if p.outs[e] == nil {
 			p.fail("%s has no send out", f[1])
 		}
+		num, dur := p.options(f, 2)
 		d := *p.outs[e]
-		o := p.options(f, 2)
-		if d.how, d.took = how, p.now-d.at; o["wait"] != "" {
-			d.wait = p.dur(o["wait"])
-		}
-		if o["limit"] != "" {
-			d.limit = p.num(o["limit"])
-		}
+		d.how, d.took, d.wait, d.limit = how, p.now-d.at, dur("wait"), num("limit")
 		p.finish(d)
 	}
 }
@@ -296,15 +259,13 @@
 		p.ready = map[string]bool{}
 	}
 	for _, entry := range entries {
-		part := append(strings.Split(entry, ":"), "ready", "0", "0")[:5]
-		if n := strings.Count(entry, ":"); n >= 2 {
-			part = append(strings.Split(entry, ":"), []string{"ready", "0", "0"}[n-1:]...)
-		}
+		part := append(strings.Split(entry, ":"), "ready", "0")
+		zone, _ := strconv.Atoi(part[3])
 		state := map[string]port.State{"ready": port.Ready, "draining": port.Draining, "gone": port.Gone}[part[2]]
 		p.ready[part[0]] = state == port.Ready
 		ep, dest := index(&p.eps, part[0]), index(&p.dests, part[1])
 		p.news = append(p.news, func(to port.Intake) {
-			to.Listed(ep, dest, int(p.num(part[4])), int(p.num(part[3])), state, 0)
+			to.Listed(ep, dest, 0, zone, state, 0)
 		})
 	}
 	p.news = append(p.news, func(to port.Intake) { to.ListEnds() })
@@ -320,8 +281,9 @@
 				n++
 			}
 		}
-		if lo, hi, _ := strings.Cut(f[2], ".."); n < int(p.num(lo)) || n > int(p.num(hi)) {
-			p.fail("%d sends", n)
+		var lo, hi int
+		if _, err := fmt.Sscanf(f[2], "%d..%d", &lo, &hi); err != nil || n < lo || n > hi {
+			p.fail("%d sends %v", n, err)
 		}
 		return
 	}
@@ -358,14 +320,13 @@
 	if p.ended[evt] || p.outs[evt] != nil || !p.ready[name] || timeout <= 0 {
 		p.fail("send of %s to %s with time-out %v is against the rules", p.evts[evt], name, time.Duration(timeout))
 	}
-	d := &due{at: p.now, evt: evt, ep: ep}
 	p.sends[evt]++
-	p.outs[evt] = d
-	if r, ok := p.auto[name]; ok {
-		a := due{at: p.now + r.after, evt: evt, ep: ep, how: r.how, took: r.after, limit: r.limit}
-		if !r.ever || timeout < r.after {
-			a.at, a.how, a.took = p.now+timeout, port.TimedOut, timeout
+	p.outs[evt] = &due{at: p.now, evt: evt, ep: ep}
+	if a, ok := p.auto[name]; ok {
+		if a.evt, a.ep = evt, ep; a.never || timeout < a.took {
+			a.how, a.took = port.TimedOut, timeout
 		}
+		a.at = p.now + a.took
 		p.dues = append(p.dues, a)
 	}
 	p.note("send " + p.evts[evt] + " " + name)
@@ -392,8 +353,4 @@
 func (p *player) Discard(evt int32)                 { p.end(evt, "discard") }
 func (p *player) Wake(int64)                        {}
 func (p *player) Watch(bool)                        { p.note("watch") }
-func (p *player) FetchList()                        { p.note("fetch") }
-func (p *player) Probe(ep int32)                    { p.note("probe " + p.eps[ep]) }
-func (p *player) CloseIdle(ep int32)                { p.note("close " + p.eps[ep]) }
 func (p *player) TellGood(ep int32)                 { p.note("good " + p.eps[ep]) }
-func (p *player) Log(string)                        {}
--- /dev/null
+++ b/simwire/simwire_test.go
@@ -0,0 +1,211 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"jaspersill/port"
+)
+
+var launchEnv = strings.ReplaceAll(`models=big,small discovery=subscribe ceilings.max_open=50 ceilings.max_attempts=4 `+
+	`ceilings.retry_after=true ceilings.max_retry_after_ms=1500 family_info.slots=5 `+
+	`family_info.per_call=3,1 family_info.own_limits=false,true feedback.names=tps,x1,x0 `+
+	`weight_kind=nominal me=0 replicas_of_me=2 rules.cold_share=0.2 rules.ramp_time_ms=9000 `+
+	`rules.fall_multiple=2 rules.tip_after_ms=2000 rules.drain_grace_ms=300 services.count=1 `+
+	`services.0.semantics=by_key services.0.group=zone services.0.aim_ms=1000 `+
+	`services.0.deadline_ms=9000 services.0.memory_span_ms=5000 services.0.value=2 `+
+	`unknown.key=skipped`, " ", "\n")
+
+// frame builds a batch; put writes a record's fields behind its code.
+type frame struct {
+	records, tail []byte
+}
+
+func (f *frame) put(code byte, fields ...any) *frame {
+	r := append(make([]byte, 0, eventSize), code)
+	for _, v := range fields {
+		if text, ok := v.(string); ok {
+			r = le.AppendUint32(r, uint32(len(f.tail)))
+			r = le.AppendUint32(r, uint32(len(text)))
+			f.tail = append(f.tail, text...)
+			continue
+		}
+		r, _ = binary.Append(r, le, v)
+	}
+	f.records = append(f.records, append(r, make([]byte, eventSize-len(r))...)...)
+	return f
+}
+
+func (f *frame) bytes(seq uint32, clock float64) []byte {
+	b := le.AppendUint32(nil, seq)
+	b = le.AppendUint32(b, uint32(len(f.records)+len(f.tail)))
+	b = le.AppendUint32(b, uint32(len(f.records)/eventSize))
+	b = le.AppendUint64(b, math.Float64bits(clock))
+	return append(append(b, f.records...), f.tail...)
+}
+
+// catalog adds a list with one line for each endpoint, of destination 7.
+func (f *frame) catalog(table uint16, eps ...uint32) *frame {
+	at := uint32(len(f.tail))
+	for _, ep := range eps {
+		e := le.AppendUint32(nil, ep)
+		e = append(e, 1, 0, 1, 7, 0, 2)
+		e = le.AppendUint32(e, math.Float32bits(4.5))
+		f.tail = append(f.tail, append(e, make([]byte, 8)...)...)
+	}
+	return f.put(evCatalog, table, at, uint32(len(eps)))
+}
+
+// script is a Decider that says what comes in and does what the test tells.
+type script struct {
+	said []string
+	act  func(port.Writer)
+}
+
+func (s *script) Round(now int64, feed port.Feed, out port.Writer) {
+	s.say("round", now)
+	feed.Deliver(s)
+	s.act(out)
+}
+
+func (s *script) say(a ...any) { s.said = append(s.said, strings.Trim(fmt.Sprintln(a...), "\n")) }
+func (s *script) Event(e int32, typ, customer int, key uint64, left, work int64, dest int32) {
+	s.say("event", e, typ, customer, key, left, work, dest)
+}
+func (s *script) Begun(e int32, send int) { s.say("begun", e, send) }
+func (s *script) Outcome(e int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool, left, limit float64) {
+	s.say("outcome", e, send, ep, how, wait, took, ended, left, limit)
+}
+func (s *script) Withdrawn(e int32)     { s.say("withdrawn", e) }
+func (s *script) ListBegins(whole bool) { s.say("list", whole) }
+func (s *script) Listed(ep, dest int32, partner, zone int, state port.State, rate float64) {
+	s.say("listed", ep, dest, partner, zone, state, rate)
+}
+func (s *script) ListEnds()   { s.say("list ends") }
+func (s *script) ListFailed() { s.say("list failed") }
+func (s *script) Probed(ep int32, how port.Outcome, took int64, left, limit float64) {
+	s.say("probed", ep, how)
+}
+func (s *script) PeerGood(peer int, ep int32) { s.say("good", peer, ep) }
+func (s *script) Woken()                      { s.say("woken") }
+
+func TestFramesRoundTrip(t *testing.T) {
+	var in, out bytes.Buffer
+	f := new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(99), launchEnv).catalog(2, 70, 80).
+		put(evTopology, byte(topoCached), uint64(1), uint16(2)).catalog(2, 90)
+	f.put(evTopology, byte(topoChanges), uint64(2), uint16(2))
+	f.put(evKnock, uint64(501), uint16(0), uint16(1), uint64(6), 2500.5, 0.0, float32(7), byte(2))
+	in.Write(f.bytes(1, 1000))
+	f = new(frame).put(evTo, uint16(3))
+	f.put(evFinished, uint64(501), uint32(250), uint16(429), 12.5, uint16(0), byte(0), uint32(80),
+		byte(3), float32(1), float32(8), float32(0.5))
+	f.put(evMemo, uint16(1), string([]byte{1, 90, 0, 0, 0})).put(evReminder, uint64(0)).put(evAbandoned, uint64(777))
+	in.Write(f.bytes(2, 1005.25))
+	in.Write(new(frame).bytes(3, 1010))
+	s := &script{}
+	rounds := 0
+	s.act = func(w port.Writer) {
+		if rounds++; rounds == 1 {
+			w.Send(0, 1, 1500*1000)
+			w.Wake(5 * 1e6)
+			w.Watch(true)
+			w.TellGood(2)
+		} else {
+			w.Decline(0, 700*1e6)
+			w.Log("two words")
+		}
+	}
+	var got Start
+	if err := Serve(&in, &out, func(seed uint64, st Start) port.Decider { got = st; s.say("seed", seed); return s }); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"seed 99", "round 1000000000", "list true", "listed 0 0 1 1 2 4.5", "listed 1 0 1 1 2 4.5",
+		"list ends", "list false", "listed 2 0 1 1 2 4.5", "list ends", "event 0 0 1 6 2500500000 0 0",
+		"round 1005250000", "outcome 0 0 1 2 250000000 12500000 false 0.5 8", "good 1 2", "woken"}
+	if !slices.Equal(s.said, want) {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(s.said, "\n"), strings.Join(want, "\n"))
+	}
+	typ := port.StreamType{Safety: port.Deduplicated, ByZone: true, Window: 5e9, SLO: 1e9, MaxAge: 9e9, Utility: 2}
+	if got.Types[0] != typ || got.Partners[0] != (port.Partner{PerCall: 3}) || got.Partners[1] != (port.Partner{Routes: true, PerCall: 1}) ||
+		got.Room.ComeBack != 1500*1e6 || !got.Directory.Asked || got.Fleet.Nodes != 2 {
+		t.Errorf("read at start: %+v", got)
+	}
+	record := func(code byte, fields ...any) string {
+		r := []byte{code}
+		for _, v := range fields {
+			r, _ = binary.Append(r, le, v)
+		}
+		return string(append(r, make([]byte, actionSize-len(r))...))
+	}
+	reply := func(seq, count, size uint32) string {
+		return string(le.AppendUint32(le.AppendUint32(le.AppendUint32(nil, seq), count), size))
+	}
+	bytesWanted := reply(1, 5, 5*actionSize+5) + record(acOnBehalf, uint16(3)) +
+		record(acIssue, uint64(501), uint32(80), 1.5) + record(acRemind, 5.0, uint64(0)) + record(acKeepInformed, byte(1)) +
+		record(acMemoTo, uint16(allPeers), uint32(0), uint32(5)) + "\x01\x5a\x00\x00\x00" +
+		reply(2, 3, 3*actionSize+9) + record(acOnBehalf, uint16(3)) + record(acBounce, uint64(501), 700.0) +
+		record(acWriteLog, uint32(0), uint32(9)) + "two words" + reply(3, 0, 0)
+	if out.String() != bytesWanted {
+		t.Errorf("replies\n%x\nwant\n%x", out.String(), bytesWanted)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	start := func() *frame { return new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv) }
+	withEnv := func(from, to string) []byte {
+		return new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), strings.Replace(launchEnv, from, to, 1)).bytes(1, 0)
+	}
+	whole := start().bytes(1, 0)
+	for _, c := range []struct {
+		in   []byte
+		want string
+	}{
+		{whole[:7], "batch header: input ends inside it"},
+		{whole[:40], "input ends after 20 of"},
+		{start().put(99).bytes(1, 0), "record 2: unknown event code 99"},
+		{new(frame).put(evReminder, uint64(1)).bytes(1, 0), "event code 7 before any To"},
+		{start().put(evTopology, byte(3), uint64(1), uint16(4)).bytes(1, 0), "Catalog 4 was never defined"},
+		{start().put(evCatalog, uint16(16)).bytes(1, 0), "Catalog number 16"},
+		{start().put(evCatalog, uint16(1), uint32(0), uint32(1<<31)).bytes(1, 0), "pass the tail's"},
+		{start().put(evMemo, uint16(1), uint32(1<<30), uint32(9)).bytes(1, 0), "Memo: offset 1073741824"},
+		{start().put(evFinished, uint64(1), uint32(0), uint16(299), 1.0).bytes(1, 0), "code 299"},
+		{start().put(evKnock, uint64(1), uint16(0), uint16(0), uint64(0), math.NaN()).bytes(1, 0), "left_ms NaN"},
+		{start().bytes(1, math.Inf(1)), "clock +Inf"},
+		{withEnv("me=0", "me=x"), `env: me: want a number from 0 to 1e12, got "x"`},
+		{withEnv("rules.cold_share=0.2\n", ""), `env: rules.cold_share: want a number`},
+		{withEnv("by_key", "sometimes"), `services.0.semantics: want one of repeatable by_key once, got "sometimes"`},
+		{withEnv("services.count=1", "services.count=900000000"), `env: services.count: want at most 4096`},
+	} {
+		err := Serve(bytes.NewReader(c.in), &bytes.Buffer{}, func(uint64, Start) port.Decider { return &script{act: func(port.Writer) {}} })
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("want %q, got %v", c.want, err)
+		}
+	}
+}
+
+func TestPanicBecomesBailOut(t *testing.T) {
+	var out bytes.Buffer
+	s := &script{act: func(w port.Writer) { w.Watch(true); panic("lost count") }}
+	in := new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv).bytes(1, 0)
+	if err := Serve(bytes.NewReader(in), &out, func(uint64, Start) port.Decider { return s }); err != nil {
+		t.Fatal(err)
+	}
+	if b := out.Bytes(); len(b) < 60 || b[4] != 2 || b[12+actionSize] != acBailOut || !bytes.HasSuffix(b, []byte("lost count")) {
+		t.Errorf("reply %x", b)
+	}
+}
+
+func FuzzServe(f *testing.F) {
+	b := new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv).catalog(0, 5)
+	b.put(evTopology, byte(3), uint64(1), uint16(0)).put(evKnock, uint64(1), uint16(0), uint16(0), uint64(0), 90.0)
+	f.Add(b.bytes(1, 0))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		s := &script{act: func(port.Writer) {}}
+		_ = Serve(bytes.NewReader(in), &bytes.Buffer{}, func(uint64, Start) port.Decider { return s })
+	})
+}
