--- a/choice/choice.go
+++ b/choice/choice.go
@@ -332,21 +332,24 @@
 	}
 }
 
-// callOff ends the wait for a silent endpoint where a sibling is well. Danger: a loss on the way leaves a
-// silent call with each of many destinations, which hold the slots. Where the whole destination is slow, a
-// repeat only adds to its load: those calls wait on.
+// callOff ends waits for silence that only hold slots. Danger: a loss on the way, or a release that replaces
+// endpoints, leaves silent calls with each of many destinations, and these hold every slot. What is overdue at
+// an endpoint no longer listed is called off at once; the rest only when slots are scarce: past its time-out
+// where a sibling is well, else past the longer one, as a repeat adds to the load of a destination that is slow.
 func (n *Node) callOff() {
-	if !n.room.Cancels || scarcePart*(n.room.Slots-n.slots) > n.room.Slots {
-		return
-	}
+	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots
 	for i := range n.events {
 		e := &n.events[i]
-		if e.call < 0 || e.calledOff || !e.live || n.types[e.typ].Safety == port.NonIdempotent {
+		if !n.room.Cancels || e.call < 0 || e.calledOff || !e.live {
 			continue
 		}
 		c := &n.calls[e.call]
+		late, out := n.now-c.at, n.eps.timeout(c.endpoint)
+		gone := !n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)
 		well := func(ep int32) bool { return ep != c.endpoint && n.eps.ready[ep] && !n.eps.suspect(ep, n.now) }
-		if n.now-c.at >= n.eps.timeout(c.endpoint) && slices.ContainsFunc(n.byDest[e.dest], well) {
+		early := late >= out && n.types[e.typ].Safety != port.NonIdempotent && // which ends with it
+			slices.ContainsFunc(n.byDest[e.dest], well)
+		if gone || (scarce && (early || late >= patience*out)) {
 			n.out.Cancel(int32(i), e.sends-1)
 			e.calledOff = true
 		}
