--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,8 +40,7 @@
 	paceForget   = 60 * second  // a lane idle for a minute starts unpaced
 	paceBurst    = second / 2   // calls saved up while idle, in time at the pace: under the shortest span
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
-	beat         = second / 100 // next look while events wait: a fraction of any answer time
-	restBeat     = second / 5   // next look while nothing waits
+	beat         = second / 100 // next look: a fraction of any answer time
 
 	// Rule guards.
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
@@ -90,19 +89,18 @@
 
 // Node is the decision module of one delivery node.
 type Node struct {
-	now    int64
-	round  int64
-	out    port.Writer
-	chance pcg
-	types  []port.StreamType
-	kinds  []port.Partner
-	room   port.Room
-
-	events  []event
-	waiting []int32 // live events with nothing out, in the order of their coming
-	calls   []call  // those with no outcome to come are free to be used again
-	slots   int     // calls out
-	wakeAt  int64
+	now, round int64
+	out        port.Writer
+	chance     pcg
+	types      []port.StreamType
+	kinds      []port.Partner
+	room       port.Room
+
+	events         []event
+	waiting        []int32 // live events with nothing out, in the order of their coming
+	calls          []call  // those with no outcome to come are free to be used again
+	slots          int     // calls out
+	wakeAt, rankAt int64
 
 	dir   directory
 	keys  turns
@@ -112,8 +110,7 @@
 
 	eps      endpoints
 	byDest   [][]int32 // a destination's endpoints, in their ranked order
-	rankAt   int64
-	destLane []int32 // its lane, where its endpoints share one
+	destLane []int32   // its lane, where its endpoints share one
 }
 
 // New makes the module of one delivery node.
@@ -145,13 +142,9 @@
 	n.endLate()
 	n.callOff()
 	n.dispatch()
-	pause := restBeat
-	if len(n.waiting) > 0 || n.slots > 0 {
-		pause = beat
-	}
-	if n.wakeAt <= now || n.wakeAt > now+pause {
-		n.wakeAt = now + pause
-		out.Wake(pause)
+	if n.wakeAt <= now {
+		n.wakeAt = now + beat
+		out.Wake(beat)
 	}
 }
 
@@ -185,8 +178,15 @@
 		if !c.judged {
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
-			if n.eps.judge(ep, n.now, how, took) && n.notes {
-				n.out.TellGood(ep)
+			was := n.eps.aside[ep]
+			n.eps.judge(ep, n.now, how, took)
+			if !was && n.eps.aside[ep] {
+				n.out.Log("endpoint set aside", ep)
+			} else if was && !n.eps.aside[ep] {
+				n.out.Log("endpoint back, warming up", ep)
+				if n.notes {
+					n.out.TellGood(ep)
+				}
 			}
 		}
 		if c.events--; c.events == 0 {
@@ -333,9 +333,9 @@
 }
 
 // callOff ends waits for silence that only hold slots. Danger: a loss on the way, or a release that replaces
-// endpoints, leaves silent calls with each of many destinations, and these hold every slot. What is overdue at
-// an endpoint no longer listed is called off at once; the rest only when slots are scarce: past its time-out
-// where a sibling is well, else past the longer one, as a repeat adds to the load of a destination that is slow.
+// endpoints, leaves silent calls with each of many destinations, and these hold every slot. What is overdue
+// at an endpoint no longer listed is called off at once; the rest only when slots are scarce: past its
+// time-out where a sibling is well, else past the longer one, as a repeat adds to the load of what is slow.
 func (n *Node) callOff() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots
 	for i := range n.events {
@@ -536,12 +536,12 @@
 }
 
 // judge takes the fate of one call.
-func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) (returned bool) {
+func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
 	switch how {
 	case port.Unsent, port.Cancelled: // called off: the silence may be of the way there
-		return false
+		return
 	case port.Acked:
-		if returned = p.aside[ep]; returned {
+		if p.aside[ep] {
 			p.takeBack(ep, now)
 		}
 		p.fails[ep], p.timeouts[ep], p.ackAt[ep] = 0, 0, now
@@ -550,7 +550,7 @@
 		}
 		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
-		return returned
+		return
 	case port.TimedOut:
 		p.timeouts[ep]++
 	}
@@ -561,7 +561,6 @@
 	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= refusedSpan) {
 		p.aside[ep], p.warmAt[ep] = true, -1
 	}
-	return false
 }
 
 // takeBack takes an endpoint back that was set aside: from here on it warms up.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -354,3 +354,4 @@
 func (p *player) Wake(int64)                        {}
 func (p *player) Watch(bool)                        { p.note("watch") }
 func (p *player) TellGood(ep int32)                 { p.note("good " + p.eps[ep]) }
+func (p *player) Log(string, int32)                 {}
--- a/port/port.go
+++ b/port/port.go
@@ -103,8 +103,8 @@
 	FetchList()
 	Probe(endpoint int32)
 	CloseIdle(endpoint int32)
-	TellGood(endpoint int32) // tells all peers that the endpoint answers well
-	Log(text string)
+	TellGood(endpoint int32)         // tells all peers that the endpoint answers well
+	Log(text string, endpoint int32) // a line for the staff, about an endpoint
 }
 
 // Intake takes what came in, in the order of arrival.
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -530,7 +530,10 @@
 func (w *writer) FetchList()         { w.record(acGetList) }
 func (w *writer) Probe(ep int32)     { le.PutUint32(w.record(acSample)[1:], w.node.eps[ep]) }
 func (w *writer) CloseIdle(ep int32) { le.PutUint32(w.record(acFreeLinks)[1:], w.node.eps[ep]) }
-func (w *writer) Log(text string)    { w.text(acWriteLog, text) }
+
+func (w *writer) Log(text string, ep int32) {
+	w.text(acWriteLog, fmt.Sprintf("%s: %d", text, w.node.eps[ep]))
+}
 
 func (w *writer) TellGood(ep int32) {
 	le.PutUint16(w.bytes(acMemoTo, 3, note.Good(w.node.eps[ep]))[1:], allPeers)
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -117,7 +117,7 @@
 			w.TellGood(2)
 		} else {
 			w.Decline(0, 700*1e6)
-			w.Log("two words")
+			w.Log("two words", 1)
 		}
 	}
 	var got Start
@@ -148,8 +148,8 @@
 	bytesWanted := reply(1, 5, 5*actionSize+5) + record(acOnBehalf, uint16(3)) +
 		record(acIssue, uint64(501), uint32(80), 1.5) + record(acRemind, 5.0, uint64(0)) + record(acKeepInformed, byte(1)) +
 		record(acMemoTo, uint16(allPeers), uint32(0), uint32(5)) + "\x01\x5a\x00\x00\x00" +
-		reply(2, 3, 3*actionSize+9) + record(acOnBehalf, uint16(3)) + record(acBounce, uint64(501), 700.0) +
-		record(acWriteLog, uint32(0), uint32(9)) + "two words" + reply(3, 0, 0)
+		reply(2, 3, 3*actionSize+13) + record(acOnBehalf, uint16(3)) + record(acBounce, uint64(501), 700.0) +
+		record(acWriteLog, uint32(0), uint32(13)) + "two words: 80" + reply(3, 0, 0)
 	if out.String() != bytesWanted {
 		t.Errorf("replies\n%x\nwant\n%x", out.String(), bytesWanted)
 	}
