--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 
 	// Rule guards.
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
+	windowTries  = 2           // a send takes at most this part of its window: the rest is for a repeat
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
@@ -460,9 +461,12 @@
 	n.calls[e.call].events++
 	e.sends++
 	e.sentAt, e.calledOff = n.now, false
-	timeout := e.deadline - n.now
-	if n.types[e.typ].Safety != port.NonIdempotent { // whose time-out is its end
-		timeout = min(timeout, patience*n.eps.timeout(ep))
+	timeout, short := e.deadline-n.now, n.eps.timeout(ep)
+	switch t := &n.types[e.typ]; t.Safety { // for non-idempotent ones it would be the end
+	case port.Idempotent:
+		timeout = min(timeout, patience*short)
+	case port.Deduplicated: // danger: past its window no repeat is allowed, and the event is lost
+		timeout = min(timeout, patience*short, max(short, t.Window/windowTries))
 	}
 	n.out.Send(evt, ep, timeout)
 }
@@ -485,17 +489,16 @@
 	back  port.Recovery
 	nodes float64
 
-	lane            []int32
-	zone, out       []int
-	ready           []bool
-	mean, dev       []float64 // answer times
-	fails, timeouts []int     // in a row
-	failedAt, ackAt []int64   // first of the failures in a row; last good answer
-	overdueAt       []int64   // when the oldest call with no good answer since is overdue, 0 for none
-	aside, ran      []bool    // set aside; the last failure may have run
-	warmAt          []int64   // first good answer after it was set aside, -1 for never
-	credit          []float64 // calls that may go while cold
-	creditAt        []int64
+	lane                      []int32
+	zone, out                 []int
+	ready                     []bool
+	mean, dev                 []float64 // answer times
+	fails, timeouts           []int     // in a row
+	failedAt, ackAt, creditAt []int64   // first of the failures in a row; last good answer
+	overdueAt                 []int64   // when the oldest call with no good answer since is overdue, 0 for none
+	aside, ran                []bool    // set aside; the last failure may have run
+	warmAt                    []int64   // first good answer after it was set aside, -1 for never
+	credit                    []float64 // calls that may go while cold
 }
 
 func (p *endpoints) grow(ep int) {
@@ -595,14 +598,13 @@
 type lanes struct {
 	nodes float64
 
-	perCall, out, ends []int // events in a call, calls out, endpoints
-	waitUntil          []int64
-	limit              []float64 // calls a second that the destination told
-	pace, credit       []float64 // calls a second, 0 for unpaced; calls that may go now
-	creditAt, cutAt    []int64
-	climbAt            []int64
-	recent             [][]int64 // sends of the last second
-	last               []int32   // the call opened last
+	perCall, out, ends       []int // events in a call, calls out, endpoints
+	waitUntil                []int64
+	limit                    []float64 // calls a second that the destination told
+	pace, credit             []float64 // calls a second, 0 for unpaced; calls that may go now
+	creditAt, cutAt, climbAt []int64
+	recent                   [][]int64 // sends of the last second
+	last                     []int32   // the call opened last
 }
 
 func (l *lanes) add(perCall int) int32 {
@@ -730,7 +732,6 @@
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
-// ---- chance
 
 // pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
 type pcg uint64
