--- a/choice/choice.go
+++ b/choice/choice.go
@@ -732,7 +732,6 @@
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
-
 // pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
 type pcg uint64
 
