--- a/choice/choice.go
+++ b/choice/choice.go
@@ -630,6 +630,8 @@
 		l.limit[lane] = limit
 	}
 	switch {
+	case how == port.Acked && limit > 0 && (l.pace[lane] == 0 || l.pace[lane] > limit):
+		l.pace[lane], l.climbAt[lane] = limit, now
 	case how == port.Acked && l.pace[lane] > 0:
 		span := float64(min(now-l.climbAt[lane], second)) / float64(second)
 		if fair := l.limit[lane] / l.nodes; l.pace[lane] < fair {
@@ -643,7 +645,11 @@
 			l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
 		}
 		if now >= l.cutAt[lane]+paceCutEvery {
-			l.pace[lane] = max(paceLeast, paceCut*float64(l.lastSecond(lane, now)))
+			least := paceLeast // danger: where refused calls use up the limit, a floor over it keeps all refused
+			if fair := l.limit[lane] / l.nodes; fair > 0 {
+				least = min(least, fair)
+			}
+			l.pace[lane] = max(least, paceCut*float64(l.lastSecond(lane, now)))
 			l.cutAt[lane], l.climbAt[lane] = now, now
 		}
 	}
