Keep the pace within a told limit that falls, and the least pace within our part of it

Four large destinations told limits of 0.6 to 1.6 calls a second instead of 4 to 10; three nodes at the least pace of 1 a second kept them refusing everything, as refused calls use up the limit there. Told from an outage by the told limit, which fell at the same time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -617,11 +617,7 @@
 
 // share is what one endpoint of a lane takes when warm, in calls a second.
 func (l *lanes) share(lane int32) float64 {
-	limit := l.limit[lane]
-	if limit == 0 {
-		limit = guessLimit
-	}
-	return limit / float64(l.ends[lane])
+	return cmp.Or(l.limit[lane], guessLimit) / float64(l.ends[lane])
 }
 
 // judge takes the fate of one call.
@@ -630,7 +626,7 @@
 		l.limit[lane] = limit
 	}
 	switch {
-	case how == port.Acked && limit > 0 && (l.pace[lane] == 0 || l.pace[lane] > limit):
+	case how == port.Acked && limit > 0 && l.pace[lane] > limit:
 		l.pace[lane], l.climbAt[lane] = limit, now
 	case how == port.Acked && l.pace[lane] > 0:
 		span := float64(min(now-l.climbAt[lane], second)) / float64(second)
@@ -645,10 +641,8 @@
 			l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
 		}
 		if now >= l.cutAt[lane]+paceCutEvery {
-			least := paceLeast // danger: where refused calls use up the limit, a floor over it keeps all refused
-			if fair := l.limit[lane] / l.nodes; fair > 0 {
-				least = min(least, fair)
-			}
+			// Danger: where refused calls use up the limit, a least pace over our part of it keeps all refused.
+			least := min(paceLeast, cmp.Or(l.limit[lane]/l.nodes, paceLeast))
 			l.pace[lane] = max(least, paceCut*float64(l.lastSecond(lane, now)))
 			l.cutAt[lane], l.climbAt[lane] = now, now
 		}
