Let a new endpoint take over its destination's outage or warm-up

A told limit is no longer lost when the list brings a new endpoint. Covers scale-out into an outage too; could hurt a healthy destination with one sick endpoint that is given a new one, which then starts slowly.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,7 +118,7 @@
 func New(seed uint64, types []port.StreamType, customers []port.Customer, overShare float64,
 	kinds []port.Partner, room port.Room, back port.Recovery, dir port.Directory, fleet port.Fleet,
 	orderPause int64) *Node {
-	return &Node{chance: newPCG(seed), types: types, kinds: kinds, room: room,
+	return &Node{chance: newPCG(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
 		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
 		keys: turns{}, pause: orderPause, notes: fleet.Notes,
 		eps:   endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
@@ -161,7 +161,7 @@
 	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age, notBefore: n.now,
 		deadline: n.now + left - answerBefore, live: true, value: t.Utility,
 		slo: min(t.MaxAge, t.SLO+int64(t.SLOPerWork*float64(work)))}
-	if t.Ordered {
+	if t.Ordered && key != 0 {
 		n.keys.join(key, evt)
 	}
 	n.waiting = append(n.waiting, evt)
@@ -233,16 +233,18 @@
 	if n.eps.lane[ep] < 0 {
 		n.eps.zone[ep] = zone
 		n.byDest[dest] = append(n.byDest[dest], ep)
-		partner := port.Partner{PerCall: 1}
-		if kind < len(n.kinds) {
-			partner = n.kinds[kind]
-		}
+		partner := n.kinds[min(kind, len(n.kinds)-1)]
 		if n.eps.lane[ep] = n.destLane[dest]; partner.Routes || n.destLane[dest] < 0 {
 			n.eps.lane[ep] = n.lanes.add(partner.PerCall)
 			n.destLane[dest] = n.eps.lane[ep]
 		}
 		n.lanes.ends[n.eps.lane[ep]]++
-		n.lanes.limit[n.eps.lane[ep]] = rate
+		n.lanes.limit[n.eps.lane[ep]] = cmp.Or(n.lanes.limit[n.eps.lane[ep]], rate)
+		// Danger: a new endpoint of a destination in an outage gets the whole backlog at once. It comes cold.
+		for _, sib := range n.byDest[dest] {
+			n.eps.aside[ep] = n.eps.aside[ep] || n.eps.aside[sib]
+			n.eps.warmAt[ep] = max(n.eps.warmAt[ep], n.eps.warmAt[sib])
+		}
 	}
 	n.eps.ready[ep] = state == port.Ready
 }
@@ -682,12 +684,10 @@
 type turns map[uint64]*turn
 
 func (t turns) join(key uint64, evt int32) {
-	if key != 0 {
-		if t[key] == nil {
-			t[key] = &turn{}
-		}
-		t[key].events = append(t[key].events, evt)
+	if t[key] == nil {
+		t[key] = &turn{}
 	}
+	t[key].events = append(t[key].events, evt)
 }
 
 func (t turns) leave(key uint64, evt int32, now int64) {
