--- a/choice/choice.go
+++ b/choice/choice.go
@@ -546,8 +546,8 @@
 	case port.Unsent, port.Cancelled: // called off: the silence may be of the way there
 		return
 	case port.Acked:
-		if p.aside[ep] || (p.fails[ep] > 0 && now-p.ackAt[ep] >= p.back.FallAfter) {
-			p.takeBack(ep, now) // one failure, but long since a good answer: perhaps an outage few calls saw
+		if p.aside[ep] {
+			p.takeBack(ep, now)
 		}
 		p.fails[ep], p.timeouts[ep], p.ackAt[ep] = 0, 0, now
 		if p.mean[ep] == 0 {
