Learn dead connections from silence after idle times too, and free scarce slots by time alone

Told from hangs by the idle times: of calls within 0.5 s of another nine in ten were answered, of those after 0.5 s or more of rest one in ten. Connections that rest are dropped unseen. Calling off only where a sibling endpoint is well is gone: it had met these same dead connections. It covers any loss on idle paths; where a mass outage looks alike it costs handshakes for 30 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,6 @@
 const (
 	second = int64(1e9)
 
-	// The design's delays.
 	refusalBase  = 5 * second   // longest base after a refusal: the source's default
 	refusalPart  = 10           // the base is at most this part of max age, so that several tries fit in
 	extraBase    = 1 * second   // first extra after a refusal, doubling: the source's default
@@ -43,14 +42,12 @@
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
 	beat         = second / 100 // next look: a fraction of any answer time
 
-	// Rule guards.
 	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
 	windowTries  = 2           // a send takes at most this part of its window: the rest is for a repeat
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
-	// Health, time-outs and the order of endpoints.
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
 	refusedSpan = 1 * second     // refusals set aside only if they go on this long: a burst is shorter
 	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
@@ -60,9 +57,11 @@
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
+	hurry       = 2              // but only this much once slots are scarce: others could use them
 	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
-	staleLeast  = 1 * second     // resets after a shorter idle time are no sign of dead connections
+	staleLeast  = second / 2     // calls lost after a shorter idle time are no sign of dead connections
+	levels      = 8              // calls out at once up to which idle times are told apart: one connection each
 	staleSigns  = 3              // signs that make it so: a crash may bring one or two
 	staleKeep   = 30 * second    // idle connections are closed for so long after the last sign
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
@@ -87,7 +86,7 @@
 	endpoint        int32
 	at, round, idle int64 // when it went out; idle: how long nothing was out to the endpoint before
 	events          int   // outcomes still to come
-	judged          bool
+	judged, silent  bool  // its fate is known; it was overdue
 }
 
 // Node is the decision module of one delivery node.
@@ -133,7 +132,7 @@
 	n.now, n.out, n.round = now, out, n.round+1
 	feed.Deliver(n)
 	n.dir.ask(now, out)
-	n.eps.look(now, n.calls)
+	n.eps.look(now, n.calls, &n.stale)
 	if now >= n.rankAt { // the quickest to answer first
 		n.rankAt = now + rankEvery
 		for _, list := range n.byDest {
@@ -180,8 +179,8 @@
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
 			was := n.eps.aside[ep]
-			if how == port.Reset && float64(took) < n.eps.mean[ep]/2 && c.idle >= staleLeast {
-				n.stale.sign(c.idle, n.now)
+			if how == port.Acked || (how == port.Reset && float64(took) < n.eps.mean[ep]/2) {
+				n.stale.learn(how == port.Reset, c.idle, n.now)
 			}
 			n.eps.judge(ep, n.now, how, took)
 			if !was && n.eps.aside[ep] {
@@ -196,7 +195,7 @@
 		if c.events--; c.events == 0 {
 			n.slots--
 			n.eps.out[ep]--
-			n.eps.used[ep] = n.now
+			n.eps.used[ep][min(n.eps.out[ep], levels-1)] = n.now
 			n.lanes.out[n.eps.lane[ep]]--
 		}
 		e.call = -1
@@ -329,10 +328,10 @@
 	}
 }
 
-// callOff ends waits for silence that only hold slots. Danger: a loss on the way, or a release that replaces
-// endpoints, leaves silent calls with each of many destinations, and these hold every slot. What is overdue
-// at an endpoint no longer listed is called off at once; the rest only when slots are scarce: past its
-// time-out where a sibling is well, else past the longer one, as a repeat adds to the load of what is slow.
+// callOff ends waits for silence that only hold slots. Danger: a release that replaces endpoints, or dead
+// connections, leave silent calls with each of many destinations, which hold every slot. Called off is what
+// is overdue at an endpoint no longer listed, what is past its time-out on a dead connection, and, only while
+// slots are scarce, as a repeat adds to the load of a slow destination, what is past twice its time-out.
 func (n *Node) callOff() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots
 	for i := range n.events {
@@ -343,10 +342,8 @@
 		c := &n.calls[e.call]
 		late, out := n.now-c.at, n.eps.timeout(c.endpoint)
 		gone := !n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)
-		well := func(ep int32) bool { return ep != c.endpoint && n.eps.ready[ep] && !n.eps.suspect(ep, n.now) }
-		early := late >= out && n.types[e.typ].Safety != port.NonIdempotent && // which ends with it
-			slices.ContainsFunc(n.byDest[e.dest], well)
-		if gone || (scarce && (early || late >= patience*out)) {
+		dead := late >= out && n.stale.dead(c.idle, n.now) && n.types[e.typ].Safety != port.NonIdempotent
+		if gone || dead || (scarce && late >= hurry*out) {
 			n.out.Cancel(int32(i), e.sends-1)
 			e.calledOff = true
 		}
@@ -443,11 +440,11 @@
 			n.calls = append(n.calls, call{})
 		}
 		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round}
-		if n.eps.out[ep] == 0 && n.eps.used[ep] >= 0 {
-			c := &n.calls[e.call]
-			if c.idle = n.now - n.eps.used[ep]; n.stale.dead(c.idle, n.now) {
-				n.out.CloseIdle(ep)
-			}
+		c := &n.calls[e.call]
+		c.idle = n.now - cmp.Or(n.eps.used[ep][min(n.eps.out[ep], levels-1)], n.now) // 0 for a first call
+		if n.stale.dead(c.idle, n.now) {
+			n.out.CloseIdle(ep)
+			c.idle = 0
 		}
 		n.slots++
 		n.eps.out[ep]++
@@ -488,14 +485,13 @@
 
 	lane                      []int32
 	zone, out                 []int
-	ready                     []bool
-	mean, dev                 []float64 // answer times
-	fails, timeouts           []int     // in a row
-	failedAt, ackAt, creditAt []int64   // first of the failures in a row; last good answer
-	used, overdueAt           []int64   // when its last call ended; when the oldest unanswered one is overdue
-	aside, ran                []bool    // set aside; the last failure may have run
-	warmAt                    []int64   // first good answer after it was set aside, -1 for never
-	credit                    []float64 // calls that may go while cold
+	ready, aside, ran         []bool          // listed as ready; set aside; the last failure may have run
+	mean, dev, credit         []float64       // answer times; calls that may go while cold
+	fails, timeouts           []int           // in a row
+	failedAt, ackAt, creditAt []int64         // first of the failures in a row; last good answer
+	used                      [][levels]int64 // when it last had a call more than so many out, 0 for never
+	overdueAt                 []int64         // when the oldest unanswered call is overdue, 0 for none
+	warmAt                    []int64         // first good answer after it was set aside, -1 for never
 }
 
 func (p *endpoints) grow(ep int) {
@@ -506,16 +502,20 @@
 		p.fails, p.timeouts = append(p.fails, 0), append(p.timeouts, 0)
 		p.failedAt, p.ackAt = append(p.failedAt, 0), append(p.ackAt, -1)
 		p.overdueAt, p.warmAt = append(p.overdueAt, 0), append(p.warmAt, -1)
-		p.creditAt, p.used = append(p.creditAt, 0), append(p.used, -1)
+		p.creditAt, p.used = append(p.creditAt, 0), append(p.used, [levels]int64{})
 	}
 }
 
 // look finds the overdue calls: silence shows before any time-out ends.
-func (p *endpoints) look(now int64, calls []call) {
+func (p *endpoints) look(now int64, calls []call, s *stale) {
 	clear(p.overdueAt)
 	for i := range calls {
-		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] {
+		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] && !s.dead(c.idle, now) {
 			at := c.at + max(leastLate, int64(p.mean[c.endpoint]+overdueDevs*p.dev[c.endpoint]))
+			if now >= c.at+p.timeout(c.endpoint) && !c.silent {
+				c.silent = true
+				s.learn(true, c.idle, now)
+			}
 			if p.overdueAt[c.endpoint] == 0 || at < p.overdueAt[c.endpoint] {
 				p.overdueAt[c.endpoint] = at
 			}
@@ -656,22 +656,27 @@
 	return true
 }
 
-// stale learns from quick resets after an idle time that idle connections are dead. Danger: something on the
-// way drops them unseen, the next call on each is reset, and that ends a non-idempotent event.
+// stale learns from quick resets and from silence after an idle time that idle connections are dead. Danger:
+// something on the way drops them unseen; each next call is lost, which ends a non-idempotent event.
 type stale struct {
-	signs     int
-	at, after int64 // last sign; shortest idle time before one
+	lost, good int
+	at, after  int64 // last call lost; shortest idle time before one
 }
 
-func (s *stale) sign(idle, now int64) {
-	if now-s.at > staleKeep {
-		s.signs, s.after = 0, idle
+func (s *stale) learn(lost bool, idle, now int64) {
+	switch {
+	case !lost && idle >= s.after:
+		s.good++
+	case lost && idle >= staleLeast:
+		if s.lost == 0 || now-s.at > staleKeep {
+			s.lost, s.good, s.after = 0, 0, idle
+		}
+		s.lost, s.at, s.after = s.lost+1, now, min(s.after, idle)
 	}
-	s.signs, s.at, s.after = s.signs+1, now, min(s.after, idle)
 }
 
 func (s *stale) dead(idle, now int64) bool {
-	return s.signs >= staleSigns && now-s.at <= staleKeep && idle >= s.after
+	return s.lost >= staleSigns && s.lost > s.good && now-s.at <= staleKeep && idle >= s.after
 }
 
 // turn is the line of one key: its events in the order of their coming, and when a new one may start.
@@ -704,11 +709,8 @@
 }
 
 type directory struct {
-	asked   bool
-	within  int64
-	watched bool // a watch was confirmed
-	at      int64
-	delay   int64
+	asked, watched    bool // changes must be asked for; a watch was confirmed
+	within, at, delay int64
 }
 
 // ask asks for changes until a watch stands: what is not asked for counts as told all the same.
