--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -157,21 +157,21 @@
 		p.pause = dur("pause")
 		p.kinds = []port.Partner{{PerCall: max(1, int(num("percall"))), Routes: num("routes") > 0}}
 		p.dir = port.Directory{Asked: dur("directory") > 0, AskWithin: dur("directory")}
-	case "at":
-		head, want, _ := strings.Cut(line, "=>")
-		when, news, _ := strings.Cut(strings.TrimPrefix(head, "at "), ":")
-		p.now = epoch + p.dur(strings.TrimSpace(when))
+	case "at", "to":
+		head, want, _ := strings.Cut(line[3:], "=>")
+		when, news, _ := strings.Cut(head, ":")
+		end := epoch + p.dur(strings.TrimSpace(when))
+		for p.node != nil && (p.now+beat < end || w[0] == "to" && p.now < end) {
+			p.now += beat
+			p.round()
+		}
 		for item := range strings.SplitSeq(news, ";") {
 			if f := strings.Fields(item); len(f) > 0 {
+				p.now = end
 				p.take(f)
 			}
 		}
-		p.round()
-		p.expect(want)
-	case "to":
-		head, want, _ := strings.Cut(line, "=>")
-		for end := epoch + p.dur(strings.Fields(head)[1]); p.now+beat <= end; {
-			p.now += beat
+		if p.now = end; w[0] == "at" {
 			p.round()
 		}
 		p.expect(want)
