--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,7 +57,7 @@
 	leastOut    = 3 * second / 2 // no time-out below this: stalls pass in less, and a repeat costs more
 	unmeasured  = 4 * second     // time-out before any answer is measured
 	patience    = 4              // time-outs are this much longer: late is worth more than twice
-	hurry       = 2              // but only this much once slots are scarce: others could use them
+	backlog     = 3              // events waiting for each slot that make silence cost more than a repeat
 	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
 	staleLeast  = second / 2     // calls lost after a shorter idle time are no sign of dead connections
@@ -330,10 +330,10 @@
 
 // callOff ends waits for silence that only hold slots. Danger: a release that replaces endpoints, or dead
 // connections, leave silent calls with each of many destinations, which hold every slot. Called off is what
-// is overdue at an endpoint no longer listed, what is past its time-out on a dead connection, and, only while
-// slots are scarce, as a repeat adds to the load of a slow destination, what is past twice its time-out.
+// is overdue at an endpoint no longer listed, or past its time-out on a dead connection, or while slots
+// are scarce and a backlog waits: not before, as a repeat adds to the load of a destination that is slow.
 func (n *Node) callOff() {
-	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots
+	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
 		e := &n.events[i]
 		if !n.room.Cancels || e.call < 0 || e.calledOff || !e.live {
@@ -343,7 +343,7 @@
 		late, out := n.now-c.at, n.eps.timeout(c.endpoint)
 		gone := !n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)
 		dead := late >= out && n.stale.dead(c.idle, n.now) && n.types[e.typ].Safety != port.NonIdempotent
-		if gone || dead || (scarce && late >= hurry*out) {
+		if gone || dead || (scarce && late >= out) {
 			n.out.Cancel(int32(i), e.sends-1)
 			e.calledOff = true
 		}
