--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,7 +12,7 @@
 //  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
 //  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
 //  5. Slot shares: a lane holds at most as many slots as are left free.
-//  6. Dead connections: idle ones are closed before a send while resets after idle times show that they die.
+//  6. Dead connections: idle ones are closed before a send while calls after idle times are lost.
 package choice
 
 import (
@@ -99,7 +99,7 @@
 	room       port.Room
 
 	events         []event
-	waiting        []int32 // live events with nothing out, in the order of their coming
+	waiting        []int32 // live events with nothing out, as last put in order
 	calls          []call  // those with no outcome to come are free to be used again
 	slots          int     // calls out
 	wakeAt, rankAt int64
