Close idle connections while connects fail; pace and spread refusals of many nodes

Refusals also set endpoints aside and made them cold.

A good answer right after a lone failed connect is a sign of crowding, not of an outage: for 30 s no idle connection is kept. A refusal sets aside only where the told share of the limit is left. A refusal with the limit spent cuts the pace at once to 0.6 of our part of it, 0.1 a second at least, others halve it on from the pace before; the first credit of a lane is by chance; refused events are spread over up to 0.4 of the time they have left.

Covers other causes of refusal storms; hurts where a refusal was a chance of the moment.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 
 	"jaspersill/port"
@@ -31,12 +32,17 @@
 	extraBase    = 1 * second   // first extra after a refusal, doubling: the source's default
 	extraPart    = 50           // the extra is at most this part of max age, for the same reason
 	errorBase    = second / 5   // first delay after other errors, doubling: one quick second look
+	spreadPart   = 0.4          // refused events are spread over at most this part of the time they have left
 	jitterPart   = 0.5          // delays grow by chance by up to half: spreads nodes, still orders the tries
 	paceCutEvery = 1 * second   // a burst of refusals is one sign, not many: one cut a second
 	paceCut      = 0.5          // a refusal halves the pace: the design's figure
 	paceLeast    = 1.0          // calls a second below which a pace never falls: keeps signs coming
 	paceClimb    = 0.1          // share by which a pace climbs each second while all is served
+	paceFair     = 0.6          // least pace, in parts of our even part of a told limit: others are unpaced
+	paceSeldom   = 0.1          // calls a second under which no pace falls: one in the life of most events
+	spentLeft    = 0.15         // a refusal with less than this share of the limit left shows it used up
 	paceBack     = 0.5          // below our even part of a told limit it climbs by so much of that a second
+	paceSpan     = 3 * second   // time without an answer over which it climbs at most: nodes that seldom send
 	paceForget   = 60 * second  // a lane idle for a minute starts unpaced
 	paceBurst    = second / 2   // calls saved up while idle, in time at the pace: under the shortest span
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
@@ -49,7 +55,7 @@
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
-	refusedSpan = 1 * second     // refusals set aside only if they go on this long: a burst is shorter
+	shutLeft    = 0.8            // a refusal with this share of the limit left shows a destination that is shut
 	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
 	overdueDevs = 4.0            // an answer is overdue this many deviations past the mean: the usual figure
 	timeoutDevs = 8.0            // and a time-out twice as many
@@ -68,7 +74,6 @@
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: no queue there
 )
 
-// event is one event from its coming to its end.
 type event struct {
 	typ, sends, refusals, errors int
 	dest, call                   int32 // call is -1 while nothing is out
@@ -81,7 +86,6 @@
 	mayRun, live, calledOff      bool
 }
 
-// call is one call out: one slot, one fate.
 type call struct {
 	endpoint        int32
 	at, round, idle int64 // when it went out; idle: how long nothing was out to the endpoint before
@@ -89,7 +93,6 @@
 	judged, silent  bool  // its fate is known; it was overdue
 }
 
-// Node is the decision module of one delivery node.
 type Node struct {
 	now, round int64
 	out        port.Writer
@@ -116,18 +119,14 @@
 	destLane []int32   // its lane, where its endpoints share one
 }
 
-// New makes the module of one delivery node.
 func New(seed uint64, types []port.StreamType, kinds []port.Partner, room port.Room, back port.Recovery,
 	dir port.Directory, fleet port.Fleet, orderPause int64) *Node {
 	return &Node{chance: pcg(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
 		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
 		keys: turns{}, pause: orderPause, notes: fleet.Notes,
-		eps:   endpoints{back: back, nodes: float64(max(1, fleet.Nodes))},
-		lanes: lanes{nodes: float64(max(1, fleet.Nodes))},
-	}
+		eps: endpoints{back: back}, lanes: lanes{nodes: float64(max(1, fleet.Nodes))}}
 }
 
-// Round takes a round's news and writes the decisions.
 func (n *Node) Round(now int64, feed port.Feed, out port.Writer) {
 	n.now, n.out, n.round = now, out, n.round+1
 	feed.Deliver(n)
@@ -140,9 +139,11 @@
 				return cmp.Compare(n.eps.mean[a], n.eps.mean[b])
 			})
 		}
+		for ep := range n.eps.out {
+			n.closeIdle(int32(ep))
+		}
 	}
-	n.endLate()
-	n.callOff()
+	n.sweep()
 	n.dispatch()
 	if n.wakeAt <= now {
 		n.wakeAt = now + beat
@@ -177,12 +178,15 @@
 		c := &n.calls[e.call]
 		if !c.judged {
 			c.judged = true
-			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, limit)
+			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, left, limit)
 			was := n.eps.aside[ep]
 			if how == port.Acked || (how == port.Reset && float64(took) < n.eps.mean[ep]/2) {
 				n.stale.learn(how == port.Reset, c.idle, n.now)
 			}
-			n.eps.judge(ep, n.now, how, took)
+			if how == port.Acked && n.eps.fails[ep] == 1 && n.eps.last[ep] == port.ConnectFailed { // no outage
+				n.stale.crowdedUntil = n.now + staleKeep
+			}
+			n.eps.judge(ep, n.now, how, took, limit > 0 && left < shutLeft)
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
 			} else if was && !n.eps.aside[ep] {
@@ -197,6 +201,7 @@
 			n.eps.out[ep]--
 			n.eps.used[ep][min(n.eps.out[ep], levels-1)] = n.now
 			n.lanes.out[n.eps.lane[ep]]--
+			n.closeIdle(ep)
 		}
 		e.call = -1
 	}
@@ -211,7 +216,7 @@
 	if ended || !e.live {
 		n.close(evt)
 	} else {
-		n.retry(evt, how, wait)
+		n.retry(evt, ep, how, wait)
 	}
 }
 
@@ -229,7 +234,7 @@
 		n.byDest[dest] = append(n.byDest[dest], ep)
 		partner := n.kinds[min(kind, len(n.kinds)-1)]
 		if n.eps.lane[ep] = n.destLane[dest]; partner.Routes || n.destLane[dest] < 0 {
-			n.eps.lane[ep] = n.lanes.add(partner.PerCall)
+			n.eps.lane[ep] = n.lanes.add(partner.PerCall, n.chance.float())
 			n.destLane[dest] = n.eps.lane[ep]
 		}
 		n.lanes.ends[n.eps.lane[ep]]++
@@ -244,14 +249,13 @@
 }
 
 func (n *Node) Withdrawn(evt int32)                                         { n.close(evt) }
-func (n *Node) ListEnds()                                                   { n.dir.answered() }
+func (n *Node) ListEnds()                                                   { n.dir.watched, n.dir.delay = n.dir.at > 0, 0 }
 func (n *Node) ListFailed()                                                 { n.dir.failed(n.now, &n.chance) }
 func (n *Node) Probed(ep int32, how port.Outcome, took int64, l, r float64) {}
 func (n *Node) Woken()                                                      { n.wakeAt = 0 }
 
-// PeerGood: a peer had a good answer from an endpoint; one under suspicion here comes back, cold.
 func (n *Node) PeerGood(peer int, ep int32) {
-	if n.eps.suspect(ep, n.now) {
+	if n.eps.suspect(ep, n.now) { // it comes back, cold
 		n.eps.takeBack(ep, n.now)
 	}
 }
@@ -263,7 +267,7 @@
 }
 
 // retry plans an event's next send after a failed one, or ends it.
-func (n *Node) retry(evt int32, how port.Outcome, wait int64) {
+func (n *Node) retry(evt, ep int32, how port.Outcome, wait int64) {
 	e, t := &n.events[evt], &n.types[n.events[evt].typ]
 	if e.mayRun && t.Safety == port.NonIdempotent {
 		n.giveUp(evt, 0) // a second effect is the danger
@@ -282,6 +286,12 @@
 	if wait == 0 {
 		delay += int64(n.chance.float() * jitterPart * float64(delay))
 	}
+	// Danger: a clump is refused at hundreds of nodes, and all come back at once. They are spread over the time
+	// in which our part of the limit brings a call, as far as the event's own time allows.
+	if l := n.lanes.limit[n.eps.lane[ep]]; how == port.Declined && l > 0 {
+		left := spreadPart * float64(n.lastSend(e)-n.now-delay)
+		delay += int64(n.chance.float() * min(n.lanes.nodes/l*float64(second), left))
+	}
 	e.notBefore = n.now + delay
 	if e.sends >= n.room.Sends || e.notBefore >= n.lastSend(e) {
 		n.giveUp(evt, delay)
@@ -318,65 +328,61 @@
 	}
 }
 
-// endLate answers events whose time is up, whether they wait or have a send out: an unanswered one is lost.
-func (n *Node) endLate() {
+// sweep answers events whose time is up: an unanswered one is lost. It calls off waits for silence that only
+// hold slots. Danger: after a release, or on dead connections, silent calls with many destinations hold every
+// slot. Called off is what is overdue at an endpoint no longer listed, or past its time-out on a dead
+// connection or while slots are scarce and a backlog waits: not before, as repeats load what is slow.
+func (n *Node) sweep() {
+	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
 		e := &n.events[i]
 		if e.live && (n.now >= e.deadline || (e.call < 0 && n.now >= n.lastSend(e))) {
 			n.giveUp(int32(i), 0)
 		}
-	}
-}
-
-// callOff ends waits for silence that only hold slots. Danger: a release that replaces endpoints, or dead
-// connections, leave silent calls with each of many destinations, which hold every slot. Called off is what
-// is overdue at an endpoint no longer listed, or past its time-out on a dead connection, or while slots
-// are scarce and a backlog waits: not before, as a repeat adds to the load of a destination that is slow.
-func (n *Node) callOff() {
-	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
-	for i := range n.events {
-		e := &n.events[i]
-		if !n.room.Cancels || e.call < 0 || e.calledOff || !e.live {
+		if !e.live || e.call < 0 || e.calledOff || !n.room.Cancels {
 			continue
 		}
 		c := &n.calls[e.call]
-		late, out := n.now-c.at, n.eps.timeout(c.endpoint)
-		gone := !n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)
-		dead := late >= out && n.stale.dead(c.idle, n.now) && n.types[e.typ].Safety != port.NonIdempotent
-		if gone || dead || (scarce && late >= out) {
+		late := n.now-c.at >= n.eps.timeout(c.endpoint)
+		dead := n.stale.dead(c.idle, n.now) && n.types[e.typ].Safety != port.NonIdempotent
+		if (late && (dead || scarce)) || (!n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)) {
 			n.out.Cancel(int32(i), e.sends-1)
 			e.calledOff = true
 		}
 	}
 }
 
-// dispatch sends what may go, in order, as slots, waits, paces and turns allow.
+// closeIdle: danger: connections that many nodes keep idle shut all others out where endpoints take few. While
+// connects fail between good answers none is kept, at the price of handshakes.
+func (n *Node) closeIdle(ep int32) {
+	if n.now < n.stale.crowdedUntil && n.eps.out[ep] == 0 && n.eps.used[ep][0] > 0 {
+		n.out.CloseIdle(ep)
+		n.eps.used[ep] = [levels]int64{}
+	}
+}
+
 func (n *Node) dispatch() {
-	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return !n.events[evt].live })
-	n.order()
+	for _, evt := range n.waiting {
+		e, t := &n.events[evt], &n.types[n.events[evt].typ]
+		e.loss = e.value * (worth(t, e.slo, n.now-e.came) - worth(t, e.slo, n.now-e.came+waitAhead))
+	}
+	// Danger: in the order of coming, those that lose fast wait behind a backlog of those that lose little.
+	slices.SortStableFunc(n.waiting, func(a, b int32) int {
+		x, y := &n.events[a], &n.events[b]
+		return cmp.Or(cmp.Compare(y.loss, x.loss), cmp.Compare(x.came, y.came))
+	})
 	for _, evt := range n.waiting {
 		e := &n.events[evt]
-		if n.now < e.notBefore || (n.types[e.typ].Ordered && !n.keys.may(e.key, evt, e.sends > 0, n.now)) {
+		if ordered := n.types[e.typ].Ordered; !e.live || n.now < e.notBefore ||
+			(ordered && !n.keys.may(e.key, evt, e.sends > 0, n.now)) {
 			continue
 		}
 		if ep := n.endpoint(e); ep >= 0 {
 			n.send(evt, ep)
 		}
 	}
-	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool { return n.events[evt].call >= 0 })
-}
-
-// order puts first the events that lose most utility by waiting longer. Danger: in the order of coming, those
-// that lose fast wait behind a backlog of those that lose little.
-func (n *Node) order() {
-	for _, evt := range n.waiting {
-		e := &n.events[evt]
-		age := n.now - e.came
-		e.loss = e.value * (worth(&n.types[e.typ], e.slo, age) - worth(&n.types[e.typ], e.slo, age+waitAhead))
-	}
-	slices.SortStableFunc(n.waiting, func(a, b int32) int {
-		x, y := &n.events[a], &n.events[b]
-		return cmp.Or(cmp.Compare(y.loss, x.loss), cmp.Compare(x.came, y.came))
+	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool {
+		return !n.events[evt].live || n.events[evt].call >= 0
 	})
 }
 
@@ -406,7 +412,7 @@
 		if n.joinable(ep) >= 0 {
 			return ep
 		}
-		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/float64(n.lanes.ends[lane])) {
+		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/(n.lanes.ends[lane]*n.lanes.nodes)) {
 			continue
 		}
 		switch {
@@ -420,13 +426,12 @@
 	}
 	// Danger: a trial at a silent endpoint costs a non-idempotent event its life, and any other its time-out.
 	if trial < 0 || (best >= 0 && e.errors > 0) ||
-		(t.Safety == port.NonIdempotent && n.eps.ran[trial] && n.now-e.came <= t.MaxAge/2) {
+		(t.Safety == port.NonIdempotent && n.eps.last[trial].MayHaveRun() && n.now-e.came <= t.MaxAge/2) {
 		return best
 	}
 	return trial
 }
 
-// send sends an event, in a call that is being filled this round or in one of its own, if there is room.
 func (n *Node) send(evt, ep int32) {
 	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
 	if e.call = n.joinable(ep); e.call < 0 {
@@ -469,23 +474,21 @@
 
 // joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none.
 func (n *Node) joinable(ep int32) int32 {
-	lane := n.eps.lane[ep]
-	last := n.lanes.last[lane]
-	if last < 0 || n.calls[last].round != n.round || n.calls[last].endpoint != ep ||
-		n.calls[last].events >= n.lanes.perCall[lane] {
-		return -1
+	last := n.lanes.last[n.eps.lane[ep]]
+	if last >= 0 && n.calls[last].round == n.round && n.calls[last].endpoint == ep &&
+		n.calls[last].events < n.lanes.perCall[n.eps.lane[ep]] {
+		return last
 	}
-	return last
+	return -1
 }
 
-// endpoints holds the figures of each endpoint, by index.
 type endpoints struct {
-	back  port.Recovery
-	nodes float64
+	back port.Recovery
 
 	lane                      []int32
 	zone, out                 []int
-	ready, aside, ran         []bool          // listed as ready; set aside; the last failure may have run
+	ready, aside              []bool          // listed as ready; set aside
+	last                      []port.Outcome  // how the last call that failed ended
 	mean, dev, credit         []float64       // answer times; calls that may go while cold
 	fails, timeouts           []int           // in a row
 	failedAt, ackAt, creditAt []int64         // first of the failures in a row; last good answer
@@ -497,7 +500,7 @@
 func (p *endpoints) grow(ep int) {
 	for ep >= len(p.lane) {
 		p.lane, p.zone, p.out = append(p.lane, -1), append(p.zone, 0), append(p.out, 0)
-		p.ready, p.aside, p.ran = append(p.ready, false), append(p.aside, false), append(p.ran, false)
+		p.ready, p.aside, p.last = append(p.ready, false), append(p.aside, false), append(p.last, port.Acked)
 		p.mean, p.dev, p.credit = append(p.mean, 0), append(p.dev, 0), append(p.credit, 1)
 		p.fails, p.timeouts = append(p.fails, 0), append(p.timeouts, 0)
 		p.failedAt, p.ackAt = append(p.failedAt, 0), append(p.ackAt, -1)
@@ -535,12 +538,11 @@
 	return t << min(p.timeouts[ep], 6)
 }
 
-// judge takes the fate of one call.
-func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64) {
-	switch how {
-	case port.Unsent, port.Cancelled: // called off: the silence may be of the way there
-		return
-	case port.Acked:
+func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full bool) {
+	switch {
+	case how == port.Unsent || how == port.Cancelled || (how == port.Declined && full):
+		return // called off, the silence may be of the way there; over a limit, it is not shut
+	case how == port.Acked:
 		if p.aside[ep] {
 			p.takeBack(ep, now)
 		}
@@ -551,25 +553,24 @@
 		p.dev[ep] += answerKeep * (math.Abs(float64(took)-p.mean[ep]) - p.dev[ep])
 		p.mean[ep] += answerKeep * (float64(took) - p.mean[ep])
 		return
-	case port.TimedOut:
+	case how == port.TimedOut:
 		p.timeouts[ep]++
 	}
 	if p.fails[ep]++; p.fails[ep] == 1 {
 		p.failedAt[ep] = now
 	}
-	p.ran[ep] = how.MayHaveRun()
-	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= refusedSpan) {
+	p.last[ep] = how
+	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery) {
 		p.aside[ep], p.warmAt[ep] = true, -1
 	}
 }
 
-// takeBack takes an endpoint back that was set aside: from here on it warms up.
 func (p *endpoints) takeBack(ep int32, now int64) {
 	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep], p.ackAt[ep] = false, now, 0, 0, now
 }
 
 // may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The
-// rule's budget is shared out evenly, as all peers may send as much; share is what the endpoint takes warm.
+// rule's budget is shared out evenly, as all peers may send as much; share is our part of what it takes warm.
 func (p *endpoints) may(ep int32, now int64, share float64) bool {
 	warm := p.back.ColdShare
 	if !p.aside[ep] {
@@ -578,7 +579,7 @@
 		}
 		warm += (1 - warm) * float64(now-p.warmAt[ep]) / float64(p.back.WarmAfter)
 	}
-	rate := coldRoom * p.back.FallMultiple * warm * share / p.nodes
+	rate := coldRoom * p.back.FallMultiple * warm * share
 	return refill(&p.credit[ep], &p.creditAt[ep], now, rate, 1)
 }
 
@@ -589,51 +590,53 @@
 	return *credit >= 1
 }
 
-// lanes holds the figures of each lane, by index.
 type lanes struct {
 	nodes float64
 
-	perCall, out, ends       []int // events in a call, calls out, endpoints
+	perCall, out             []int // events in a call, calls out
 	waitUntil                []int64
-	limit                    []float64 // calls a second that the destination told
+	limit, ends              []float64 // calls a second that the destination told; endpoints
 	pace, credit             []float64 // calls a second, 0 for unpaced; calls that may go now
 	creditAt, cutAt, climbAt []int64
 	recent                   [][]int64 // sends of the last second
 	last                     []int32   // the call opened last
 }
 
-func (l *lanes) add(perCall int) int32 {
+func (l *lanes) add(perCall int, credit float64) int32 { // by chance: many nodes refused at once spread out
 	l.perCall, l.out, l.ends = append(l.perCall, perCall), append(l.out, 0), append(l.ends, 0)
 	l.waitUntil, l.limit, l.recent = append(l.waitUntil, 0), append(l.limit, 0), append(l.recent, nil)
-	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, 1), append(l.creditAt, 0)
+	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, credit), append(l.creditAt, 0)
 	l.cutAt, l.climbAt, l.last = append(l.cutAt, -paceCutEvery), append(l.climbAt, 0), append(l.last, -1)
 	return int32(len(l.out) - 1)
 }
 
-// judge takes the fate of one call.
-func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, limit float64) {
+func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, left, limit float64) {
 	if limit > 0 {
 		l.limit[lane] = limit
 	}
 	switch {
-	case how == port.Acked && limit > 0 && l.pace[lane] > limit:
-		l.pace[lane], l.climbAt[lane] = limit, now
 	case how == port.Acked && l.pace[lane] > 0:
-		span := float64(min(now-l.climbAt[lane], second)) / float64(second)
+		span := float64(min(now-l.climbAt[lane], paceSpan)) / float64(second)
 		if fair := l.limit[lane] / l.nodes; l.pace[lane] < fair {
 			l.pace[lane] = min(fair, l.pace[lane]+paceBack*fair*span)
 		} else {
-			l.pace[lane] *= 1 + paceClimb*span
+			l.pace[lane] = min(l.pace[lane]*(1+paceClimb*span), cmp.Or(limit, math.MaxFloat64))
 		}
 		l.climbAt[lane] = now
 	case how == port.Declined:
 		l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
-		if now >= l.cutAt[lane]+paceCutEvery {
-			// Danger: where refused calls use up the limit, a least pace over our part of it keeps all refused.
-			least := min(paceLeast, cmp.Or(l.limit[lane]/l.nodes, paceLeast))
-			l.pace[lane] = max(least, paceCut*float64(l.lastSecond(lane, now)))
-			l.cutAt[lane], l.climbAt[lane] = now, now
+		if now < l.cutAt[lane]+paceCutEvery {
+			return
+		}
+		l.cutAt[lane], l.climbAt[lane] = now, now
+		// Danger: a node that sends here now and then would never get under the least rate by its sends alone.
+		cut := min(float64(l.lastSecond(lane, now)), cmp.Or(l.pace[lane], math.MaxFloat64))
+		if limit > 0 && left < spentLeft { // no burst of a moment: the limit is used up
+			cut = 0
 		}
+		// Danger: where refused calls use up the limit, a least pace over our part of it keeps all refused.
+		least := min(paceLeast, max(paceFair*cmp.Or(l.limit[lane]/l.nodes, paceLeast/paceFair), paceSeldom))
+		l.pace[lane] = max(least, paceCut*cut)
 	}
 }
 
@@ -659,8 +662,9 @@
 // stale learns from quick resets and from silence after an idle time that idle connections are dead. Danger:
 // something on the way drops them unseen; each next call is lost, which ends a non-idempotent event.
 type stale struct {
-	lost, good int
-	at, after  int64 // last call lost; shortest idle time before one
+	lost, good   int
+	at, after    int64 // last call lost; shortest idle time before one
+	crowdedUntil int64 // connects fail between good answers
 }
 
 func (s *stale) learn(lost bool, idle, now int64) {
@@ -721,9 +725,6 @@
 	}
 }
 
-// answered takes a list; the first of a start is the cached one, which no call brought.
-func (d *directory) answered() { d.watched, d.delay = d.at > 0, 0 }
-
 // failed plans the next call: the notice does not say whether a watch still stands.
 func (d *directory) failed(now int64, chance *pcg) {
 	d.watched = false
@@ -734,12 +735,8 @@
 // pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
 type pcg uint64
 
-func (p *pcg) next() uint32 {
+func (p *pcg) float() float64 {
 	old := uint64(*p)
 	*p = pcg(old*6364136223846793005 + 1442695040888963407)
-	x := uint32(((old >> 18) ^ old) >> 27)
-	rot := uint32(old >> 59)
-	return x>>rot | x<<(-rot&31)
+	return float64(bits.RotateLeft32(uint32(((old>>18)^old)>>27), -int(old>>59))) / (1 << 32)
 }
-
-func (p *pcg) float() float64 { return float64(p.next()) / (1 << 32) }
