Share the cold budget among the nodes that met an outage; take long waits for a shut destination

The credit of a cold endpoint starts by chance when it is set aside, taken back or listed; a connect that fails after half a second of silence, or a told wait of two seconds, sets aside at once, the wait all endpoints of its lane; the budget is shared among the nodes that can have met the outage, by its length and the limit, instead of all nodes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,9 +52,11 @@
 	windowTries  = 2           // a send takes at most this part of its window: the rest is for a repeat
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
+	coldMet      = 2.0         // calls an endpoint is sent in an outage, in parts of its limit: repeats too
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
+	shutWait    = 2 * second     // so does a told wait as long: a limit's count begins anew within less
 	shutLeft    = 0.8            // a refusal with this share of the limit left shows a destination that is shut
 	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
 	overdueDevs = 4.0            // an answer is overdue this many deviations past the mean: the usual figure
@@ -153,9 +155,7 @@
 
 // Event implements port.Intake, as do the methods below.
 func (n *Node) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) {
-	for int(evt) >= len(n.events) {
-		n.events = append(n.events, event{})
-	}
+	n.events = append(n.events, make([]event, max(0, int(evt)+1-len(n.events)))...)
 	n.destination(dest)
 	t, age := &n.types[typ], n.types[typ].MaxAge-left // handed in before, it is no longer new
 	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age, notBefore: n.now,
@@ -183,10 +183,16 @@
 			if how == port.Acked || (how == port.Reset && float64(took) < n.eps.mean[ep]/2) {
 				n.stale.learn(how == port.Reset, c.idle, n.now)
 			}
-			if how == port.Acked && n.eps.fails[ep] == 1 && n.eps.last[ep] == port.ConnectFailed { // no outage
+			if how == port.Acked && !was && n.eps.fails[ep] > 0 && n.eps.last[ep] == port.ConnectFailed { // no outage
 				n.stale.crowdedUntil = n.now + staleKeep
 			}
-			n.eps.judge(ep, n.now, how, took, limit > 0 && left < shutLeft)
+			// Danger: hundreds of nodes come at once when the wait ends that a shut destination told them all.
+			sure := wait >= shutWait || (how == port.ConnectFailed && took >= leastLate) // and each meets it but once
+			for _, sib := range n.byDest[e.dest] {
+				if sib == ep || (wait >= shutWait && n.eps.lane[sib] == n.eps.lane[ep]) {
+					n.eps.judge(sib, n.now, how, took, limit > 0 && left < shutLeft, sure, n.chance.float())
+				}
+			}
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
 			} else if was && !n.eps.aside[ep] {
@@ -230,7 +236,7 @@
 	n.destination(dest)
 	n.eps.grow(int(ep))
 	if n.eps.lane[ep] < 0 {
-		n.eps.zone[ep] = zone
+		n.eps.zone[ep], n.eps.credit[ep], n.eps.creditAt[ep] = zone, n.chance.float(), n.now
 		n.byDest[dest] = append(n.byDest[dest], ep)
 		partner := n.kinds[min(kind, len(n.kinds)-1)]
 		if n.eps.lane[ep] = n.destLane[dest]; partner.Routes || n.destLane[dest] < 0 {
@@ -256,7 +262,7 @@
 
 func (n *Node) PeerGood(peer int, ep int32) {
 	if n.eps.suspect(ep, n.now) { // it comes back, cold
-		n.eps.takeBack(ep, n.now)
+		n.eps.takeBack(ep, n.now, n.chance.float())
 	}
 }
 
@@ -269,10 +275,6 @@
 // retry plans an event's next send after a failed one, or ends it.
 func (n *Node) retry(evt, ep int32, how port.Outcome, wait int64) {
 	e, t := &n.events[evt], &n.types[n.events[evt].typ]
-	if e.mayRun && t.Safety == port.NonIdempotent {
-		n.giveUp(evt, 0) // a second effect is the danger
-		return
-	}
 	delay := wait
 	switch {
 	case how == port.Declined && wait == 0:
@@ -293,15 +295,15 @@
 		delay += int64(n.chance.float() * min(n.lanes.nodes/l*float64(second), left))
 	}
 	e.notBefore = n.now + delay
-	if e.sends >= n.room.Sends || e.notBefore >= n.lastSend(e) {
+	never := e.mayRun && t.Safety == port.NonIdempotent // a second effect is the danger
+	if never || e.sends >= n.room.Sends || e.notBefore >= n.lastSend(e) {
 		n.giveUp(evt, delay)
 		return
 	}
 	n.waiting = append(n.waiting, evt)
 }
 
-// lastSend is when an event can be sent at the latest: past it a send would come too late, or its mark would
-// be forgotten and it could take effect twice.
+// lastSend: past it a send would come too late, or its mark be forgotten and it could take effect twice.
 func (n *Node) lastSend(e *event) int64 {
 	if t := &n.types[e.typ]; e.mayRun && t.Safety == port.Deduplicated {
 		return min(e.deadline, e.ranAt+t.Window-windowMargin)
@@ -328,10 +330,9 @@
 	}
 }
 
-// sweep answers events whose time is up: an unanswered one is lost. It calls off waits for silence that only
-// hold slots. Danger: after a release, or on dead connections, silent calls with many destinations hold every
-// slot. Called off is what is overdue at an endpoint no longer listed, or past its time-out on a dead
-// connection or while slots are scarce and a backlog waits: not before, as repeats load what is slow.
+// sweep answers events whose time is up: an unanswered one is lost. Danger: after a release, or on dead
+// connections, silent calls hold every slot. Called off is what is overdue at an endpoint off the list, or
+// past its time-out on a dead connection or while slots are scarce: not before, as repeats load what is slow.
 func (n *Node) sweep() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
@@ -352,7 +353,7 @@
 	}
 }
 
-// closeIdle: danger: connections that many nodes keep idle shut all others out where endpoints take few. While
+// closeIdle: where endpoints take few connections, those that many nodes keep idle shut out the others. While
 // connects fail between good answers none is kept, at the price of handshakes.
 func (n *Node) closeIdle(ep int32) {
 	if n.now < n.stale.crowdedUntil && n.eps.out[ep] == 0 && n.eps.used[ep][0] > 0 {
@@ -388,15 +389,14 @@
 
 // worth is the share of its utility that an event still has at an age.
 func worth(t *port.StreamType, slo, age int64) float64 {
+	late := float64(max(0, age-slo))
 	switch {
-	case age <= slo:
-		return 1
 	case age >= t.MaxAge:
 		return 0
 	case t.Halving:
-		return max(t.LateUtility, math.Pow(0.5, float64(age-slo)/float64(slo)))
+		return max(t.LateUtility, math.Pow(0.5, late/float64(slo)))
 	}
-	return 1 - (1-t.LateUtility)*float64(age-slo)/float64(t.MaxAge-slo)
+	return 1 - (1-t.LateUtility)*late/float64(max(1, t.MaxAge-slo))
 }
 
 // endpoint picks where an event goes, -1 for nowhere now: the first in order with room, else the one with the
@@ -412,7 +412,7 @@
 		if n.joinable(ep) >= 0 {
 			return ep
 		}
-		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/(n.lanes.ends[lane]*n.lanes.nodes)) {
+		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes) {
 			continue
 		}
 		switch {
@@ -538,13 +538,13 @@
 	return t << min(p.timeouts[ep], 6)
 }
 
-func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full bool) {
+func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full, sure bool, luck float64) {
 	switch {
-	case how == port.Unsent || how == port.Cancelled || (how == port.Declined && full):
+	case how == port.Unsent || how == port.Cancelled || (how == port.Declined && full && !sure):
 		return // called off, the silence may be of the way there; over a limit, it is not shut
 	case how == port.Acked:
 		if p.aside[ep] {
-			p.takeBack(ep, now)
+			p.takeBack(ep, now, luck)
 		}
 		p.fails[ep], p.timeouts[ep], p.ackAt[ep] = 0, 0, now
 		if p.mean[ep] == 0 {
@@ -560,26 +560,31 @@
 		p.failedAt[ep] = now
 	}
 	p.last[ep] = how
-	if p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery) {
-		p.aside[ep], p.warmAt[ep] = true, -1
+	if sure || (p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery)) {
+		if p.warmAt[ep] = -1; !p.aside[ep] {
+			p.aside[ep], p.credit[ep], p.creditAt[ep] = true, luck, now
+		}
 	}
 }
 
-func (p *endpoints) takeBack(ep int32, now int64) {
+func (p *endpoints) takeBack(ep int32, now int64, luck float64) {
+	p.credit[ep], p.creditAt[ep] = luck, now // danger: all peers hear of a return and spend what they saved up
 	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep], p.ackAt[ep] = false, now, 0, 0, now
 }
 
-// may tells whether a cold endpoint bears one more call. Danger: pushing over what comes back cold. The
-// rule's budget is shared out evenly, as all peers may send as much; share is our part of what it takes warm.
-func (p *endpoints) may(ep int32, now int64, share float64) bool {
-	warm := p.back.ColdShare
+// may tells if a cold endpoint bears one more call. Danger: pushing over what comes back cold. The budget is
+// shared by the nodes that can have met the outage, going by its length and what the endpoint takes warm.
+func (p *endpoints) may(ep int32, now int64, rate, nodes float64) bool {
+	warm, until := p.back.ColdShare, now
 	if !p.aside[ep] {
-		if p.warmAt[ep] < 0 || now-p.warmAt[ep] >= p.back.WarmAfter {
+		if until = p.warmAt[ep]; until < 0 || now-until >= p.back.WarmAfter {
 			return true
 		}
-		warm += (1 - warm) * float64(now-p.warmAt[ep]) / float64(p.back.WarmAfter)
+		warm += (1 - warm) * float64(now-until) / float64(p.back.WarmAfter)
 	}
-	rate := coldRoom * p.back.FallMultiple * warm * share
+	span := float64(until-p.failedAt[ep]+p.back.FallAfter) / float64(second)
+	met := -math.Expm1(-coldMet * rate / nodes * span)
+	rate *= coldRoom * p.back.FallMultiple * warm / max(1, nodes*met)
 	return refill(&p.credit[ep], &p.creditAt[ep], now, rate, 1)
 }
 
@@ -611,9 +616,7 @@
 }
 
 func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, left, limit float64) {
-	if limit > 0 {
-		l.limit[lane] = limit
-	}
+	l.limit[lane] = cmp.Or(limit, l.limit[lane])
 	switch {
 	case how == port.Acked && l.pace[lane] > 0:
 		span := float64(min(now-l.climbAt[lane], paceSpan)) / float64(second)
@@ -662,9 +665,8 @@
 // stale learns from quick resets and from silence after an idle time that idle connections are dead. Danger:
 // something on the way drops them unseen; each next call is lost, which ends a non-idempotent event.
 type stale struct {
-	lost, good   int
-	at, after    int64 // last call lost; shortest idle time before one
-	crowdedUntil int64 // connects fail between good answers
+	lost, good              int
+	at, after, crowdedUntil int64 // last call lost; shortest idle time before one; connects fail till then
 }
 
 func (s *stale) learn(lost bool, idle, now int64) {
@@ -692,10 +694,9 @@
 type turns map[uint64]*turn
 
 func (t turns) join(key uint64, evt int32) {
-	if t[key] == nil {
-		t[key] = &turn{}
-	}
-	t[key].events = append(t[key].events, evt)
+	k := cmp.Or(t[key], &turn{})
+	k.events = append(k.events, evt)
+	t[key] = k
 }
 
 func (t turns) leave(key uint64, evt int32, now int64) {
@@ -732,8 +733,7 @@
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
-// pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
-type pcg uint64
+type pcg uint64 // a permuted congruential generator (PCG-XSH-RR 64/32)
 
 func (p *pcg) float() float64 {
 	old := uint64(*p)
