--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,16 +3,15 @@
 // Call New once at start and Round once a round, with a feed that hands in all that came and a writer that
 // takes the decisions. The interface is package port. The retry rule of docs/design.md decides the ordinary
 // path: a told wait holds a whole lane; else an event's delays grow, with jitter, up to its cap of sends and
-// its max age, under the companion pace. A lane is what shares one limit: a destination, or one endpoint of
-// it where its endpoints are routes apart.
+// its max age, under the companion pace. A lane shares one limit: a destination, or a route apart.
 //
 // Beside the design stand these mechanisms:
 //  1. Endpoint health: one with failures in a row, or silent past its time, is set aside and tried singly.
-//  2. Cold return: an endpoint that was set aside is sent little until it has had time to warm up.
+//  2. Cold return: one that was set aside is sent our part of the rule's budget until it can be warm.
 //  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
 //  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
 //  5. Slot shares: a lane holds at most as many slots as are left free.
-//  6. Dead connections: idle ones are closed before a send while calls after idle times are lost.
+//  6. Dead connections: idle ones are closed while calls after idle times, or connects, are lost.
 package choice
 
 import (
@@ -53,6 +52,7 @@
 	askFirst     = second / 2  // first delay before the directory is asked again, doubling
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
 	coldMet      = 2.0         // calls an endpoint is sent in an outage, in parts of its limit: repeats too
+	coldChance   = 1.5         // deviations of chance that many nodes leave free in the budget
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
@@ -167,9 +167,7 @@
 	n.waiting = append(n.waiting, evt)
 }
 
-func (n *Node) Begun(evt int32, send int) {
-	n.events[evt].deadline = math.MaxInt64 // the answer has begun: no time runs any more
-}
+func (n *Node) Begun(evt int32, send int) { n.events[evt].deadline = math.MaxInt64 } // no time runs any more
 
 func (n *Node) Outcome(evt int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool,
 	left, limit float64) {
@@ -254,8 +252,9 @@
 	n.eps.ready[ep] = state == port.Ready
 }
 
+func (n *Node) ListEnds() { n.dir.watched, n.dir.delay = n.dir.at > 0, 0 }
+
 func (n *Node) Withdrawn(evt int32)                                         { n.close(evt) }
-func (n *Node) ListEnds()                                                   { n.dir.watched, n.dir.delay = n.dir.at > 0, 0 }
 func (n *Node) ListFailed()                                                 { n.dir.failed(n.now, &n.chance) }
 func (n *Node) Probed(ep int32, how port.Outcome, took int64, l, r float64) {}
 func (n *Node) Woken()                                                      { n.wakeAt = 0 }
@@ -353,8 +352,7 @@
 	}
 }
 
-// closeIdle: where endpoints take few connections, those that many nodes keep idle shut out the others. While
-// connects fail between good answers none is kept, at the price of handshakes.
+// closeIdle: danger: where endpoints take few connections, those many nodes keep idle shut out the others.
 func (n *Node) closeIdle(ep int32) {
 	if n.now < n.stale.crowdedUntil && n.eps.out[ep] == 0 && n.eps.used[ep][0] > 0 {
 		n.out.CloseIdle(ep)
@@ -582,10 +580,13 @@
 		}
 		warm += (1 - warm) * float64(now-until) / float64(p.back.WarmAfter)
 	}
-	span := float64(until-p.failedAt[ep]+p.back.FallAfter) / float64(second)
-	met := -math.Expm1(-coldMet * rate / nodes * span)
-	rate *= coldRoom * p.back.FallMultiple * warm / max(1, nodes*met)
-	return refill(&p.credit[ep], &p.creditAt[ep], now, rate, 1)
+	window := float64(p.back.FallAfter) / float64(second)
+	met := -math.Expm1(-coldMet * rate / nodes * (float64(until-p.failedAt[ep])/float64(second) + window))
+	budget := p.back.FallMultiple * warm * rate * window
+	if nodes*met > budget { // danger: with less than a call for each of many nodes, chance brings them together
+		budget = max(0, budget-coldChance*math.Sqrt(budget))
+	}
+	return refill(&p.credit[ep], &p.creditAt[ep], now, coldRoom*budget/window/max(1, nodes*met), 1)
 }
 
 // refill adds the calls that a rate has brought since the last look, up to a depth, and tells if one may go.
