Set a whole lane aside on a sure sign where nodes are many; use some of a small budget

Nodes that had found one endpoint silent sent their events to its sibling, which had not failed them; the rule counts the destination. Told apart by who sent after the return: informed nodes, no failure at the endpoint they used. Change: a silent connect or a long told wait sets aside all endpoints of the lane without a good answer since, where there are more nodes than the limit has calls in the rule's window. It costs where an outage takes one endpoint only.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,4 @@
 // Package choice decides for one delivery node when and where each event is sent, and how it ends.
-//
 // Call New once at start and Round once a round, with a feed that hands in all that came and a writer that
 // takes the decisions. The interface is package port. The retry rule of docs/design.md decides the ordinary
 // path: a told wait holds a whole lane; else an event's delays grow, with jitter, up to its cap of sends and
@@ -53,6 +52,7 @@
 	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
 	coldMet      = 2.0         // calls an endpoint is sent in an outage, in parts of its limit: repeats too
 	coldChance   = 1.5         // deviations of chance that many nodes leave free in the budget
+	coldLeast    = 0.2         // part of it that is used all the same: an endpoint never tried never comes back
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
@@ -184,15 +184,17 @@
 			if how == port.Acked && !was && n.eps.fails[ep] > 0 && n.eps.last[ep] == port.ConnectFailed { // no outage
 				n.stale.crowdedUntil = n.now + staleKeep
 			}
-			// Danger: hundreds of nodes come at once when the wait ends that a shut destination told them all.
-			sure := wait >= shutWait || (how == port.ConnectFailed && took >= leastLate) // and each meets it but once
-			for _, sib := range n.byDest[e.dest] {
-				if sib == ep || (wait >= shutWait && n.eps.lane[sib] == n.eps.lane[ep]) {
-					n.eps.judge(sib, n.now, how, took, limit > 0 && left < shutLeft, sure, n.chance.float())
-				}
-			}
+			// Danger: each of many nodes meets an outage but once; all come when the wait ends that a shut one told.
+			sure := wait >= shutWait || (how == port.ConnectFailed && took >= leastLate)
+			n.eps.judge(ep, n.now, how, took, limit > 0 && left < shutLeft, sure, n.chance.float())
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
+				many := n.lanes.nodes > n.lanes.limit[n.eps.lane[ep]]*float64(n.eps.back.FallAfter)/float64(second)
+				for _, sib := range n.byDest[e.dest] { // danger: an outage takes all, and each is tried by many
+					if sure && many && n.eps.lane[sib] == n.eps.lane[ep] && n.eps.ackAt[sib] < n.eps.failedAt[ep] {
+						n.eps.setAside(sib, n.now, n.chance.float())
+					}
+				}
 			} else if was && !n.eps.aside[ep] {
 				n.out.Log("endpoint back, warming up", ep)
 				if n.notes {
@@ -287,8 +289,7 @@
 	if wait == 0 {
 		delay += int64(n.chance.float() * jitterPart * float64(delay))
 	}
-	// Danger: a clump is refused at hundreds of nodes, and all come back at once. They are spread over the time
-	// in which our part of the limit brings a call, as far as the event's own time allows.
+	// Danger: a clump refused at many nodes comes back at once. It is spread until our part brings a call.
 	if l := n.lanes.limit[n.eps.lane[ep]]; how == port.Declined && l > 0 {
 		left := spreadPart * float64(n.lastSend(e)-n.now-delay)
 		delay += int64(n.chance.float() * min(n.lanes.nodes/l*float64(second), left))
@@ -559,9 +560,13 @@
 	}
 	p.last[ep] = how
 	if sure || (p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery)) {
-		if p.warmAt[ep] = -1; !p.aside[ep] {
-			p.aside[ep], p.credit[ep], p.creditAt[ep] = true, luck, now
-		}
+		p.setAside(ep, now, luck)
+	}
+}
+
+func (p *endpoints) setAside(ep int32, now int64, luck float64) {
+	if p.warmAt[ep] = -1; !p.aside[ep] {
+		p.aside[ep], p.credit[ep], p.creditAt[ep] = true, luck, now
 	}
 }
 
@@ -584,7 +589,7 @@
 	met := -math.Expm1(-coldMet * rate / nodes * (float64(until-p.failedAt[ep])/float64(second) + window))
 	budget := p.back.FallMultiple * warm * rate * window
 	if nodes*met > budget { // danger: with less than a call for each of many nodes, chance brings them together
-		budget = max(0, budget-coldChance*math.Sqrt(budget))
+		budget = max(coldLeast*budget, budget-coldChance*math.Sqrt(budget))
 	}
 	return refill(&p.credit[ep], &p.creditAt[ep], now, coldRoom*budget/window/max(1, nodes*met), 1)
 }
@@ -617,7 +622,7 @@
 }
 
 func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, left, limit float64) {
-	l.limit[lane] = cmp.Or(limit, l.limit[lane])
+	l.limit[lane], l.waitUntil[lane] = cmp.Or(limit, l.limit[lane]), max(l.waitUntil[lane], now+wait)
 	switch {
 	case how == port.Acked && l.pace[lane] > 0:
 		span := float64(min(now-l.climbAt[lane], paceSpan)) / float64(second)
@@ -627,13 +632,8 @@
 			l.pace[lane] = min(l.pace[lane]*(1+paceClimb*span), cmp.Or(limit, math.MaxFloat64))
 		}
 		l.climbAt[lane] = now
-	case how == port.Declined:
-		l.waitUntil[lane] = max(l.waitUntil[lane], now+wait)
-		if now < l.cutAt[lane]+paceCutEvery {
-			return
-		}
+	case how == port.Declined && now >= l.cutAt[lane]+paceCutEvery:
 		l.cutAt[lane], l.climbAt[lane] = now, now
-		// Danger: a node that sends here now and then would never get under the least rate by its sends alone.
 		cut := min(float64(l.lastSecond(lane, now)), cmp.Or(l.pace[lane], math.MaxFloat64))
 		if limit > 0 && left < spentLeft { // no burst of a moment: the limit is used up
 			cut = 0
