--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,6 +72,7 @@
 	levels      = 8              // calls out at once up to which idle times are told apart: one connection each
 	staleSigns  = 3              // signs that make it so: a crash may bring one or two
 	staleKeep   = 30 * second    // idle connections are closed for so long after the last sign
+	crowdNodes  = 8              // fewer nodes do not fill an endpoint with an idle connection each
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: no queue there
 )
@@ -181,7 +182,8 @@
 			if how == port.Acked || (how == port.Reset && float64(took) < n.eps.mean[ep]/2) {
 				n.stale.learn(how == port.Reset, c.idle, n.now)
 			}
-			if how == port.Acked && !was && n.eps.fails[ep] > 0 && n.eps.last[ep] == port.ConnectFailed { // no outage
+			if how == port.Acked && !was && n.eps.fails[ep] > 0 && n.eps.last[ep] == port.ConnectFailed &&
+				n.lanes.nodes >= crowdNodes { // no outage
 				n.stale.crowdedUntil = n.now + staleKeep
 			}
 			// Danger: each of many nodes meets an outage but once; all come when the wait ends that a shut one told.
@@ -386,8 +388,7 @@
 	})
 }
 
-// worth is the share of its utility that an event still has at an age.
-func worth(t *port.StreamType, slo, age int64) float64 {
+func worth(t *port.StreamType, slo, age int64) float64 { // the share of its utility left at an age
 	late := float64(max(0, age-slo))
 	switch {
 	case age >= t.MaxAge:
@@ -634,13 +635,13 @@
 		l.climbAt[lane] = now
 	case how == port.Declined && now >= l.cutAt[lane]+paceCutEvery:
 		l.cutAt[lane], l.climbAt[lane] = now, now
-		cut := min(float64(l.lastSecond(lane, now)), cmp.Or(l.pace[lane], math.MaxFloat64))
+		cut := paceCut * min(float64(l.lastSecond(lane, now)), cmp.Or(l.pace[lane], math.MaxFloat64))
 		if limit > 0 && left < spentLeft { // no burst of a moment: the limit is used up
-			cut = 0
+			cut = min(cut, paceFair*limit/l.nodes)
 		}
 		// Danger: where refused calls use up the limit, a least pace over our part of it keeps all refused.
 		least := min(paceLeast, max(paceFair*cmp.Or(l.limit[lane]/l.nodes, paceLeast/paceFair), paceSeldom))
-		l.pace[lane] = max(least, paceCut*cut)
+		l.pace[lane] = max(least, cut)
 	}
 }
 
