--- a/choice/choice.go
+++ b/choice/choice.go
@@ -135,7 +135,7 @@
 	feed.Deliver(n)
 	n.dir.ask(now, out)
 	n.eps.look(now, n.calls, &n.stale)
-	if now >= n.rankAt { // the quickest to answer first
+	if now >= n.rankAt { // the quickest first; by chance until measured, else all nodes begin with the same
 		n.rankAt = now + rankEvery
 		for _, list := range n.byDest {
 			slices.SortStableFunc(list, func(a, b int32) int {
@@ -239,7 +239,7 @@
 	n.eps.grow(int(ep))
 	if n.eps.lane[ep] < 0 {
 		n.eps.zone[ep], n.eps.credit[ep], n.eps.creditAt[ep] = zone, n.chance.float(), n.now
-		n.byDest[dest] = append(n.byDest[dest], ep)
+		n.byDest[dest] = slices.Insert(n.byDest[dest], int(n.chance.float()*float64(len(n.byDest[dest])+1)), ep)
 		partner := n.kinds[min(kind, len(n.kinds)-1)]
 		if n.eps.lane[ep] = n.destLane[dest]; partner.Routes || n.destLane[dest] < 0 {
 			n.eps.lane[ep] = n.lanes.add(partner.PerCall, n.chance.float())
