--- a/choice/choice.go
+++ b/choice/choice.go
@@ -138,9 +138,7 @@
 	if now >= n.rankAt { // the quickest first; by chance until measured, else all nodes begin with the same
 		n.rankAt = now + rankEvery
 		for _, list := range n.byDest {
-			slices.SortStableFunc(list, func(a, b int32) int {
-				return cmp.Compare(n.eps.mean[a], n.eps.mean[b])
-			})
+			slices.SortStableFunc(list, func(a, b int32) int { return cmp.Compare(n.eps.mean[a], n.eps.mean[b]) })
 		}
 		for ep := range n.eps.out {
 			n.closeIdle(int32(ep))
@@ -168,6 +166,15 @@
 	n.waiting = append(n.waiting, evt)
 }
 
+// Resumed: danger: sends before a restart count, and one that was out then may have run, and may run still.
+func (n *Node) Resumed(evt int32, sends int, mayRun bool, ago int64, zone int) {
+	e := &n.events[evt]
+	e.sends, e.mayRun, e.ranAt, e.ranZone = sends, mayRun, n.now-ago, zone
+	if k := n.keys[e.key]; k != nil && mayRun && n.types[e.typ].Ordered {
+		k.freeAt = n.now + n.pause
+	}
+}
+
 func (n *Node) Begun(evt int32, send int) { n.events[evt].deadline = math.MaxInt64 } // no time runs any more
 
 func (n *Node) Outcome(evt int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool,
@@ -205,10 +212,9 @@
 			}
 		}
 		if c.events--; c.events == 0 {
-			n.slots--
-			n.eps.out[ep]--
+			lane := n.eps.lane[ep]
+			n.slots, n.eps.out[ep], n.lanes.out[lane] = n.slots-1, n.eps.out[ep]-1, n.lanes.out[lane]-1
 			n.eps.used[ep][min(n.eps.out[ep], levels-1)] = n.now
-			n.lanes.out[n.eps.lane[ep]]--
 			n.closeIdle(ep)
 		}
 		e.call = -1
@@ -293,21 +299,23 @@
 	}
 	// Danger: a clump refused at many nodes comes back at once. It is spread until our part brings a call.
 	if l := n.lanes.limit[n.eps.lane[ep]]; how == port.Declined && l > 0 {
-		left := spreadPart * float64(n.lastSend(e)-n.now-delay)
+		left := spreadPart * float64(max(0, n.lastSend(e)-n.now-delay))
 		delay += int64(n.chance.float() * min(n.lanes.nodes/l*float64(second), left))
 	}
 	e.notBefore = n.now + delay
-	never := e.mayRun && t.Safety == port.NonIdempotent // a second effect is the danger
-	if never || e.sends >= n.room.Sends || e.notBefore >= n.lastSend(e) {
+	if e.notBefore >= n.lastSend(e) {
 		n.giveUp(evt, delay)
 		return
 	}
 	n.waiting = append(n.waiting, evt)
 }
 
-// lastSend: past it a send would come too late, or its mark be forgotten and it could take effect twice.
+// lastSend: danger: past it a send comes too late or takes effect twice, its mark being forgotten or missing.
 func (n *Node) lastSend(e *event) int64 {
-	if t := &n.types[e.typ]; e.mayRun && t.Safety == port.Deduplicated {
+	switch t := &n.types[e.typ]; {
+	case e.sends >= n.room.Sends || (e.mayRun && t.Safety == port.NonIdempotent):
+		return min(n.now, e.deadline)
+	case e.mayRun && t.Safety == port.Deduplicated:
 		return min(e.deadline, e.ranAt+t.Window-windowMargin)
 	}
 	return e.deadline
@@ -325,9 +333,8 @@
 
 // close marks an event as over; a send still out keeps its key's turn until its outcome.
 func (n *Node) close(evt int32) {
-	e := &n.events[evt]
-	e.live = false
-	if e.call < 0 {
+	n.events[evt].live = false
+	if e := &n.events[evt]; e.call < 0 {
 		n.keys.leave(e.key, evt, n.now)
 	}
 }
@@ -399,8 +406,7 @@
 	return 1 - (1-t.LateUtility)*late/float64(max(1, t.MaxAge-slo))
 }
 
-// endpoint picks where an event goes, -1 for nowhere now: the first in order with room, else the one with the
-// fewest calls out. One set aside is tried singly, by an event that bears it.
+// endpoint picks one for an event, -1 for none: the first with room, else the least used; one set aside singly.
 func (n *Node) endpoint(e *event) int32 {
 	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
 	for _, ep := range n.byDest[e.dest] {
@@ -444,17 +450,14 @@
 			e.call = int32(len(n.calls))
 			n.calls = append(n.calls, call{})
 		}
-		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round}
-		c := &n.calls[e.call]
-		c.idle = n.now - cmp.Or(n.eps.used[ep][min(n.eps.out[ep], levels-1)], n.now) // 0 for a first call
-		if n.stale.dead(c.idle, n.now) {
+		idle := n.now - cmp.Or(n.eps.used[ep][min(n.eps.out[ep], levels-1)], n.now) // 0 for a first call
+		if n.stale.dead(idle, n.now) {
 			n.out.CloseIdle(ep)
-			c.idle = 0
+			idle = 0
 		}
-		n.slots++
-		n.eps.out[ep]++
+		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round, idle: idle}
+		n.slots, n.eps.out[ep], l.out[lane] = n.slots+1, n.eps.out[ep]+1, l.out[lane]+1
 		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
-		l.out[lane]++
 		l.last[lane] = e.call
 		l.lastSecond(lane, n.now)
 		l.recent[lane] = append(l.recent[lane], n.now)
@@ -502,9 +505,8 @@
 		p.lane, p.zone, p.out = append(p.lane, -1), append(p.zone, 0), append(p.out, 0)
 		p.ready, p.aside, p.last = append(p.ready, false), append(p.aside, false), append(p.last, port.Acked)
 		p.mean, p.dev, p.credit = append(p.mean, 0), append(p.dev, 0), append(p.credit, 1)
-		p.fails, p.timeouts = append(p.fails, 0), append(p.timeouts, 0)
-		p.failedAt, p.ackAt = append(p.failedAt, 0), append(p.ackAt, -1)
-		p.overdueAt, p.warmAt = append(p.overdueAt, 0), append(p.warmAt, -1)
+		p.fails, p.timeouts, p.failedAt = append(p.fails, 0), append(p.timeouts, 0), append(p.failedAt, 0)
+		p.ackAt, p.overdueAt, p.warmAt = append(p.ackAt, -1), append(p.overdueAt, 0), append(p.warmAt, -1)
 		p.creditAt, p.used = append(p.creditAt, 0), append(p.used, [levels]int64{})
 	}
 }
@@ -556,10 +558,9 @@
 	case how == port.TimedOut:
 		p.timeouts[ep]++
 	}
-	if p.fails[ep]++; p.fails[ep] == 1 {
+	if p.last[ep], p.fails[ep] = how, p.fails[ep]+1; p.fails[ep] == 1 {
 		p.failedAt[ep] = now
 	}
-	p.last[ep] = how
 	if sure || (p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery)) {
 		p.setAside(ep, now, luck)
 	}
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,13 +9,14 @@
 	"jaspersill/choice"
 	"jaspersill/port"
 	"jaspersill/simwire"
+	"jaspersill/start"
 )
 
 func main() {
-	start := func(seed uint64, s simwire.Start) port.Decider {
+	launch := func(seed uint64, s start.Start) port.Decider {
 		return choice.New(seed, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	}
-	if err := simwire.Serve(os.Stdin, os.Stdout, start); err != nil {
+	if err := simwire.Serve(os.Stdin, os.Stdout, launch); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/node/endpoints.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	idleMargin = int64(1e9) // ns by which an idle connection is closed before the endpoint would: the way there
+	idleSweep  = time.Second
+	replySize  = 2048 // bytes of a connection's read buffer: an answer is a few lines
+)
+
+// endpoints keeps the connections to endpoints. A connection carries one call at a time.
+type endpoints struct {
+	clock         clock
+	journal       *journal
+	copies        bool  // an event may have two sends out at once
+	connectWithin int64 // ns, 0 for no limit but the send's own
+	idleFor       int64 // ns after which an endpoint closes an idle connection
+	mostIdle      int   // idle connections in all
+
+	mu    sync.Mutex
+	dials []string // by endpoint
+	sites []string
+	idle  [][]*link // by endpoint, the one used last at the end
+	idles int
+}
+
+// link is a connection to an endpoint.
+type link struct {
+	net.Conn
+	in   *replyReader
+	dial string
+	used int64 // when its last call ended
+}
+
+// listed learns where an endpoint is now; idle connections to where it was are closed.
+func (p *endpoints) listed(ep int32, site, dial string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for int(ep) >= len(p.dials) {
+		p.dials, p.sites, p.idle = append(p.dials, ""), append(p.sites, ""), append(p.idle, nil)
+	}
+	if p.sites[ep] = site; p.dials[ep] != dial {
+		p.dials[ep] = dial
+		p.drop(ep)
+	}
+}
+
+func (p *endpoints) closeIdle(ep int32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(ep)
+}
+
+func (p *endpoints) drop(ep int32) {
+	for _, l := range p.idle[ep] {
+		l.Close()
+	}
+	p.idles -= len(p.idle[ep])
+	p.idle[ep] = nil
+}
+
+// expire closes the connections that have been idle for so long that the endpoint is about to.
+func (p *endpoints) expire(now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ep, list := range p.idle {
+		keep := list[:0]
+		for _, l := range list {
+			if p.stale(l, now) {
+				l.Close()
+				p.idles--
+			} else {
+				keep = append(keep, l)
+			}
+		}
+		p.idle[ep] = keep
+	}
+}
+
+func (p *endpoints) stale(l *link, now int64) bool {
+	return p.idleFor > 0 && now-l.used >= max(p.idleFor-idleMargin, p.idleFor/2)
+}
+
+// kept takes the idle connection used last, nil for none, and tells the address to connect to.
+func (p *endpoints) kept(ep int32) (*link, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle[ep]); n > 0; n = len(p.idle[ep]) {
+		l := p.idle[ep][n-1]
+		p.idle[ep] = p.idle[ep][:n-1]
+		p.idles--
+		// Danger: a call on a connection that the endpoint has closed may have run, for all that is known.
+		if !p.stale(l, p.clock.now()) && alive(l.Conn) {
+			return l, l.dial
+		}
+		l.Close()
+	}
+	return nil, p.dials[ep]
+}
+
+func (p *endpoints) site(ep int32) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sites[ep]
+}
+
+// keep puts a connection back. Danger: idle ones must not take the descriptors that clients need.
+func (p *endpoints) keep(ep int32, l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.dial != p.dials[ep] || p.idles >= p.mostIdle {
+		l.Close()
+		return
+	}
+	l.used = p.clock.now()
+	p.idle[ep] = append(p.idle[ep], l)
+	p.idles++
+}
+
+// alive tells whether a connection stands and holds nothing unread, without waiting.
+func alive(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return ok && err == nil
+}
+
+// connect opens a connection, for as long as ctx lasts.
+func (p *endpoints) connect(ctx context.Context, dial string) (*link, error) {
+	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(p.connectWithin)}
+	conn, err := d.DialContext(ctx, "tcp", dial)
+	if err != nil {
+		return nil, err
+	}
+	return &link{Conn: conn, in: newReplyReader(conn), dial: dial}, nil
+}
+
+// sweep closes idle connections in time, until stop.
+func (p *endpoints) sweep(stop <-chan struct{}) {
+	tick := time.NewTicker(idleSweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+			p.expire(p.clock.now())
+		}
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/node/event.go
@@ -0,0 +1,73 @@
+package node
+
+import "jaspersill/port"
+
+// event is one event that the delivery node has in hand. Its life owns it; the desk keeps its index.
+type event struct {
+	id, mark      string // mark: what repeats are known by, where its stream type has one
+	typ, customer int
+	dest          uint32
+	deadline      int64 // time of day
+	body          []byte
+	steps         chan step   // what its life waits for
+	answer        chan answer // what its client hears, nil for one restored
+	index         int32       // the desk's
+	past          []sent      // sends before a restart, in order
+	sends         int         // how many in all; the desk's
+	verdict       verdict     // an end that was decided before a restart
+	comeBack      int64
+}
+
+// sent is a send as the journal has it.
+type sent struct {
+	at    int64 // time of day
+	zone  string
+	ended bool
+	how   port.Outcome
+}
+
+// answer is what a client hears: a status, and when to come back, 0 for nothing told.
+type answer struct {
+	status   int
+	comeBack int64
+}
+
+// verdict is how an event ends that is not delivered.
+type verdict uint8
+
+const (
+	open verdict = iota
+	declined
+	discarded
+)
+
+// step is one thing that happens to an event.
+type step struct {
+	what     stepKind
+	send     *send  // begun, outcome
+	result   result // outcome
+	comeBack int64  // decline
+}
+
+type stepKind uint8
+
+const (
+	stepHeld    stepKind = iota // the module keeps the event, for now
+	stepBegun                   // it chose an endpoint
+	stepOutcome                 // a send ended
+	stepDecline
+	stepDiscard
+	stepNoticed // the platform has the notice
+)
+
+// maxSteps bounds the steps that wait for a life: each send has two and there are few sends.
+const maxSteps = 64
+
+// result is how a send ended.
+type result struct {
+	how         port.Outcome
+	wait, took  int64
+	over        bool    // the endpoint's side says that the event is over
+	left, limit float64 // what the answer told of the limit
+	late        bool    // it was given up and reported before
+}
--- /dev/null
+++ b/node/journal.go
@@ -0,0 +1,429 @@
+package node
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"jaspersill/port"
+)
+
+// journal holds what the delivery node has taken on and not ended, in a folder that outlasts the process. A
+// record is its payload's length and checksum, then the payload. What was written outlasts a killed process.
+// When the file would leave no room to write what is owed anew, that is done, and the new file takes its place.
+type journal struct {
+	name string
+
+	mu    sync.Mutex
+	file  *os.File
+	size  int64 // of the file
+	most  int64 // bytes that all files may hold
+	owed  map[string]*entry
+	order []*entry // as taken on; ended ones are left out now and then
+	live  int64    // bytes that what is owed may take in a file
+	sends int      // of an event, at most
+}
+
+// entry is one event that is owed.
+type entry struct {
+	e        *event
+	kind     string // names, as indices may change between starts
+	owner    string
+	past     []sent
+	verdict  verdict
+	comeBack int64
+	need     int64 // bytes it may take in a file, all its sends included
+	over     bool
+}
+
+const (
+	recTake = 1 + iota
+	recBegan
+	recEnded
+	recDecide
+	recOver
+)
+
+const (
+	frameSize  = 8
+	slackSize  = 4096       // bytes of the folder left alone: both files' last blocks
+	liveEighth = 3          // eighths of the folder that owed events may take: twice that, and room to write on
+	sendSize   = 96         // bytes that the two records of a send take, without the event's id
+	mostRecord = 1 << 20    // bytes; a longer one is no record
+	noLimit    = 256 * 1e6  // bytes of the folder where none is told
+	fileMode   = 0o600      // the bodies are nobody else's
+	fileName   = "journal"  // in the folder
+	nextName   = ".written" // behind the name while it is written anew
+)
+
+var (
+	errFull  = errors.New("journal: no room for another event")
+	errKnown = errors.New("journal: the event is owed already")
+	crcTable = crc32.MakeTable(crc32.Castagnoli)
+	le       = binary.LittleEndian
+)
+
+// openJournal opens the folder's journal and returns the events that it still owes, in the order of their
+// coming. find maps the names of a stream type and a customer to their indices.
+func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
+	*journal, []*event, error) {
+	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, owed: make(map[string]*entry), sends: sends}
+	if limitMB > 0 {
+		j.most = int64(limitMB*1e6) - slackSize
+	}
+	if err := os.Remove(j.name + nextName); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, nil, err
+	}
+	text, err := os.ReadFile(j.name)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, nil, err
+	}
+	j.replay(text)
+	var events []*event
+	for _, o := range j.order {
+		if o.over {
+			continue
+		}
+		typ, customer, ok := find(o.kind, o.owner)
+		if !ok { // danger: an event of a stream type that is no longer known still gets its end
+			logrus.WithField("kind", o.kind).Error("journal: owed event of an unknown stream type is discarded")
+			o.verdict = discarded
+		}
+		o.e.typ, o.e.customer, o.e.past, o.e.sends = typ, customer, o.past, len(o.past)
+		o.e.verdict, o.e.comeBack = o.verdict, o.comeBack
+		events = append(events, o.e)
+	}
+	// Danger: what is appended behind a torn record would be lost with it. The file is written anew.
+	return j, events, j.rewrite()
+}
+
+func (j *journal) close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.file.Close()
+}
+
+// take writes that an event was taken on.
+func (j *journal) take(e *event, kind, owner string) error {
+	o := &entry{e: e, kind: kind, owner: owner}
+	rec := o.takeRecord(nil)
+	o.need = int64(len(rec)) + j.reserve(e.id)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.owed[e.id] != nil {
+		return errKnown
+	}
+	if j.live+o.need > j.most/8*liveEighth {
+		return errFull
+	}
+	if err := j.append(rec, o.need); err != nil {
+		return err
+	}
+	j.add(o)
+	return nil
+}
+
+func (j *journal) reserve(id string) int64 { return int64(j.sends+2) * int64(sendSize+2*len(id)) }
+
+func (j *journal) add(o *entry) {
+	j.owed[o.e.id] = o
+	j.order = append(j.order, o)
+	j.live += o.need
+}
+
+// began writes that a send goes out. Where it fails, nothing may go.
+func (j *journal) began(e *event, number int, at int64, zone string) error {
+	return j.note(e, func(o *entry) []byte {
+		for len(o.past) <= number {
+			o.past = append(o.past, sent{at: at, zone: zone})
+		}
+		return beganRecord(nil, e.id, number, o.past[number])
+	})
+}
+
+// ended writes how a send ended.
+func (j *journal) ended(e *event, number int, how port.Outcome) {
+	j.must(j.note(e, func(o *entry) []byte {
+		if number >= len(o.past) {
+			return nil // it never began
+		}
+		o.past[number].ended, o.past[number].how = true, how
+		return endedRecord(nil, e.id, number, how)
+	}))
+}
+
+// decide writes how an event ends whose notice is still owed.
+func (j *journal) decide(e *event) {
+	j.must(j.note(e, func(o *entry) []byte {
+		o.verdict, o.comeBack = e.verdict, e.comeBack
+		return decideRecord(nil, e.id, e.verdict, e.comeBack)
+	}))
+}
+
+// over writes that nothing more is owed for an event.
+func (j *journal) over(e *event) {
+	j.must(j.note(e, func(o *entry) []byte {
+		j.drop(o)
+		return overRecord(nil, e.id)
+	}))
+}
+
+func (j *journal) drop(o *entry) {
+	o.over = true
+	delete(j.owed, o.e.id)
+	j.live -= o.need
+	if len(j.order) > 2*len(j.owed)+16 {
+		keep := j.order[:0]
+		for _, o := range j.order {
+			if !o.over {
+				keep = append(keep, o)
+			}
+		}
+		clear(j.order[len(keep):])
+		j.order = keep
+	}
+}
+
+// must: danger: an end that was not written is told twice after a restart; serving on loses less than stopping.
+func (j *journal) must(err error) {
+	if err != nil {
+		logrus.WithError(err).Error("journal: record not written")
+	}
+}
+
+func (j *journal) note(e *event, rec func(*entry) []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	o := j.owed[e.id]
+	if o == nil {
+		return nil
+	}
+	return j.append(rec(o), 0)
+}
+
+// append writes a record. Before, the file is written anew if with it, and with more needed, there would be no
+// room left for that. Danger: over its limit, even for a moment, the delivery node counts as crashed.
+func (j *journal) append(rec []byte, more int64) error {
+	if len(rec) == 0 {
+		return nil
+	}
+	if j.size+int64(len(rec)) > j.most-j.live-more {
+		if err := j.rewrite(); err != nil {
+			return err
+		}
+	}
+	if n, err := j.file.Write(rec); err != nil {
+		if n > 0 { // danger: half a record in the middle takes all behind it along
+			j.must(j.file.Truncate(j.size))
+		}
+		return err
+	}
+	j.size += int64(len(rec))
+	return nil
+}
+
+// rewrite writes what is owed into a new file, which then takes the old one's place.
+func (j *journal) rewrite() error {
+	var text []byte
+	for _, o := range j.order {
+		if o.over {
+			continue
+		}
+		text = o.takeRecord(text)
+		for i, s := range o.past {
+			text = beganRecord(text, o.e.id, i, s)
+			if s.ended {
+				text = endedRecord(text, o.e.id, i, s.how)
+			}
+		}
+		if o.verdict != open {
+			text = decideRecord(text, o.e.id, o.verdict, o.comeBack)
+		}
+	}
+	next, err := os.OpenFile(j.name+nextName, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return err
+	}
+	if _, err = next.Write(text); err == nil {
+		err = os.Rename(j.name+nextName, j.name)
+	}
+	if err != nil {
+		next.Close()
+		os.Remove(j.name + nextName)
+		return err
+	}
+	if j.file != nil {
+		j.file.Close()
+	}
+	j.file, j.size = next, int64(len(text))
+	return nil
+}
+
+// replay reads the records of a file. Only a last one that was cut off is dropped without a word.
+func (j *journal) replay(text []byte) {
+	for at := 0; at < len(text); {
+		rest := text[at:]
+		if len(rest) < frameSize {
+			return
+		}
+		size := int(le.Uint32(rest))
+		end := frameSize + size
+		if size > mostRecord || end > len(rest) {
+			if size > mostRecord {
+				logrus.WithField("offset", at).Error("journal: no record can be read from here on")
+			}
+			return
+		}
+		payload := rest[frameSize:end]
+		if crc32.Checksum(payload, crcTable) != le.Uint32(rest[4:]) || !j.apply(payload) {
+			if at+end == len(text) {
+				return
+			}
+			logrus.WithField("offset", at).Error("journal: a damaged record was passed over")
+		}
+		at += end
+	}
+}
+
+// apply takes one record in; false for one that makes no sense.
+func (j *journal) apply(payload []byte) bool {
+	f := fields{rest: payload}
+	what, id := f.byte(), f.text()
+	o := j.owed[id]
+	switch what {
+	case recTake:
+		e := &event{id: id, steps: make(chan step, maxSteps)}
+		fresh := &entry{e: e, kind: f.text(), owner: f.text()}
+		e.dest, e.deadline, e.mark = uint32(f.number()), f.number(), f.text()
+		e.body = []byte(f.text())
+		if f.bad || o != nil {
+			return false
+		}
+		fresh.need = int64(len(payload)) + frameSize + j.reserve(id)
+		j.add(fresh)
+	case recBegan:
+		number, s := int(f.byte()), sent{at: f.number(), zone: f.text()}
+		if f.bad {
+			return false
+		}
+		for o != nil && len(o.past) <= number {
+			o.past = append(o.past, s)
+		}
+	case recEnded:
+		number, how := int(f.byte()), port.Outcome(f.byte())
+		if f.bad {
+			return false
+		}
+		if o != nil && number < len(o.past) {
+			o.past[number].ended, o.past[number].how = true, how
+		}
+	case recDecide:
+		v, comeBack := verdict(f.byte()), f.number()
+		if f.bad || v > discarded {
+			return false
+		}
+		if o != nil {
+			o.verdict, o.comeBack = v, comeBack
+		}
+	case recOver:
+		if o != nil {
+			j.drop(o)
+		}
+	default:
+		return false
+	}
+	return !f.bad
+}
+
+func (o *entry) takeRecord(to []byte) []byte {
+	return frame(to, recTake, o.e.id, func(b []byte) []byte {
+		b = appendText(appendText(b, o.kind), o.owner)
+		b = binary.AppendVarint(binary.AppendVarint(b, int64(o.e.dest)), o.e.deadline)
+		return appendText(appendText(b, o.e.mark), string(o.e.body))
+	})
+}
+
+func beganRecord(to []byte, id string, number int, s sent) []byte {
+	return frame(to, recBegan, id, func(b []byte) []byte {
+		return appendText(binary.AppendVarint(append(b, byte(number)), s.at), s.zone)
+	})
+}
+
+func endedRecord(to []byte, id string, number int, how port.Outcome) []byte {
+	return frame(to, recEnded, id, func(b []byte) []byte { return append(b, byte(number), byte(how)) })
+}
+
+func decideRecord(to []byte, id string, v verdict, comeBack int64) []byte {
+	return frame(to, recDecide, id, func(b []byte) []byte {
+		return binary.AppendVarint(append(b, byte(v)), comeBack)
+	})
+}
+
+func overRecord(to []byte, id string) []byte {
+	return frame(to, recOver, id, func(b []byte) []byte { return b })
+}
+
+// frame appends a record: length, checksum, what it says and of which event, and the rest.
+func frame(to []byte, what byte, id string, rest func([]byte) []byte) []byte {
+	at := len(to)
+	to = append(to, make([]byte, frameSize)...)
+	to = rest(appendText(append(to, what), id))
+	payload := to[at+frameSize:]
+	le.PutUint32(to[at:], uint32(len(payload)))
+	le.PutUint32(to[at+4:], crc32.Checksum(payload, crcTable))
+	return to
+}
+
+func appendText(to []byte, text string) []byte {
+	return append(binary.AppendUvarint(to, uint64(len(text))), text...)
+}
+
+// fields reads a payload; past its end, or at what is no value, it turns bad.
+type fields struct {
+	rest []byte
+	bad  bool
+}
+
+func (f *fields) byte() byte {
+	if len(f.rest) == 0 {
+		f.bad = true
+		return 0
+	}
+	b := f.rest[0]
+	f.rest = f.rest[1:]
+	return b
+}
+
+func (f *fields) number() int64 {
+	v, n := binary.Varint(f.rest)
+	if n <= 0 {
+		f.bad = true
+		return 0
+	}
+	f.rest = f.rest[n:]
+	return v
+}
+
+func (f *fields) text() string {
+	size, n := binary.Uvarint(f.rest)
+	if n <= 0 || size > uint64(len(f.rest)-n) {
+		f.bad = true
+		return ""
+	}
+	text := string(f.rest[n : n+int(size)])
+	f.rest = f.rest[n+int(size):]
+	return text
+}
+
+// empty tells whether nothing is owed.
+func (j *journal) empty() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.owed) == 0
+}
--- /dev/null
+++ b/node/life.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"errors"
+
+	"github.com/sirupsen/logrus"
+
+	"jaspersill/port"
+)
+
+// life carries one event from its coming to its end. Every choice is the module's, asked through the desk.
+func (n *Node) life(e *event) {
+	told := e.answer == nil
+	tell := func(status int, comeBack int64) {
+		if !told {
+			told = true
+			e.answer <- answer{status: status, comeBack: comeBack}
+		}
+	}
+	if e.answer != nil {
+		if err := n.journal.take(e, n.typeNames[e.typ], n.owner(e.customer)); err != nil {
+			n.held.Add(-1)
+			switch {
+			case errors.Is(err, errKnown): // it came twice: it is owed already
+				tell(statusTaken, 0)
+			case errors.Is(err, errFull):
+				tell(statusDeclined, 0)
+			default:
+				logrus.WithError(err).Error("journal: event not taken on")
+				tell(statusDeclined, 0)
+			}
+			return
+		}
+	}
+	if e.verdict != open { // decided before a restart: only the notice is owed
+		n.held.Add(-1)
+		n.outcomes.post(e)
+		<-e.steps
+		n.journal.over(e)
+		return
+	}
+
+	n.desk.take(e)
+	out, over, noticed := 0, false, true
+	finish := func() {
+		if !over {
+			over = true
+			n.held.Add(-1)
+		}
+	}
+	end := func(v verdict, comeBack int64) {
+		finish()
+		if !told && v == declined { // its client still waits: it is told at once, and nothing more is owed
+			n.journal.over(e)
+			tell(statusDeclined, comeBack)
+			return
+		}
+		tell(statusTaken, 0)
+		noticed = false
+		e.verdict, e.comeBack = v, comeBack
+		n.journal.decide(e)
+		n.outcomes.post(e)
+	}
+	for !over || !noticed || out > 0 {
+		s := <-e.steps
+		switch s.what {
+		case stepHeld:
+			tell(statusTaken, 0)
+		case stepBegun:
+			out++
+		case stepOutcome:
+			if !s.result.late {
+				out--
+			}
+			n.journal.ended(e, s.send.number, s.result.how)
+			if s.result.how == port.Acked || s.result.over {
+				if !over {
+					n.journal.over(e)
+				}
+				finish()
+			}
+			n.desk.tell(e, s.send, s.result)
+		case stepDecline:
+			end(declined, s.comeBack)
+		case stepDiscard:
+			end(discarded, 0)
+		case stepNoticed:
+			noticed = true
+			n.journal.over(e)
+		}
+	}
+	n.desk.leave(e)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,127 @@
+// Package node is the delivery node on sockets: it carries out what the decision module decides. Each file has
+// one job: an event's life, the desk that owns the module, the journal, and one for each peer spoken to.
+package node
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"jaspersill/port"
+	"jaspersill/start"
+)
+
+// Place is where a delivery node stands: its addresses and its folder.
+type Place struct {
+	Listen, Directory, Folder string
+	PeerListen, PeersAll      string
+	Peers                     []string
+	Known                     []byte // the list of endpoints as it was last had
+}
+
+// Limits is what a delivery node may take up.
+type Limits struct {
+	DiskMB  float64
+	Sockets int
+}
+
+const (
+	ownSockets  = 48 // descriptors for the runtime, the listener, the directory, notices, peers and the journal
+	idlePart    = 4  // idle connections to endpoints take up to this part of the rest
+	fewSockets  = 64
+	manySockets = 1024 // where no limit is told
+)
+
+// Node is one delivery node.
+type Node struct {
+	phase     atomic.Int32
+	held      atomic.Int64 // events taken on and not ended
+	deskShut  atomic.Bool  // nothing more is decided
+	most      int64        // events held at most
+	typeNames []string
+	owners    []string
+	types     []port.StreamType
+
+	owed      []*event // from before a restart
+	journal   *journal
+	desk      *desk
+	endpoints *endpoints
+	directory *directory
+	outcomes  *outcomes
+	peers     *peers
+	clients   *clients
+}
+
+// Open opens the journal and the sockets of a delivery node; Run starts it.
+func Open(at Place, most Limits, s start.Start, module port.Decider) (*Node, error) {
+	c := clock{start: time.Now()}
+	n := &Node{most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	var err error
+	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
+		return nil, err
+	}
+	sockets := most.Sockets
+	if sockets <= 0 {
+		sockets = manySockets
+	}
+	sockets = max(fewSockets, sockets-ownSockets)
+	idle := sockets / idlePart
+	var perCall []int
+	for _, p := range s.Partners {
+		perCall = append(perCall, p.PerCall)
+	}
+	n.desk = newDesk(c, module, s.Tick, append(perCall, 1))
+	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
+		idleFor: s.IdleFor, mostIdle: idle}
+	n.directory = &directory{address: at.Directory, desk: n.desk, endpoints: n.endpoints,
+		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated}
+	n.outcomes = openOutcomes(at.Directory)
+	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, n.desk); err != nil {
+		return nil, err
+	}
+	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
+	if len(at.Known) > 0 {
+		if err := n.directory.line(at.Known); err != nil {
+			return nil, err
+		}
+	}
+	n.clients, err = openClients(n, at.Listen, sockets-idle-s.Room.Slots)
+	return n, err
+}
+
+// restore hands in what is owed from before the restart.
+func (n *Node) restore() {
+	n.held.Add(int64(len(n.owed)))
+	for _, e := range n.owed {
+		go n.life(e)
+	}
+	n.owed = nil
+}
+
+// admit takes a place for one more event, if there is one.
+func (n *Node) admit() bool {
+	if n.held.Add(1) > n.most || n.deskShut.Load() {
+		n.held.Add(-1)
+		return false
+	}
+	return true
+}
+
+// find maps the names of a stream type and a customer to their indices.
+func (n *Node) find(kind, owner string) (typ, customer int, ok bool) {
+	typ, customer = slices.Index(n.typeNames, kind), slices.Index(n.owners, owner)
+	if len(n.owners) == 0 {
+		customer = 0
+	}
+	return max(typ, 0), max(customer, 0), typ >= 0 && customer >= 0
+}
+
+func (n *Node) owner(customer int) string {
+	if customer < len(n.owners) {
+		return n.owners[customer]
+	}
+	return ""
+}
+
+// marked tells whether events of a stream type carry a mark.
+func (n *Node) marked(typ int) bool { return n.types[typ].Safety == port.Deduplicated }
--- /dev/null
+++ b/node/outcomes.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	noticeWithin = 250 * time.Millisecond // a notice is answered at once; a repeat does no harm
+	noticeAgain  = 50 * time.Millisecond  // between tries: a notice is overdue after 300 ms
+	noticePart   = 200                    // lines in one notice: some 12 kB
+)
+
+// outcomes tells the platform how events ended that were taken on and not delivered, until it has heard.
+type outcomes struct {
+	client *fasthttp.HostClient
+
+	mu    sync.Mutex
+	queue []*event
+	bell  chan struct{}
+}
+
+func openOutcomes(address string) *outcomes {
+	return &outcomes{bell: make(chan struct{}, 1), client: &fasthttp.HostClient{Addr: address, MaxConns: 2,
+		ReadTimeout: noticeWithin, WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true,
+		Dial:                     func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, noticeWithin) }}}
+}
+
+// post queues an event's notice; its life hears when the platform has it.
+func (o *outcomes) post(e *event) {
+	o.mu.Lock()
+	o.queue = append(o.queue, e)
+	o.mu.Unlock()
+	select {
+	case o.bell <- struct{}{}:
+	default:
+	}
+}
+
+// run sends notices for as long as the process lasts.
+func (o *outcomes) run(stop <-chan struct{}) {
+	failing := false
+	for {
+		select {
+		case <-stop:
+			return
+		case <-o.bell:
+		}
+		for {
+			o.mu.Lock()
+			part := o.queue[:min(len(o.queue), noticePart)]
+			o.mu.Unlock()
+			if len(part) == 0 {
+				break
+			}
+			// Danger: an end that nobody hears of is a lost event. It is told again until it was heard.
+			if err := o.send(part); err != nil {
+				if !failing {
+					logrus.WithError(err).Warn("outcomes: notice not taken, tried again until it is")
+				}
+				failing = true
+				select {
+				case <-stop:
+					return
+				case <-time.After(noticeAgain):
+				}
+				continue
+			}
+			failing = false
+			for _, e := range part {
+				e.steps <- step{what: stepNoticed}
+			}
+			o.mu.Lock()
+			o.queue = append([]*event(nil), o.queue[len(part):]...)
+			o.mu.Unlock()
+		}
+	}
+}
+
+type statusError int
+
+func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
+
+func (o *outcomes) send(part []*event) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/v1/outcomes")
+	req.Header.SetHost(o.client.Addr)
+	req.Header.SetContentType("application/x-ndjson")
+	body := req.Body()
+	for _, e := range part {
+		body = append(body, `{"id":`...)
+		body = strconv.AppendQuote(body, e.id)
+		if e.verdict == discarded {
+			body = append(body, `,"status":"undeliverable"}`...)
+		} else {
+			body = append(body, `,"status":"deferred"`...)
+			if e.comeBack > 0 {
+				body = strconv.AppendInt(append(body, `,"again_ms":`...), (e.comeBack+999_999)/1e6, 10)
+			}
+			body = append(body, '}')
+		}
+		body = append(body, '\n')
+	}
+	req.SetBody(body)
+	if err := o.client.Do(req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusNoContent {
+		return statusError(resp.StatusCode())
+	}
+	return nil
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"jaspersill/note"
+	"jaspersill/port"
+)
+
+// peers trades notes with the other delivery nodes, by datagrams that may come late or never.
+type peers struct {
+	socket *net.UDPConn
+	all    *net.UDPAddr
+	number map[string]int // of each peer, by its address
+	desk   *desk
+}
+
+func openPeers(listen, all string, list []string, d *desk) (*peers, error) {
+	p := &peers{number: make(map[string]int), desk: d}
+	if listen == "" || all == "" {
+		return p, nil // the deployment has no notes
+	}
+	for i, address := range list {
+		p.number[address] = i
+	}
+	at, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, err
+	}
+	if p.all, err = net.ResolveUDPAddr("udp", all); err != nil {
+		return nil, err
+	}
+	p.socket, err = net.ListenUDP("udp", at)
+	return p, err
+}
+
+// hear hands in what peers tell until the socket closes.
+func (p *peers) hear() {
+	if p.socket == nil {
+		return
+	}
+	var buf [note.Longest + 1]byte
+	for {
+		size, from, err := p.socket.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			continue // an answer that a peer's port is shut: it is restarting
+		}
+		peer, known := p.number[from.String()]
+		host, ok := note.ReadGoodHost(buf[:size])
+		if !known || !ok {
+			continue // danger: a stray datagram must not bring an endpoint back
+		}
+		p.desk.hear(func(to port.Intake) {
+			if ep, listed := p.desk.eps.Find(host); listed {
+				to.PeerGood(peer, ep)
+			}
+		})
+	}
+}
+
+func (p *peers) tellGood(host string) {
+	data := note.GoodHost(host)
+	if p.socket == nil || len(data) > note.Longest {
+		return
+	}
+	if _, err := p.socket.WriteToUDP(data, p.all); err != nil {
+		logrus.WithError(err).Debug("note to peers not sent")
+	}
+}
+
+func (p *peers) close() {
+	if p.socket != nil {
+		p.socket.Close()
+	}
+}
--- /dev/null
+++ b/node/phases.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Phase is where a delivery node stands between its start and its exit.
+type Phase int32
+
+const (
+	Starting  Phase = iota // opening its journal and its sockets
+	Restoring              // handing the module what is owed from before
+	Serving
+	Draining // no longer wanted: ending what it can, answering what still comes
+	Stopped
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "restoring", "serving", "draining", "stopped"}[p]
+}
+
+// The platform kills 3.7 s after it said to stop, and for the first 0.4 s sends new connections.
+const (
+	drainDoor   = 500 * time.Millisecond  // then waiting connections are closed: their clients go elsewhere
+	drainChoose = 2000 * time.Millisecond // then nothing new is decided or taken on: sends out have time to end
+	drainEnd    = 3400 * time.Millisecond // then it exits, whatever is still out
+	drainLook   = 10 * time.Millisecond
+)
+
+// Phase tells the present phase.
+func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
+
+func (n *Node) enter(p Phase) {
+	n.phase.Store(int32(p))
+	logrus.WithFields(logrus.Fields{"phase": p.String(), "held": n.held.Load()}).Info("phase")
+}
+
+// Run takes the delivery node through its phases. It drains when ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	stop := make(chan struct{})
+	defer close(stop)
+
+	n.enter(Restoring)
+	go n.peers.hear()
+	go n.outcomes.run(stop)
+	go n.endpoints.sweep(stop)
+	n.restore()
+	go n.desk.run()
+	defer n.journal.close()
+	defer n.peers.close()
+
+	n.enter(Serving)
+	broken := make(chan error, 1)
+	go func() { broken <- n.clients.serve() }()
+	select {
+	case err := <-broken:
+		return err
+	case <-ctx.Done():
+	}
+
+	n.enter(Draining)
+	begin := time.Now()
+	n.sleep(begin.Add(drainDoor), nil)
+	n.clients.door.dismiss()
+	n.sleep(begin.Add(drainChoose), n.idle)
+	n.deskShut.Store(true)
+	n.clients.door.dismiss()
+	n.sleep(begin.Add(drainChoose), n.idle)
+	n.desk.close()
+	n.sleep(begin.Add(drainEnd), n.idle)
+	n.clients.door.dismiss()
+	n.clients.door.Close()
+	n.sleep(begin.Add(drainEnd), n.clients.door.empty)
+	n.directory.close()
+	n.enter(Stopped)
+	return nil
+}
+
+// sleep waits until a time, or until there is nothing left to wait for.
+func (n *Node) sleep(until time.Time, done func() bool) {
+	for time.Now().Before(until) && (done == nil || !done()) {
+		time.Sleep(drainLook)
+	}
+}
+
+// idle tells whether nothing is owed.
+func (n *Node) idle() bool { return n.journal.empty() }
--- /dev/null
+++ b/node/wire.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/bytebufferpool"
+	"github.com/valyala/fasthttp"
+
+	"jaspersill/port"
+)
+
+const (
+	headID       = "Req-Id"
+	headKind     = "Req-Kind"
+	headOwner    = "Req-Owner"
+	headDeadline = "Req-Deadline-Ms"
+	headMark     = "Idempotency-Key"
+	headEnvelope = "X-Envelope"
+	headRetry    = "Retry-After"
+	headNoSlot   = "X-No-Slot"
+	headLoad     = "Srv-Load"
+
+	statusTaken    = fasthttp.StatusAccepted
+	statusDeclined = fasthttp.StatusServiceUnavailable
+
+	firstOK = "HTTP/1.1 200"
+
+	mostBody  = 64 << 10  // bytes of an event's body: the protocol's
+	mostReply = 256 << 10 // bytes of an answer's body: a line for each event of a call fits many times
+)
+
+// writeCall writes a call of one event, or of several. Id, mark and body go on as they came.
+func writeCall(out *bytebufferpool.ByteBuffer, sends []*send, wait int64) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetUserAgent("jaspersill")
+	req.Header.SetHost("endpoint")
+	req.Header.Set(headDeadline, strconv.FormatInt(wait/1e6, 10))
+	if len(sends) == 1 {
+		e := sends[0].event
+		req.SetRequestURI("/inbox")
+		req.Header.Set(headID, e.id)
+		if e.mark != "" {
+			req.Header.Set(headMark, e.mark)
+		}
+		req.SetBodyRaw(e.body)
+		_, err := req.WriteTo(out)
+		return err
+	}
+	body := bytebufferpool.Get()
+	defer bytebufferpool.Put(body)
+	for _, s := range sends {
+		e, mark := s.event, s.event.mark
+		if mark == "" {
+			mark = "-"
+		}
+		body.B = append(append(append(append(body.B, e.id...), ' '), mark...), ' ')
+		body.B = append(strconv.AppendInt(body.B, int64(len(e.body)), 10), "\r\n"...)
+		body.B = append(append(body.B, e.body...), "\r\n"...)
+	}
+	req.SetRequestURI("/inbox/bulk")
+	req.SetBodyRaw(body.B)
+	_, err := req.WriteTo(out)
+	return err
+}
+
+// reply is an endpoint's answer, taken apart.
+type reply struct {
+	results []result // of each send
+	close   bool     // the connection ends with it
+}
+
+type replyReader struct {
+	buf *bufio.Reader
+}
+
+func newReplyReader(r io.Reader) *replyReader {
+	return &replyReader{buf: bufio.NewReaderSize(r, replySize)}
+}
+
+// read reads the answer to a call. An error means that the connection broke before the answer was whole.
+func (r *replyReader) read(sends []*send) (reply, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	first, _ := r.buf.Peek(len(firstOK))
+	delivered := len(sends) == 1 && string(first) == firstOK
+	if err := resp.ReadLimitBody(r.buf, mostReply); err != nil {
+		// A first line with 200 has delivered a single event, whatever becomes of the rest.
+		if delivered {
+			return reply{results: []result{{how: port.Acked, over: true}}, close: true}, nil
+		}
+		return reply{}, err
+	}
+	var all result
+	all.left, all.limit = readLoad(string(resp.Header.Peek(headLoad)))
+	all.wait = readWait(string(resp.Header.Peek(headRetry)))
+	out := reply{results: make([]result, len(sends)), close: resp.ConnectionClose() || r.buf.Buffered() > 0}
+	status := resp.StatusCode()
+	if len(sends) > 1 && status == fasthttp.StatusOK {
+		readEnds(resp.Body(), sends, all, out.results)
+		return out, nil
+	}
+	all.how, all.over = readStatus(status, len(resp.Header.Peek(headNoSlot)) > 0, len(sends) > 1)
+	for i := range out.results {
+		out.results[i] = all
+	}
+	return out, nil
+}
+
+// readStatus maps an answer's status to how the send ended and whether its event is over.
+func readStatus(status int, noSlot, bulk bool) (how port.Outcome, over bool) {
+	switch {
+	case status == fasthttp.StatusOK:
+		return port.Acked, true
+	case status == fasthttp.StatusTooManyRequests:
+		return port.Declined, false
+	case status == fasthttp.StatusServiceUnavailable && noSlot:
+		return port.Unsent, false
+	case status == fasthttp.StatusServiceUnavailable:
+		return port.Declined, false
+	case status == fasthttp.StatusGatewayTimeout: // all its sends are used up
+		return port.Unsent, false
+	case status == fasthttp.StatusGone:
+		return port.Unsent, true
+	case bulk && (status == fasthttp.StatusBadRequest || status == fasthttp.StatusRequestEntityTooLarge):
+		return port.Unsent, false // none has run
+	}
+	return port.Errored, false // danger: what is not known may have run
+}
+
+// readEnds reads the line of each event. Danger: one that the answer leaves out may have run.
+func readEnds(body []byte, sends []*send, all result, results []result) {
+	for i := range results {
+		results[i] = all
+		results[i].how = port.Errored
+	}
+	for line := range bytes.Lines(body) {
+		id, word, _ := strings.Cut(strings.TrimSpace(string(line)), " ")
+		for i, s := range sends {
+			if s.event.id != id {
+				continue
+			}
+			switch strings.TrimSpace(word) {
+			case "done":
+				results[i].how, results[i].over = port.Acked, true
+			case "failed":
+				results[i].how = port.Errored
+			case "busy":
+				results[i].how = port.Declined
+			case "void":
+				results[i].how, results[i].over = port.Unsent, true
+			case "used_up":
+				results[i].how = port.Unsent
+			}
+		}
+	}
+}
+
+// readWait reads seconds, whole or decimal, as nanoseconds, rounded up: a wait must not end early.
+func readWait(text string) int64 {
+	f, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(f > 0) || f > 1e6 {
+		return 0
+	}
+	return int64(math.Ceil(f * 1e9))
+}
+
+// readLoad reads a load report: the share of the limit that is left, and the limit in calls a second.
+func readLoad(text string) (left, limit float64) {
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		f, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(f >= 0) || f > 1e9 {
+			continue
+		}
+		switch name {
+		case "x0":
+			left = f
+		case "x1":
+			limit = f
+		}
+	}
+	return left, limit
+}
--- a/port/port.go
+++ b/port/port.go
@@ -110,6 +110,9 @@
 // Intake takes what came in, in the order of arrival.
 type Intake interface {
 	Event(evt int32, streamType, customer int, key uint64, left, work int64, dest int32)
+	// Resumed follows Event for one taken on before a restart, with the sends it had. If one of them may have
+	// run, it says so, with how long ago the first such went out, and to which zone.
+	Resumed(evt int32, sends int, mayRun bool, ago int64, zone int)
 	Begun(evt int32, send int)
 	// Outcome: limit is the calls a second that the destination told, 0 for none, and left
 	// the share of it that it said was free.
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -11,8 +11,10 @@
 	"io"
 	"math"
 
+	"jaspersill/door"
 	"jaspersill/note"
 	"jaspersill/port"
+	"jaspersill/start"
 )
 
 const (
@@ -74,8 +76,8 @@
 	408: port.TimedOut, 521: port.ConnectFailed, 520: port.Reset, 444: port.Cancelled, 409: port.Unsent}
 
 // Serve answers batches until the input ends.
-func Serve(in io.Reader, out io.Writer, start func(seed uint64, s Start) port.Decider) error {
-	l := link{start: start, in: bufio.NewReaderSize(in, 1<<16), out: bufio.NewWriterSize(out, 1<<16),
+func Serve(in io.Reader, out io.Writer, launch func(seed uint64, s start.Start) port.Decider) error {
+	l := link{launch: launch, in: bufio.NewReaderSize(in, 1<<16), out: bufio.NewWriterSize(out, 1<<16),
 		nodes: make(map[uint16]*instance)}
 	for {
 		more, err := l.batch()
@@ -89,7 +91,7 @@
 }
 
 type link struct {
-	start   func(uint64, Start) port.Decider
+	launch  func(uint64, start.Start) port.Decider
 	in      *bufio.Reader
 	out     *bufio.Writer
 	body    bytes.Buffer
@@ -110,16 +112,12 @@
 	news    []item
 	listed  bool // has an event in this batch
 
-	evtOf map[uint64]int32
-	ids   []uint64
+	evts  door.Table[uint64]
 	sends []int32
 	ended []bool
-	free  []int32
 	done  []int32 // ended events whose sends may all be over
 
-	epOf            map[uint32]int32
-	eps             []uint32
-	destOf          map[uint32]int32
+	eps, dests      door.Table[uint32]
 	rated           bool // the list tells rates
 	leftAt, limitAt int  // where a load report holds the share left and the limit, -1 for nowhere
 }
@@ -252,13 +250,12 @@
 			if err != nil {
 				return bad("Launch: %v", err)
 			}
-			s, err := readEnv(string(text))
+			s, err := start.Lines(string(text))
 			if err != nil {
 				return bad("Launch: %v", err)
 			}
 			*cur = instance{number: cur.number, link: l, listed: true, news: cur.news[:0],
-				rated: s.rated, leftAt: s.leftAt, limitAt: s.limitAt, decider: l.start(le.Uint64(r[1:]), s), evtOf: make(map[uint64]int32),
-				epOf: make(map[uint32]int32), destOf: make(map[uint32]int32)}
+				rated: s.Rated, leftAt: s.LeftAt, limitAt: s.LimitAt, decider: l.launch(le.Uint64(r[1:]), s)}
 			continue
 		case evTopology:
 			how, table := r[1], le.Uint16(r[10:])
@@ -313,10 +310,8 @@
 	n.decider.Round(now, n, reply)
 	reply.finish()
 	for _, e := range n.done {
-		if n.ended[e] && n.sends[e] == 0 && n.ids[e] != math.MaxUint64 {
-			delete(n.evtOf, n.ids[e])
-			n.ids[e] = math.MaxUint64
-			n.free = append(n.free, e)
+		if n.ended[e] && n.sends[e] == 0 {
+			n.evts.Release(e)
 		}
 	}
 	n.done = n.done[:0]
@@ -333,25 +328,25 @@
 		case evKnock:
 			n.knock(r, to)
 		case evBegun:
-			if e, ok := n.evtOf[le.Uint64(r[1:])]; ok {
+			if e, ok := n.evts.Find(le.Uint64(r[1:])); ok {
 				to.Begun(e, int(le.Uint16(r[9:])))
 			}
 		case evFinished:
 			n.finished(r, to)
 		case evAbandoned:
-			if e, ok := n.evtOf[le.Uint64(r[1:])]; ok {
+			if e, ok := n.evts.Find(le.Uint64(r[1:])); ok {
 				n.end(e)
 				to.Withdrawn(e)
 			}
 		case evReminder:
 			to.Woken()
 		case evProbed:
-			if ep, ok := n.epOf[le.Uint32(r[1:])]; ok {
+			if ep, ok := n.eps.Find(le.Uint32(r[1:])); ok {
 				to.Probed(ep, outcomes[le.Uint16(r[5:])], nanos(float(r[7:])), n.figure(r[15:], n.leftAt), n.figure(r[15:], n.limitAt))
 			}
 		case evMemo:
 			if id, ok := note.ReadGood(it.entries); ok {
-				if ep, known := n.epOf[id]; known {
+				if ep, known := n.eps.Find(id); known {
 					to.PeerGood(int(le.Uint16(r[1:])), ep)
 				}
 			}
@@ -366,13 +361,7 @@
 	}
 	to.ListBegins(how != topoChanges)
 	for e := entries; len(e) > 0; e = e[entrySize:] {
-		id := le.Uint32(e)
-		ep, ok := n.epOf[id]
-		if !ok {
-			ep = int32(len(n.eps))
-			n.epOf[id] = ep
-			n.eps = append(n.eps, id)
-		}
+		ep, _ := n.eps.Take(le.Uint32(e))
 		rate := single(e[10:])
 		if !n.rated || !usable(rate, 1e9) {
 			rate = 0
@@ -383,28 +372,19 @@
 }
 
 func (n *instance) dest(number uint32) int32 {
-	d, ok := n.destOf[number]
-	if !ok {
-		d = int32(len(n.destOf))
-		n.destOf[number] = d
-	}
+	d, _ := n.dests.Take(number)
 	return d
 }
 
 func (n *instance) knock(r []byte, to port.Intake) {
-	id := le.Uint64(r[1:])
-	if _, known := n.evtOf[id]; known {
+	e, fresh := n.evts.Take(le.Uint64(r[1:]))
+	if !fresh {
 		return
 	}
-	var e int32
-	if last := len(n.free) - 1; last >= 0 {
-		e, n.free = n.free[last], n.free[:last]
-		n.ids[e], n.sends[e], n.ended[e] = id, 0, false
-	} else {
-		e = int32(len(n.ids))
-		n.ids, n.sends, n.ended = append(n.ids, id), append(n.sends, 0), append(n.ended, false)
+	if int(e) == len(n.sends) {
+		n.sends, n.ended = append(n.sends, 0), append(n.ended, false)
 	}
-	n.evtOf[id] = e
+	n.sends[e], n.ended[e] = 0, false
 	var work int64
 	if hint := float(r[29:]); r[41]&1 != 0 && usable(hint, 1e9) {
 		work = nanos(hint)
@@ -414,8 +394,8 @@
 }
 
 func (n *instance) finished(r []byte, to port.Intake) {
-	e, ok := n.evtOf[le.Uint64(r[1:])]
-	ep, known := n.epOf[le.Uint32(r[26:])]
+	e, ok := n.evts.Find(le.Uint64(r[1:]))
+	ep, known := n.eps.Find(le.Uint32(r[26:]))
 	if !ok || !known {
 		return
 	}
@@ -493,14 +473,14 @@
 
 func (w *writer) about(code byte, evt int32) []byte {
 	r := w.record(code)
-	le.PutUint64(r[1:], w.node.ids[evt])
+	le.PutUint64(r[1:], w.node.evts.ID(evt))
 	return r
 }
 
 // Send implements port.Writer, as do the methods below.
 func (w *writer) Send(evt, endpoint int32, timeout int64) {
 	r := w.about(acIssue, evt)
-	le.PutUint32(r[9:], w.node.eps[endpoint])
+	le.PutUint32(r[9:], w.node.eps.ID(endpoint))
 	le.PutUint64(r[13:], math.Float64bits(millis(timeout)))
 	w.node.sends[evt]++
 }
@@ -528,13 +508,13 @@
 }
 
 func (w *writer) FetchList()         { w.record(acGetList) }
-func (w *writer) Probe(ep int32)     { le.PutUint32(w.record(acSample)[1:], w.node.eps[ep]) }
-func (w *writer) CloseIdle(ep int32) { le.PutUint32(w.record(acFreeLinks)[1:], w.node.eps[ep]) }
+func (w *writer) Probe(ep int32)     { le.PutUint32(w.record(acSample)[1:], w.node.eps.ID(ep)) }
+func (w *writer) CloseIdle(ep int32) { le.PutUint32(w.record(acFreeLinks)[1:], w.node.eps.ID(ep)) }
 
 func (w *writer) Log(text string, ep int32) {
-	w.text(acWriteLog, fmt.Sprintf("%s: %d", text, w.node.eps[ep]))
+	w.text(acWriteLog, fmt.Sprintf("%s: %d", text, w.node.eps.ID(ep)))
 }
 
 func (w *writer) TellGood(ep int32) {
-	le.PutUint16(w.bytes(acMemoTo, 3, note.Good(w.node.eps[ep]))[1:], allPeers)
+	le.PutUint16(w.bytes(acMemoTo, 3, note.Good(w.node.eps.ID(ep)))[1:], allPeers)
 }
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"jaspersill/port"
+	"jaspersill/start"
 )
 
 var launchEnv = strings.ReplaceAll(`models=big,small discovery=subscribe ceilings.max_open=50 ceilings.max_attempts=4 `+
@@ -78,6 +79,9 @@
 	s.say("event", e, typ, customer, key, left, work, dest)
 }
 func (s *script) Begun(e int32, send int) { s.say("begun", e, send) }
+func (s *script) Resumed(e int32, sends int, mayRun bool, ago int64, zone int) {
+	s.say("resumed", e, sends, mayRun, ago, zone)
+}
 func (s *script) Outcome(e int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool, left, limit float64) {
 	s.say("outcome", e, send, ep, how, wait, took, ended, left, limit)
 }
@@ -120,8 +124,8 @@
 			w.Log("two words", 1)
 		}
 	}
-	var got Start
-	if err := Serve(&in, &out, func(seed uint64, st Start) port.Decider { got = st; s.say("seed", seed); return s }); err != nil {
+	var got start.Start
+	if err := Serve(&in, &out, func(seed uint64, st start.Start) port.Decider { got = st; s.say("seed", seed); return s }); err != nil {
 		t.Fatal(err)
 	}
 	want := []string{"seed 99", "round 1000000000", "list true", "listed 0 0 1 1 2 4.5", "listed 1 0 1 1 2 4.5",
@@ -156,32 +160,32 @@
 }
 
 func TestBadInputIsNamed(t *testing.T) {
-	start := func() *frame { return new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv) }
+	begin := func() *frame { return new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv) }
 	withEnv := func(from, to string) []byte {
 		return new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), strings.Replace(launchEnv, from, to, 1)).bytes(1, 0)
 	}
-	whole := start().bytes(1, 0)
+	whole := begin().bytes(1, 0)
 	for _, c := range []struct {
 		in   []byte
 		want string
 	}{
 		{whole[:7], "batch header: input ends inside it"},
 		{whole[:40], "input ends after 20 of"},
-		{start().put(99).bytes(1, 0), "record 2: unknown event code 99"},
+		{begin().put(99).bytes(1, 0), "record 2: unknown event code 99"},
 		{new(frame).put(evReminder, uint64(1)).bytes(1, 0), "event code 7 before any To"},
-		{start().put(evTopology, byte(3), uint64(1), uint16(4)).bytes(1, 0), "Catalog 4 was never defined"},
-		{start().put(evCatalog, uint16(16)).bytes(1, 0), "Catalog number 16"},
-		{start().put(evCatalog, uint16(1), uint32(0), uint32(1<<31)).bytes(1, 0), "pass the tail's"},
-		{start().put(evMemo, uint16(1), uint32(1<<30), uint32(9)).bytes(1, 0), "Memo: offset 1073741824"},
-		{start().put(evFinished, uint64(1), uint32(0), uint16(299), 1.0).bytes(1, 0), "code 299"},
-		{start().put(evKnock, uint64(1), uint16(0), uint16(0), uint64(0), math.NaN()).bytes(1, 0), "left_ms NaN"},
-		{start().bytes(1, math.Inf(1)), "clock +Inf"},
-		{withEnv("me=0", "me=x"), `env: me: want a number from 0 to 1e12, got "x"`},
-		{withEnv("rules.cold_share=0.2\n", ""), `env: rules.cold_share: want a number`},
+		{begin().put(evTopology, byte(3), uint64(1), uint16(4)).bytes(1, 0), "Catalog 4 was never defined"},
+		{begin().put(evCatalog, uint16(16)).bytes(1, 0), "Catalog number 16"},
+		{begin().put(evCatalog, uint16(1), uint32(0), uint32(1<<31)).bytes(1, 0), "pass the tail's"},
+		{begin().put(evMemo, uint16(1), uint32(1<<30), uint32(9)).bytes(1, 0), "Memo: offset 1073741824"},
+		{begin().put(evFinished, uint64(1), uint32(0), uint16(299), 1.0).bytes(1, 0), "code 299"},
+		{begin().put(evKnock, uint64(1), uint16(0), uint16(0), uint64(0), math.NaN()).bytes(1, 0), "left_ms NaN"},
+		{begin().bytes(1, math.Inf(1)), "clock +Inf"},
+		{withEnv("me=0", "me=x"), `settings: me: want a number from 0 to 1e12, got "x"`},
+		{withEnv("rules.cold_share=0.2\n", ""), `settings: rules.cold_share: want a number`},
 		{withEnv("by_key", "sometimes"), `services.0.semantics: want one of repeatable by_key once, got "sometimes"`},
-		{withEnv("services.count=1", "services.count=900000000"), `env: services.count: want at most 4096`},
+		{withEnv("services.count=1", "services.count=900000000"), `settings: services.count: want at most 4096`},
 	} {
-		err := Serve(bytes.NewReader(c.in), &bytes.Buffer{}, func(uint64, Start) port.Decider { return &script{act: func(port.Writer) {}} })
+		err := Serve(bytes.NewReader(c.in), &bytes.Buffer{}, func(uint64, start.Start) port.Decider { return &script{act: func(port.Writer) {}} })
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("want %q, got %v", c.want, err)
 		}
@@ -192,7 +196,7 @@
 	var out bytes.Buffer
 	s := &script{act: func(w port.Writer) { w.Watch(true); panic("lost count") }}
 	in := new(frame).put(evTo, uint16(3)).put(evLaunch, uint64(9), launchEnv).bytes(1, 0)
-	if err := Serve(bytes.NewReader(in), &out, func(uint64, Start) port.Decider { return s }); err != nil {
+	if err := Serve(bytes.NewReader(in), &out, func(uint64, start.Start) port.Decider { return s }); err != nil {
 		t.Fatal(err)
 	}
 	if b := out.Bytes(); len(b) < 60 || b[4] != 2 || b[12+actionSize] != acBailOut || !bytes.HasSuffix(b, []byte("lost count")) {
@@ -206,6 +210,6 @@
 	f.Add(b.bytes(1, 0))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		s := &script{act: func(port.Writer) {}}
-		_ = Serve(bytes.NewReader(in), &bytes.Buffer{}, func(uint64, Start) port.Decider { return s })
+		_ = Serve(bytes.NewReader(in), &bytes.Buffer{}, func(uint64, start.Start) port.Decider { return s })
 	})
 }
--- a/simwire/env.go
+++ b/start/start.go
@@ -1,6 +1,10 @@
-package simwire
+// Package start reads what a delivery node is told at its start, as dotted names with their values: from the
+// bench's text, or from nested JSON made flat.
+package start
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -10,7 +14,7 @@
 	"jaspersill/port"
 )
 
-// Start is what an instance is told at its launch.
+// Start is what a delivery node is told at its start.
 type Start struct {
 	Types      []port.StreamType
 	Customers  []port.Customer
@@ -22,25 +26,29 @@
 	Fleet      port.Fleet
 	OrderPause int64
 
-	rated           bool
-	leftAt, limitAt int
+	Rated           bool // the list tells rates
+	LeftAt, LimitAt int  // where a load report holds the share left and the limit, -1 for nowhere
+
+	TypeNames, CustomerNames, PartnerNames, ZoneNames []string
+	Tick                                              int64 // least time between rounds
+	IdleFor, ConnectWithin                            int64 // connections: longest idle; to come up
 }
 
 // maxListed bounds a count claimed by the env text.
 const maxListed = 4096
 
-type env struct {
+type reader struct {
 	values map[string]string
 	err    error
 }
 
-func (e *env) fail(name, value, want string) {
+func (e *reader) fail(name, value, want string) {
 	if e.err == nil {
-		e.err = fmt.Errorf("env: %s: want %s, got %q", name, want, value)
+		e.err = fmt.Errorf("settings: %s: want %s, got %q", name, want, value)
 	}
 }
 
-func (e *env) text(name string, words ...string) string {
+func (e *reader) text(name string, words ...string) string {
 	v, ok := e.values[name]
 	if !ok {
 		e.fail(name, "", "a value")
@@ -57,7 +65,7 @@
 	return v
 }
 
-func (e *env) number(name string, needed bool) float64 {
+func (e *reader) number(name string, needed bool) float64 {
 	v, ok := e.values[name]
 	if !ok && !needed {
 		return 0
@@ -70,7 +78,7 @@
 	return f
 }
 
-func (e *env) count(name string, needed bool) int {
+func (e *reader) count(name string, needed bool) int {
 	f := e.number(name, needed)
 	if f != math.Trunc(f) || f > 1e9 {
 		e.fail(name, e.values[name], "a whole number")
@@ -79,9 +87,11 @@
 	return int(f)
 }
 
-func (e *env) time(name string, needed bool) int64 { return nanos(e.number(name, needed)) }
+func (e *reader) time(name string, needed bool) int64 {
+	return int64(math.Round(e.number(name, needed) * 1e6))
+}
 
-func (e *env) flag(name string) bool {
+func (e *reader) flag(name string) bool {
 	v, ok := e.values[name]
 	if ok && v != "true" && v != "false" {
 		e.fail(name, v, "true or false")
@@ -89,7 +99,7 @@
 	return v == "true"
 }
 
-func (e *env) listed(name string) int {
+func (e *reader) listed(name string) int {
 	n := e.count(name, false)
 	if n > maxListed {
 		e.fail(name, e.values[name], "at most 4096")
@@ -98,13 +108,63 @@
 	return n
 }
 
-func readEnv(text string) (Start, error) {
-	e := &env{values: make(map[string]string)}
+// Lines reads one name=value pair a line.
+func Lines(text string) (Start, error) {
+	values := make(map[string]string)
 	for line := range strings.SplitSeq(text, "\n") {
 		if name, value, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "="); ok {
-			e.values[name] = value
+			values[name] = value
 		}
 	}
+	return read(values)
+}
+
+// JSON reads the same names from a nested object: a list of objects has its length under .count and its items
+// under .0, .1 and so on; a list of plain values is joined with commas.
+func JSON(data []byte) (Start, error) {
+	var nested map[string]any
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	if err := d.Decode(&nested); err != nil {
+		return Start{}, fmt.Errorf("settings: %w", err)
+	}
+	values := make(map[string]string)
+	flatten(values, "", nested)
+	return read(values)
+}
+
+var spaced = strings.NewReplacer(" ", "_", ",", "_")
+
+func flatten(values map[string]string, name string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for k, inner := range v {
+			flatten(values, strings.TrimPrefix(name+"."+k, "."), inner)
+		}
+	case []any:
+		var plain []string
+		objects := 0
+		for _, inner := range v {
+			if m, ok := inner.(map[string]any); ok {
+				flatten(values, name+"."+strconv.Itoa(objects), m)
+				objects++
+			} else {
+				plain = append(plain, spaced.Replace(fmt.Sprint(inner)))
+			}
+		}
+		if objects > 0 {
+			values[name+".count"] = strconv.Itoa(objects)
+		} else {
+			values[name] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		values[name] = spaced.Replace(fmt.Sprint(v))
+	}
+}
+
+func read(values map[string]string) (Start, error) {
+	e := &reader{values: values}
 	var s Start
 	halving := false
 	if _, ok := e.values["family_info.late"]; ok {
@@ -133,10 +193,12 @@
 			t.ByZone = e.text(at+"group", "all", "zone", "cell") == "zone"
 		}
 		s.Types = append(s.Types, t)
+		s.TypeNames = append(s.TypeNames, e.values[at+"name"])
 	}
 	for i := range e.listed("projects.count") {
 		s.Customers = append(s.Customers,
 			port.Customer{Rate: e.number("projects."+strconv.Itoa(i)+".quota_rps", true)})
+		s.CustomerNames = append(s.CustomerNames, e.values["projects."+strconv.Itoa(i)+".name"])
 	}
 	s.OverShare = 1
 	if _, ok := e.values["over_share_worth"]; ok {
@@ -144,7 +206,8 @@
 	}
 	perCall := split(e.values["family_info.per_call"])
 	routes := split(e.values["family_info.own_limits"])
-	for i := range split(e.text("models")) {
+	s.PartnerNames, s.ZoneNames = split(e.text("models")), split(e.values["areas"])
+	for i := range s.PartnerNames {
 		p := port.Partner{PerCall: 1}
 		if i < len(perCall) {
 			n, err := strconv.Atoi(perCall[i])
@@ -188,10 +251,12 @@
 		Notes:  e.flag("ceilings.peer_messages"),
 		Probes: e.flag("ceilings.probes"),
 	}
-	s.rated = e.values["weight_kind"] == "nominal" || e.values["weight_kind"] == "rough"
+	s.Rated = e.values["weight_kind"] == "nominal" || e.values["weight_kind"] == "rough"
 	names := split(e.values["feedback.names"])
-	s.leftAt, s.limitAt = slices.Index(names, "x0"), slices.Index(names, "x1")
+	s.LeftAt, s.LimitAt = slices.Index(names, "x0"), slices.Index(names, "x1")
 	s.OrderPause = e.time("rules.order_pause_ms", false)
+	s.Tick, s.IdleFor = e.time("tick_ms", false), e.time("ceilings.conn_idle_ms", false)
+	s.ConnectWithin = e.time("ceilings.connect_timeout_ms", false)
 	return s, e.err
 }
 
