--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	paceSpan     = 3 * second   // time without an answer over which it climbs at most: nodes that seldom send
 	paceForget   = 60 * second  // a lane idle for a minute starts unpaced
 	paceBurst    = second / 2   // calls saved up while idle, in time at the pace: under the shortest span
+	fullBack     = second / 4   // least come-back time where there is no room: an answer or two frees some
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
 	beat         = second / 100 // next look: a fraction of any answer time
 
@@ -175,6 +176,10 @@
 	}
 }
 
+func (n *Node) Full() int64 {
+	return min(fullBack+int64(n.chance.float()*float64(fullBack)), n.room.ComeBack)
+}
+
 func (n *Node) Begun(evt int32, send int) { n.events[evt].deadline = math.MaxInt64 } // no time runs any more
 
 func (n *Node) Outcome(evt int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool,
@@ -287,8 +292,7 @@
 	delay := wait
 	switch {
 	case how == port.Declined && wait == 0:
-		delay = min(refusalBase, t.MaxAge/refusalPart)
-		delay += min(extraBase, t.MaxAge/extraPart) << min(e.refusals, 20)
+		delay = min(refusalBase, t.MaxAge/refusalPart) + min(extraBase, t.MaxAge/extraPart)<<min(e.refusals, 20)
 		e.refusals++
 	case how != port.Declined:
 		delay = errorBase << min(e.errors, 20)
@@ -463,8 +467,7 @@
 		l.recent[lane] = append(l.recent[lane], n.now)
 	}
 	n.calls[e.call].events++
-	e.sends++
-	e.sentAt, e.calledOff = n.now, false
+	e.sends, e.sentAt, e.calledOff = e.sends+1, n.now, false
 	timeout, short := e.deadline-n.now, n.eps.timeout(ep)
 	switch t := &n.types[e.typ]; t.Safety { // for non-idempotent ones it would be the end
 	case port.Idempotent:
--- a/node/clients.go
+++ b/node/clients.go
@@ -85,13 +85,17 @@
 		return
 	}
 	if !c.node.admit() {
-		plain(ctx, statusDeclined, "no room for another event")
+		c.reply(ctx, answer{status: statusDeclined, comeBack: c.node.desk.full()})
 		return
 	}
 	go c.node.life(e)
-	a := <-e.answer
+	c.reply(ctx, <-e.answer)
+}
+
+// reply tells a client that its event is taken on, or when to come back.
+func (c *clients) reply(ctx *fasthttp.RequestCtx, a answer) {
 	ctx.SetStatusCode(a.status)
-	if a.comeBack > 0 {
+	if a.status == statusDeclined {
 		ctx.Response.Header.Set(headRetry, strconv.FormatFloat(float64(a.comeBack)/1e9, 'f', retryDigits, 64))
 	}
 }
@@ -148,7 +152,7 @@
 		return nil, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB"
 	}
 	e.body = append([]byte(nil), body...)
-	e.deadline = wall() + int64(left*1e6)
+	e.due, e.deadline = n.clock.now()+int64(left*1e6), wall()+int64(left*1e6)
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
 	return e, 0, ""
 }
--- a/node/desk.go
+++ b/node/desk.go
@@ -138,7 +138,7 @@
 		d.lives[e.index], d.ended[e.index] = e, false
 		d.fresh = append(d.fresh, e.index)
 		dest, _ := d.dests.Take(e.dest)
-		to.Event(e.index, e.typ, e.customer, 0, e.deadline-wall(), 0, dest)
+		to.Event(e.index, e.typ, e.customer, 0, e.due-d.clock.now(), 0, dest)
 		if len(e.past) > 0 {
 			d.resume(e, to)
 		}
@@ -174,6 +174,18 @@
 	})
 }
 
+// full asks when one may come back that there is no room for; nothing is told once the desk is closed.
+func (d *desk) full() int64 {
+	reply := make(chan int64, 1)
+	d.hear(func(port.Intake) { reply <- d.module.Full() })
+	select {
+	case comeBack := <-reply:
+		return comeBack
+	case <-d.done:
+		return 0
+	}
+}
+
 // leave frees the event's index.
 func (d *desk) leave(e *event) {
 	d.hear(func(port.Intake) { d.gone = append(d.gone, e.index) })
@@ -188,11 +200,11 @@
 	most := d.perCall[min(d.partner[ep], len(d.perCall)-1)]
 	for _, c := range d.calls {
 		if c.endpoint == ep && len(c.sends) < most {
-			s.call, c.sends = c, append(c.sends, s)
+			s.call, c.sends, c.left = c, append(c.sends, s), c.left+1
 			return
 		}
 	}
-	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}}
+	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}, left: 1}
 	d.calls = append(d.calls, s.call)
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fastjson"
 
 	"jaspersill/port"
+	"jaspersill/start"
 )
 
 const (
@@ -41,7 +42,13 @@
 	cancel context.CancelFunc // of the watch that stands or is being opened
 }
 
-func (d *directory) zone(name string) int { return slices.Index(d.zones, name) }
+// zone maps a zone's name to its index; an unknown one is one more.
+func (d *directory) zone(name string) int {
+	if i := slices.Index(d.zones, start.Name(name)); i >= 0 {
+		return i
+	}
+	return len(d.zones)
+}
 
 // watch opens a watch or ends it. One that is asked for again replaces the one before.
 func (d *directory) watch(on bool) {
@@ -145,22 +152,21 @@
 	}
 	whole := v.GetBool("whole")
 	type entry struct {
-		host, dial    string
-		site          string
-		dest          uint32
-		partner, zone int
-		state         port.State
-		rate          float64
+		host, dial string
+		site       string
+		dest       uint32
+		partner    int
+		state      port.State
+		rate       float64
 	}
 	var list []entry
 	for _, h := range hosts.GetArray() {
 		e := entry{host: string(h.GetStringBytes("host")), dial: string(h.GetStringBytes("dial")),
-			dest: uint32(h.GetUint64("block")), zone: max(0, d.zone(string(h.GetStringBytes("site")))),
-			partner: slices.Index(d.partners, string(h.GetStringBytes("class")))}
+			dest: uint32(h.GetUint64("block")), site: string(h.GetStringBytes("site")),
+			partner: slices.Index(d.partners, start.Name(string(h.GetStringBytes("class"))))}
 		if e.host == "" || !h.Exists("block") {
 			return fmt.Errorf("an entry without a name or a destination: %.200s", h)
 		}
-		e.site = string(h.GetStringBytes("site"))
 		if e.partner < 0 {
 			e.partner = len(d.partners)
 		}
@@ -194,7 +200,7 @@
 				d.endpoints.closeIdle(ep)
 			}
 			dest, _ := d.desk.dests.Take(e.dest)
-			to.Listed(ep, dest, e.partner, e.zone, e.state, e.rate)
+			to.Listed(ep, dest, e.partner, d.zone(e.site), e.state, e.rate)
 		}
 		to.ListEnds()
 	})
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
+const acceptAgain = 20 * time.Millisecond // a connection asked to close has gone by then
+
 // doorman accepts clients' connections, up to a limit. When short it closes those that wait between requests,
 // the longest first; if none does, new ones wait.
 type doorman struct {
@@ -44,8 +49,17 @@
 	}
 	d.mu.Unlock()
 	c, err := d.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		// Danger: out of descriptors, or a connection that broke before it was accepted, must not end the serving.
+		logrus.WithError(err).Warn("clients: connection not accepted")
+		d.mu.Lock()
+		d.closeIdle(1)
+		d.mu.Unlock()
+		time.Sleep(acceptAgain)
+		c, err = d.Listener.Accept()
 	}
 	g := &guest{Conn: c, door: d, since: time.Now()}
 	d.mu.Lock()
--- a/node/event.go
+++ b/node/event.go
@@ -7,7 +7,8 @@
 	id, mark      string // mark: what repeats are known by, where its stream type has one
 	typ, customer int
 	dest          uint32
-	deadline      int64 // time of day
+	due           int64 // on the module's clock
+	deadline      int64 // the same as time of day, which outlasts the process
 	body          []byte
 	steps         chan step   // what its life waits for
 	answer        chan answer // what its client hears, nil for one restored
--- a/node/journal.go
+++ b/node/journal.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 // journal holds what the delivery node has taken on and not ended, in a folder that outlasts the process. A
 // record is its payload's length and checksum, then the payload. What was written outlasts a killed process.
 // When the file would leave no room to write what is owed anew, that is done, and the new file takes its place.
+// A long body has a file of its own: it is written once, and gone with its event.
 type journal struct {
 	name string
 
@@ -26,7 +28,9 @@
 	most  int64 // bytes that all files may hold
 	owed  map[string]*entry
 	order []*entry // as taken on; ended ones are left out now and then
-	live  int64    // bytes that what is owed may take in a file
+	live  int64    // bytes that what is owed may take in the file
+	long  int64    // bytes that long bodies' files take
+	next  int64    // number of the next such file
 	sends int      // of an event, at most
 }
 
@@ -38,7 +42,9 @@
 	past     []sent
 	verdict  verdict
 	comeBack int64
-	need     int64 // bytes it may take in a file, all its sends included
+	need     int64 // bytes it may take in the file, all its sends included
+	file     int64 // number of its body's own file, 0 for none
+	long     int64 // bytes that this file takes
 	over     bool
 }
 
@@ -48,22 +54,27 @@
 	recEnded
 	recDecide
 	recOver
+	recTakeLong // as recTake, with the number of the body's file
 )
 
 const (
 	frameSize  = 8
+	blockSize  = 512        // bytes in which files are counted
+	longBody   = 8 << 10    // bytes from which a body has its own file: a page or two are cheaper copied
 	slackSize  = 4096       // bytes of the folder left alone: both files' last blocks
-	liveEighth = 3          // eighths of the folder that owed events may take: twice that, and room to write on
+	liveEighth = 3          // eighths of the rest that owed events may take: twice that, and room to write on
 	sendSize   = 96         // bytes that the two records of a send take, without the event's id
 	mostRecord = 1 << 20    // bytes; a longer one is no record
 	noLimit    = 256 * 1e6  // bytes of the folder where none is told
 	fileMode   = 0o600      // the bodies are nobody else's
 	fileName   = "journal"  // in the folder
 	nextName   = ".written" // behind the name while it is written anew
+	bodyName   = ".body-"   // behind the name, then the number
 )
 
 var (
 	errFull  = errors.New("journal: no room for another event")
+	errOver  = errors.New("journal: nothing is owed for the event")
 	errKnown = errors.New("journal: the event is owed already")
 	crcTable = crc32.MakeTable(crc32.Castagnoli)
 	le       = binary.LittleEndian
@@ -73,7 +84,8 @@
 // coming. find maps the names of a stream type and a customer to their indices.
 func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
 	*journal, []*event, error) {
-	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, owed: make(map[string]*entry), sends: sends}
+	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, owed: make(map[string]*entry), sends: sends,
+		next: 1}
 	if limitMB > 0 {
 		j.most = int64(limitMB*1e6) - slackSize
 	}
@@ -85,6 +97,9 @@
 		return nil, nil, err
 	}
 	j.replay(text)
+	if err := j.sweepBodies(); err != nil {
+		return nil, nil, err
+	}
 	var events []*event
 	for _, o := range j.order {
 		if o.over {
@@ -95,6 +110,12 @@
 			logrus.WithField("kind", o.kind).Error("journal: owed event of an unknown stream type is discarded")
 			o.verdict = discarded
 		}
+		if o.file > 0 {
+			if o.e.body, err = os.ReadFile(j.body(o.file)); err != nil {
+				logrus.WithError(err).Error("journal: owed event without its body is discarded")
+				o.verdict = discarded
+			}
+		}
 		o.e.typ, o.e.customer, o.e.past, o.e.sends = typ, customer, o.past, len(o.past)
 		o.e.verdict, o.e.comeBack = o.verdict, o.comeBack
 		events = append(events, o.e)
@@ -112,34 +133,76 @@
 // take writes that an event was taken on.
 func (j *journal) take(e *event, kind, owner string) error {
 	o := &entry{e: e, kind: kind, owner: owner}
-	rec := o.takeRecord(nil)
-	o.need = int64(len(rec)) + j.reserve(e.id)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.owed[e.id] != nil {
 		return errKnown
 	}
-	if j.live+o.need > j.most/8*liveEighth {
+	if len(e.body) >= longBody {
+		o.file, o.long = j.next, blocks(len(e.body))
+	}
+	rec := o.takeRecord(nil)
+	o.need = int64(len(rec)) + j.reserve(e.id)
+	if (j.live+o.need)*8/liveEighth > j.most-j.long-o.long {
 		return errFull
 	}
-	if err := j.append(rec, o.need); err != nil {
+	if err := j.room(len(rec), o.need+o.long); err != nil {
+		return err
+	}
+	if o.file > 0 {
+		if err := os.WriteFile(j.body(o.file), e.body, fileMode); err != nil {
+			os.Remove(j.body(o.file))
+			return err
+		}
+		j.next++
+	}
+	if err := j.append(rec); err != nil {
+		if o.file > 0 {
+			os.Remove(j.body(o.file))
+		}
 		return err
 	}
 	j.add(o)
 	return nil
 }
 
+func (j *journal) body(number int64) string { return j.name + bodyName + strconv.FormatInt(number, 10) }
+
+func blocks(size int) int64 { return int64(size+blockSize-1) / blockSize * blockSize }
+
+// sweepBodies removes the files of bodies whose events are over: the process may end before that is done.
+func (j *journal) sweepBodies() error {
+	names, err := filepath.Glob(j.name + bodyName + "*")
+	if err != nil {
+		return err
+	}
+	kept := make(map[string]bool)
+	for _, o := range j.owed {
+		if o.file > 0 {
+			kept[j.body(o.file)] = true
+		}
+	}
+	for _, name := range names {
+		if !kept[name] {
+			if err := os.Remove(name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (j *journal) reserve(id string) int64 { return int64(j.sends+2) * int64(sendSize+2*len(id)) }
 
 func (j *journal) add(o *entry) {
 	j.owed[o.e.id] = o
 	j.order = append(j.order, o)
-	j.live += o.need
+	j.live, j.long = j.live+o.need, j.long+o.long
 }
 
 // began writes that a send goes out. Where it fails, nothing may go.
 func (j *journal) began(e *event, number int, at int64, zone string) error {
-	return j.note(e, func(o *entry) []byte {
+	return j.note(e, errOver, func(o *entry) []byte {
 		for len(o.past) <= number {
 			o.past = append(o.past, sent{at: at, zone: zone})
 		}
@@ -149,7 +212,7 @@
 
 // ended writes how a send ended.
 func (j *journal) ended(e *event, number int, how port.Outcome) {
-	j.must(j.note(e, func(o *entry) []byte {
+	j.must(j.note(e, nil, func(o *entry) []byte {
 		if number >= len(o.past) {
 			return nil // it never began
 		}
@@ -160,7 +223,7 @@
 
 // decide writes how an event ends whose notice is still owed.
 func (j *journal) decide(e *event) {
-	j.must(j.note(e, func(o *entry) []byte {
+	j.must(j.note(e, nil, func(o *entry) []byte {
 		o.verdict, o.comeBack = e.verdict, e.comeBack
 		return decideRecord(nil, e.id, e.verdict, e.comeBack)
 	}))
@@ -168,16 +231,21 @@
 
 // over writes that nothing more is owed for an event.
 func (j *journal) over(e *event) {
-	j.must(j.note(e, func(o *entry) []byte {
+	j.must(j.note(e, nil, func(*entry) []byte { return overRecord(nil, e.id) }))
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if o := j.owed[e.id]; o != nil && o.e == e {
 		j.drop(o)
-		return overRecord(nil, e.id)
-	}))
+		if o.file > 0 {
+			j.must(os.Remove(j.body(o.file)))
+		}
+	}
 }
 
 func (j *journal) drop(o *entry) {
 	o.over = true
 	delete(j.owed, o.e.id)
-	j.live -= o.need
+	j.live, j.long = j.live-o.need, j.long-o.long
 	if len(j.order) > 2*len(j.owed)+16 {
 		keep := j.order[:0]
 		for _, o := range j.order {
@@ -197,27 +265,31 @@
 	}
 }
 
-func (j *journal) note(e *event, rec func(*entry) []byte) error {
+// note writes a record about an event that is owed; missing is returned for any other.
+func (j *journal) note(e *event, missing error, rec func(*entry) []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	o := j.owed[e.id]
 	if o == nil {
-		return nil
+		return missing
+	}
+	text := rec(o)
+	if err := j.room(len(text), 0); err != nil {
+		return err
 	}
-	return j.append(rec(o), 0)
+	return j.append(text)
 }
 
-// append writes a record. Before, the file is written anew if with it, and with more needed, there would be no
-// room left for that. Danger: over its limit, even for a moment, the delivery node counts as crashed.
-func (j *journal) append(rec []byte, more int64) error {
-	if len(rec) == 0 {
+// room writes the file anew if with so many bytes more, and with more needed later, there would be no room left
+// to do so. Danger: over its limit, even for a moment, the delivery node counts as crashed.
+func (j *journal) room(size int, more int64) error {
+	if j.size+int64(size) <= j.most-j.live-j.long-more {
 		return nil
 	}
-	if j.size+int64(len(rec)) > j.most-j.live-more {
-		if err := j.rewrite(); err != nil {
-			return err
-		}
-	}
+	return j.rewrite()
+}
+
+func (j *journal) append(rec []byte) error {
 	if n, err := j.file.Write(rec); err != nil {
 		if n > 0 { // danger: half a record in the middle takes all behind it along
 			j.must(j.file.Truncate(j.size))
@@ -297,11 +369,16 @@
 	what, id := f.byte(), f.text()
 	o := j.owed[id]
 	switch what {
-	case recTake:
+	case recTake, recTakeLong:
 		e := &event{id: id, steps: make(chan step, maxSteps)}
 		fresh := &entry{e: e, kind: f.text(), owner: f.text()}
 		e.dest, e.deadline, e.mark = uint32(f.number()), f.number(), f.text()
-		e.body = []byte(f.text())
+		if what == recTake {
+			e.body = []byte(f.text())
+		} else {
+			fresh.file, fresh.long = f.number(), blocks(int(f.number()))
+			j.next = max(j.next, fresh.file+1)
+		}
 		if f.bad || o != nil {
 			return false
 		}
@@ -342,10 +419,17 @@
 }
 
 func (o *entry) takeRecord(to []byte) []byte {
-	return frame(to, recTake, o.e.id, func(b []byte) []byte {
+	what := byte(recTake)
+	if o.file > 0 {
+		what = recTakeLong
+	}
+	return frame(to, what, o.e.id, func(b []byte) []byte {
 		b = appendText(appendText(b, o.kind), o.owner)
 		b = binary.AppendVarint(binary.AppendVarint(b, int64(o.e.dest)), o.e.deadline)
-		return appendText(appendText(b, o.e.mark), string(o.e.body))
+		if b = appendText(b, o.e.mark); o.file > 0 {
+			return binary.AppendVarint(binary.AppendVarint(b, o.file), int64(len(o.e.body)))
+		}
+		return appendText(b, string(o.e.body))
 	})
 }
 
--- a/node/life.go
+++ b/node/life.go
@@ -24,10 +24,10 @@
 			case errors.Is(err, errKnown): // it came twice: it is owed already
 				tell(statusTaken, 0)
 			case errors.Is(err, errFull):
-				tell(statusDeclined, 0)
+				tell(statusDeclined, n.desk.full())
 			default:
 				logrus.WithError(err).Error("journal: event not taken on")
-				tell(statusDeclined, 0)
+				tell(statusDeclined, n.desk.full())
 			}
 			return
 		}
@@ -61,8 +61,16 @@
 		n.journal.decide(e)
 		n.outcomes.post(e)
 	}
+	shut := n.desk.done
 	for !over || !noticed || out > 0 {
-		s := <-e.steps
+		var s step
+		select {
+		case s = <-e.steps:
+		case <-shut: // danger: its client must hear, though nothing is decided any more; the journal has it
+			shut = nil
+			tell(statusTaken, 0)
+			continue
+		}
 		switch s.what {
 		case stepHeld:
 			tell(statusTaken, 0)
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 
 // Node is one delivery node.
 type Node struct {
+	clock     clock
 	phase     atomic.Int32
 	held      atomic.Int64 // events taken on and not ended
 	deskShut  atomic.Bool  // nothing more is decided
@@ -55,7 +56,8 @@
 // Open opens the journal and the sockets of a delivery node; Run starts it.
 func Open(at Place, most Limits, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
-	n := &Node{most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n.enter(Starting)
 	var err error
 	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
 		return nil, err
@@ -76,7 +78,7 @@
 	n.directory = &directory{address: at.Directory, desk: n.desk, endpoints: n.endpoints,
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated}
 	n.outcomes = openOutcomes(at.Directory)
-	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, n.desk); err != nil {
+	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
 		return nil, err
 	}
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
@@ -93,6 +95,7 @@
 func (n *Node) restore() {
 	n.held.Add(int64(len(n.owed)))
 	for _, e := range n.owed {
+		e.due = n.clock.now() + e.deadline - wall()
 		go n.life(e)
 	}
 	n.owed = nil
@@ -109,7 +112,7 @@
 
 // find maps the names of a stream type and a customer to their indices.
 func (n *Node) find(kind, owner string) (typ, customer int, ok bool) {
-	typ, customer = slices.Index(n.typeNames, kind), slices.Index(n.owners, owner)
+	typ, customer = slices.Index(n.typeNames, start.Name(kind)), slices.Index(n.owners, start.Name(owner))
 	if len(n.owners) == 0 {
 		customer = 0
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -17,13 +17,15 @@
 	desk   *desk
 }
 
-func openPeers(listen, all string, list []string, d *desk) (*peers, error) {
+func openPeers(listen, all string, list []string, me int, d *desk) (*peers, error) {
 	p := &peers{number: make(map[string]int), desk: d}
 	if listen == "" || all == "" {
 		return p, nil // the deployment has no notes
 	}
 	for i, address := range list {
-		p.number[address] = i
+		if i != me { // its own notes come back to it
+			p.number[address] = i
+		}
 	}
 	at, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
--- a/node/sends.go
+++ b/node/sends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -43,20 +44,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.mu.Lock()
-	c.abort, c.left = cancel, len(c.sends)
+	c.abort = cancel
+	over := c.ended
 	c.mu.Unlock()
-	longest := int64(0)
+	if over { // given up before it began
+		return
+	}
 	for _, s := range c.sends {
-		longest = max(longest, s.timeout)
 		timer := time.AfterFunc(time.Duration(s.began+s.timeout-p.clock.now()), func() {
 			c.giveUp(s, port.TimedOut)
 		})
 		defer timer.Stop()
 		// Danger: the process may end while the send is out. The journal has it before its bytes go.
 		if err := p.journal.began(s.event, s.number, wall(), p.site(c.endpoint)); err != nil {
-			logrus.WithError(err).Error("journal: a send was kept back")
-			c.finish(result{how: port.Unsent})
-			return
+			if !errors.Is(err, errOver) { // danger: a late answer may have ended the event: nothing may follow
+				logrus.WithError(err).Error("journal: a send was kept back")
+			}
+			c.giveUp(s, port.Unsent)
 		}
 	}
 
@@ -68,18 +72,15 @@
 			return
 		}
 	}
-	c.mu.Lock()
-	if c.left == 0 { // given up while connecting: nothing went out
-		c.mu.Unlock()
+	going, longest := c.leave(l)
+	if len(going) == 0 {
 		l.Close()
 		return
 	}
-	c.link, c.written = l, true
-	c.mu.Unlock()
 
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
-	if err := writeCall(out, c.sends, longest); err != nil {
+	if err := writeCall(out, going, longest); err != nil {
 		logrus.WithError(err).Error("call not written")
 	}
 	if size, err := l.Write(out.B); err != nil {
@@ -91,19 +92,32 @@
 		}
 		return
 	}
-	reply, err := l.in.read(c.sends)
+	reply, err := l.in.read(going)
 	if err != nil {
 		l.Close()
 		c.finish(result{how: port.Reset})
 		return
 	}
-	if c.answered(reply) && !reply.close {
+	if c.answered(going, reply) && !reply.close {
 		p.keep(c.endpoint, l)
 	} else {
 		l.Close()
 	}
 }
 
+// leave marks a call as written and tells which sends go: those not given up while connecting; and the time-out.
+func (c *call) leave(l *link) (going []*send, longest int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.sends {
+		if !s.gaveUp {
+			going, longest = append(going, s), max(longest, s.timeout)
+		}
+	}
+	c.link, c.written = l, len(going) > 0
+	return going, longest
+}
+
 // giveUp stops waiting for one send. Danger: where an event may not have two sends out, or when it is the last
 // of its call, it is over only once the connection is closed.
 func (c *call) giveUp(s *send, how port.Outcome) {
@@ -131,7 +145,7 @@
 			c.link.Close()
 		}
 		for _, s := range c.sends {
-			c.report(s, result{how: s.how})
+			c.settle(s)
 		}
 	case c.of.copies:
 		c.report(s, result{how: how})
@@ -147,21 +161,35 @@
 	}
 	c.ended = true
 	for _, s := range c.sends {
-		c.report(s, r)
+		if s.gaveUp {
+			c.settle(s)
+		} else {
+			c.report(s, r)
+		}
 	}
 }
 
-// answered hands each send its part of an answer; it tells false where all were given up before.
-func (c *call) answered(reply reply) bool {
+// settle reports a send that was given up, unless that was done at once.
+func (c *call) settle(s *send) {
+	if !s.told {
+		c.report(s, result{how: s.how})
+	}
+}
+
+// answered hands each send that went its part of an answer; it tells false where all were given up before.
+func (c *call) answered(going []*send, reply reply) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
 	c.ended = true
-	for i, s := range c.sends {
+	for i, s := range going {
 		c.report(s, reply.results[i])
 	}
+	for _, s := range c.sends {
+		c.settle(s)
+	}
 	return true
 }
 
--- a/port/port.go
+++ b/port/port.go
@@ -133,4 +133,6 @@
 // Decider is a decision module: one for each delivery node.
 type Decider interface {
 	Round(now int64, feed Feed, out Writer)
+	// Full tells after how long an event may come back that the delivery node has no room for.
+	Full() int64
 }
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -97,6 +97,7 @@
 }
 func (s *script) PeerGood(peer int, ep int32) { s.say("good", peer, ep) }
 func (s *script) Woken()                      { s.say("woken") }
+func (s *script) Full() int64                 { return 0 }
 
 func TestFramesRoundTrip(t *testing.T) {
 	var in, out bytes.Buffer
--- a/start/start.go
+++ b/start/start.go
@@ -133,6 +133,9 @@
 	return read(values)
 }
 
+// Name is how a name looks among the values read at start.
+func Name(text string) string { return spaced.Replace(text) }
+
 var spaced = strings.NewReplacer(" ", "_", ",", "_")
 
 func flatten(values map[string]string, name string, value any) {
