Test the node's traps with in-process peers; fix what the tests showed

Seen by the tests, each failing before: an answer shorter than a status line kept its send waiting for its time-out (wire.go peeked 12 bytes); the doorman closed an idle connection as soon as the limit was reached, with nobody at the door (doorman.go waited before accepting). The drain now ends when no call and no notice is out, as what is owed beyond that waits for the next start. Module scenarios for events from before a restart.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -19,7 +19,7 @@
 //	at TIME: NEWS; NEWS => DECISIONS     one round
 //	to TIME => DECISIONS                 a round each 10 ms until then
 //
-// News: event E TYPE DEST [left D] [key N] | OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP |
+// News: event E TYPE DEST [left D] [key N] [sends N] [ran D], the last two for one from before a restart | OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP | full LEAST MOST |
 // list full|delta|failed EP:DEST[:STATE[:ZONE]]... | reply EP OUTCOME D [limit N], which answers the sends to EP.
 // Decisions, in order, all of them: send E EP | decline E | discard E | cancel E | watch | good EP, each with
 // [@FROM..TO] for its time; or "sends EP FROM..TO" for how many go to EP and nothing said of the rest.
@@ -219,11 +219,23 @@
 		left := cmp.Or(dur("left"), p.decl[typ].MaxAge)
 		p.sends, p.ended, p.outs = append(p.sends, 0), append(p.ended, false), append(p.outs, nil)
 		p.late = append(p.late, p.now+left)
-		p.news = append(p.news, func(to port.Intake) { to.Event(e, typ, 0, key, left, 0, dest) })
+		sends, ran := int(num("sends")), dur("ran")
+		p.sends[e] = sends
+		p.news = append(p.news, func(to port.Intake) {
+			if to.Event(e, typ, 0, key, left, 0, dest); sends > 0 {
+				to.Resumed(e, sends, ran > 0, ran, 0)
+			}
+		})
 	case "withdrawn":
 		e := index(&p.evts, f[1])
 		p.ended[e] = true
 		p.news = append(p.news, func(to port.Intake) { to.Withdrawn(e) })
+	case "full": // full LEAST MOST: the come-back time told lies between
+		p.news = append(p.news, func(port.Intake) {
+			if back := p.node.Full(); back < p.dur(f[1]) || back > p.dur(f[2]) {
+				p.fail("told to come back after %v", time.Duration(back))
+			}
+		})
 	case "good":
 		ep := index(&p.eps, f[1])
 		p.news = append(p.news, func(to port.Intake) { to.PeerGood(1, ep) })
--- a/node/desk.go
+++ b/node/desk.go
@@ -104,6 +104,7 @@
 		for _, s := range c.sends {
 			s.event.steps <- step{what: stepBegun, send: s}
 		}
+		d.endpoints.out.Add(1)
 		go d.endpoints.carry(c)
 	}
 	for _, e := range d.gone {
--- a/node/directory.go
+++ b/node/directory.go
@@ -31,6 +31,7 @@
 // directory follows the list of endpoints: a watch while the module wants one, and the whole list when asked.
 type directory struct {
 	address   string
+	silence   time.Duration // without a sign for so long, a call is broken
 	desk      *desk
 	endpoints *endpoints
 	partners  []string
@@ -92,7 +93,7 @@
 
 // follow makes one call and hands in each line that it brings.
 func (d *directory) follow(ctx context.Context, path string, watch bool) error {
-	dialer := net.Dialer{Timeout: silentAfter, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: d.silence, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", d.address)
 	if err != nil {
 		return err
@@ -101,7 +102,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 
 	// Danger: a directory that vanished gives no sign. Nothing is waited for longer than a sign of life takes.
-	conn.SetDeadline(time.Now().Add(silentAfter))
+	conn.SetDeadline(time.Now().Add(d.silence))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: directory\r\n\r\n", path); err != nil {
 		return err
 	}
@@ -123,7 +124,7 @@
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, mostListLine)
 	for lines.Scan() && ctx.Err() == nil {
-		conn.SetDeadline(time.Now().Add(silentAfter))
+		conn.SetDeadline(time.Now().Add(d.silence))
 		if len(lines.Bytes()) > 0 {
 			if err := d.line(lines.Bytes()); err != nil {
 				logrus.WithError(err).Warn("directory: a line cannot be read")
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -42,12 +42,6 @@
 }
 
 func (d *doorman) Accept() (net.Conn, error) {
-	d.mu.Lock()
-	for len(d.open) >= d.most && !d.shut {
-		d.closeIdle(1) // danger: past the limit of descriptors nothing can be sent any more
-		d.freed.Wait()
-	}
-	d.mu.Unlock()
 	c, err := d.Listener.Accept()
 	for err != nil {
 		if errors.Is(err, net.ErrClosed) {
@@ -63,8 +57,12 @@
 	}
 	g := &guest{Conn: c, door: d, since: time.Now()}
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.open) >= d.most && !d.shut {
+		d.closeIdle(1) // danger: past the limit of descriptors nothing can be sent any more
+		d.freed.Wait()
+	}
 	d.open[g] = struct{}{}
-	d.mu.Unlock()
 	return g, nil
 }
 
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,8 @@
 	idleFor       int64 // ns after which an endpoint closes an idle connection
 	mostIdle      int   // idle connections in all
 
+	out atomic.Int32 // calls
+
 	mu    sync.Mutex
 	dials []string // by endpoint
 	sites []string
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	owners    []string
 	types     []port.StreamType
 
+	drain     drainTimes
 	owed      []*event // from before a restart
 	journal   *journal
 	desk      *desk
@@ -56,7 +57,7 @@
 // Open opens the journal and the sockets of a delivery node; Run starts it.
 func Open(at Place, most Limits, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
-	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n := &Node{clock: c, drain: drainTimes{drainDoor, drainChoose, drainEnd}, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
 	n.enter(Starting)
 	var err error
 	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
@@ -75,7 +76,7 @@
 	n.desk = newDesk(c, module, s.Tick, append(perCall, 1))
 	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
 		idleFor: s.IdleFor, mostIdle: idle}
-	n.directory = &directory{address: at.Directory, desk: n.desk, endpoints: n.endpoints,
+	n.directory = &directory{address: at.Directory, silence: silentAfter, desk: n.desk, endpoints: n.endpoints,
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated}
 	n.outcomes = openOutcomes(at.Directory)
 	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,575 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"jaspersill/choice"
+	"jaspersill/port"
+	"jaspersill/start"
+)
+
+func TestMain(m *testing.M) {
+	logrus.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+const settings = `{"services":[
+ {"name":"alert","semantics":"repeatable","aim_ms":1000,"deadline_ms":9000,"value":1},
+ {"name":"charge","semantics":"once","aim_ms":1000,"deadline_ms":9000,"value":1},
+ {"name":"keyed","semantics":"by_key","group":"all","aim_ms":1000,"deadline_ms":9000,"value":1,"memory_span_ms":4000}],
+ "projects":[{"name":"acme","quota_rps":5}],"models":["big","small one"],"areas":["here","there"],"tick_ms":5,
+ "family_info":{"slots":5,"per_call":[1,3],"own_limits":[false,false]},"discovery":"subscribe",
+ "ceilings":{"max_open":%d,"max_attempts":6,"may_duplicate":true,"cancel":true,"retry_after":true,
+  "max_retry_after_ms":2000,"conn_idle_ms":15000,"connect_timeout_ms":500},"me":0,"replicas_of_me":2,
+ "rules":{"cold_share":0.2,"ramp_time_ms":9000,"fall_multiple":2,"tip_after_ms":2000,"drain_grace_ms":300,
+  "ask_within_ms":9000}}`
+
+// world is what one delivery node of the tests lives among: a directory, which takes notices too, and endpoints.
+type world struct {
+	t       *testing.T
+	folder  string
+	open    int     // events held at most
+	diskMB  float64 // of the folder
+	hosts   []string
+	balk    int // so many notices are refused first
+	mu      sync.Mutex
+	notices []string
+	*Node
+	stop context.CancelFunc
+	done chan error
+}
+
+func newWorld(t *testing.T) *world { return &world{t: t, folder: t.TempDir(), open: 50, diskMB: 3} }
+
+// endpoint adds one of a destination.
+func (w *world) endpoint(dest int, act func(net.Conn, string) bool) *peer {
+	p := newPeer(w.t, act)
+	w.hosts = append(w.hosts, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"big","block":%d,"health":"Ready"}`,
+		len(w.hosts), p.Addr(), dest))
+	return p
+}
+
+func (w *world) run() {
+	w.t.Helper()
+	list := `{"seq":4,"whole":true,"hosts":[` + strings.Join(w.hosts, ",") + `]}`
+	directory := newPeer(w.t, func(conn net.Conn, body string) bool {
+		if body == "" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+			return true
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.balk--; w.balk >= 0 {
+			return say(answerOf("503 Down", "", ""))(conn, body)
+		}
+		w.notices = append(w.notices, strings.Fields(body)...)
+		return say("HTTP/1.1 204 No Content\r\n\r\n")(conn, body)
+	})
+	s, err := start.JSON([]byte(fmt.Sprintf(settings, w.open)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s.Directory.Asked = true
+	module := choice.New(1, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
+	w.Node, err = Open(Place{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), Folder: w.folder,
+		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, s, module)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop, w.done = stop, make(chan error, 1)
+	go func() { w.done <- w.Run(ctx) }()
+	w.t.Cleanup(func() {
+		w.drain = drainTimes{}
+		stop()
+		<-w.done
+	})
+	w.until("it serves", func() bool { return w.Phase() == Serving })
+}
+
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(long); !done(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (w *world) noticed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.notices)
+}
+
+func (w *world) address() string { return w.clients.door.Addr().String() }
+
+// client is a connection to the delivery node.
+type client struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func (w *world) dial() *client {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.address())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(long))
+	w.t.Cleanup(func() { conn.Close() })
+	return &client{w.t, conn, bufio.NewReader(conn)}
+}
+
+// hear reads an answer: its status and one of its headers.
+func (c *client) hear(header string) (int, string) {
+	c.t.Helper()
+	var resp fasthttp.Response
+	if err := resp.Read(c.in); err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	return resp.StatusCode(), string(resp.Header.Peek(header))
+}
+
+func request(id, kind, dest string, deadline any, body string) string {
+	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Owner: acme\r\n"+
+		"Req-Deadline-Ms: %v\r\nIdempotency-Key: mark-%s\r\nX-Envelope: dest=%s\r\nContent-Length: %d\r\n\r\n%s",
+		id, kind, deadline, id, dest, len(body), body)
+}
+
+func (c *client) hand(text string) (int, string) {
+	c.t.Helper()
+	io.WriteString(c, text)
+	return c.hear(headRetry)
+}
+
+func TestEventsEndOnceEachWay(t *testing.T) {
+	w := newWorld(t)
+	w.balk = 2
+	good := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.endpoint(2, say(answerOf("500 Error", "", "")))
+	w.endpoint(3, say(answerOf("410 Over", "", "")))
+	w.run()
+	c := w.dial()
+	for id, r := range map[string]string{
+		"delivered": request("delivered", "alert", "1", 8000, "a\x00\r\n b"),
+		"undone":    request("undone", "charge", "2", 8000, ""),
+		"void":      request("void", "charge", "3", 8000, ""),
+		"nowhere":   request("nowhere", "charge", "9", 100, ""),
+	} {
+		if status, _ := c.hand(r); status != statusTaken {
+			t.Fatalf("%s: %d", id, status)
+		}
+	}
+	w.until("nothing is owed", w.journal.empty)
+	got := w.noticed()
+	slices.Sort(got)
+	if want := []string{`{"id":"nowhere","status":"deferred"}`, `{"id":"undone","status":"undeliverable"}`}; !slices.Equal(got, want) {
+		t.Errorf("notices %q, want %q", got, want)
+	}
+	good.mu.Lock()
+	defer good.mu.Unlock()
+	head := strings.Join(good.heads, "")
+	if !strings.Contains(head, "Req-Id: delivered\r\n") || !strings.Contains(head, "Idempotency-Key: mark-delivered\r\n") ||
+		!strings.Contains(head, "Content-Length: 6\r\n") || !strings.Contains(head, "POST /inbox HTTP/1.1\r\n") ||
+		!strings.Contains(head, "Req-Deadline-Ms: ") {
+		t.Errorf("the call was %q", head)
+	}
+	if held := w.held.Load(); held != 0 {
+		t.Errorf("%d still held", held)
+	}
+}
+
+func TestBadRequestsGetPlainAnswers(t *testing.T) {
+	w := newWorld(t)
+	w.run()
+	good := request("x", "charge", "1", 8000, "")
+	for text, want := range map[string]int{
+		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                  200,
+		"POST /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
+		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
+		"GET /else HTTP/1.1\r\nHost: x\r\n\r\n":                                                404,
+		"nonsense\r\n\r\n":                                                                     400,
+		"POST /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                400,
+		strings.Replace(good, "charge", "no such", 1):                                          400,
+		strings.Replace(good, "acme", "nobody", 1):                                             400,
+		strings.Replace(good, "8000", "soon", 1):                                               400,
+		strings.Replace(good, "8000", "-5", 1):                                                 400,
+		strings.Replace(good, "8000", "NaN", 1):                                                400,
+		strings.Replace(good, "dest=1", "dest=-1", 1):                                          400,
+		strings.Replace(good, "dest=1", "to=1", 1):                                             400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: a b", 1):                                   400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: \"", 1):                                    400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: "+strings.Repeat("x", 65), 1):              400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: x", 1):                     400,
+		strings.Replace(request("x", "keyed", "1", 8000, ""), "Idempotency-Key", "Other", 1):   400,
+		strings.Replace(good, "Host: x", "Host: x\r\nLong: "+strings.Repeat("x", headSize), 1): 431,
+		request("x", "charge", "1", 8000, strings.Repeat("x", mostBody+1)):                     413,
+		request("x", "charge", "1", 8000, strings.Repeat("x", refuseBody+1)):                   413,
+	} {
+		c := w.dial()
+		go io.WriteString(c, text)
+		if status, _ := c.hear(headRetry); status != want {
+			t.Errorf("%.80q: %d, want %d", text, status, want)
+		}
+	}
+	if !w.journal.empty() {
+		t.Error("a bad request was taken on")
+	}
+	for _, body := range []string{"", strings.Repeat("\x00\r\n", 21000)} { // those at the border are good ones
+		if status, _ := w.dial().hand(request("y"+fmt.Sprint(len(body)), "charge", "1", 8000, body)); status != statusTaken {
+			t.Errorf("body of %d bytes: %d", len(body), status)
+		}
+	}
+}
+
+func TestNoRoomIsToldBeforeTakingOn(t *testing.T) {
+	for _, c := range []struct {
+		open   int
+		diskMB float64
+		body   string
+	}{{1, 3, ""}, {50, 0.1, strings.Repeat("x", mostBody)}, {50, 0.01, ""}} {
+		w := newWorld(t)
+		w.open, w.diskMB = c.open, c.diskMB
+		w.endpoint(1, silent)
+		w.run()
+		conn, status, back := w.dial(), statusTaken, ""
+		for i := 0; status == statusTaken && i < 60; i++ {
+			status, back = conn.hand(request(fmt.Sprint("x", i), "charge", "1", 8000, c.body))
+		}
+		if status != statusDeclined || !strings.HasPrefix(back, "0.") || back == "0.000" {
+			t.Errorf("%d events of %d bytes on %v MB: %d, come back after %q", c.open, len(c.body), c.diskMB, status, back)
+		}
+		if size := folderSize(t, w.folder); size > int64(c.diskMB*1e6) {
+			t.Errorf("%d bytes on disk", size)
+		}
+	}
+}
+
+func TestRestartOwesWhatWasTakenOn(t *testing.T) {
+	w := newWorld(t)
+	at := w.endpoint(1, silent)
+	w.endpoint(2, say(answerOf("429 Full", "Retry-After: 60\r\n", "")))
+	w.run()
+	c := w.dial()
+	for id, kind := range map[string]string{"out-alert": "alert", "out-charge": "charge", "out-keyed": "keyed"} {
+		c.hand(request(id, kind, "1", 8000, "body of "+id))
+	}
+	c.hand(request("waiting", "charge", "5", 8000, "body of waiting"))
+	w.until("three sends are out", func() bool { calls, _ := at.calls(); return calls == 3 })
+
+	// What the folder holds at any moment is what a killed process leaves.
+	again := newWorld(t)
+	text, err := os.ReadFile(filepath.Join(w.folder, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(again.folder, fileName), text, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	bodies := make(chan string, 10)
+	good := again.endpoint(1, func(conn net.Conn, body string) bool {
+		bodies <- body
+		return say(answerOf("200 OK", "", ""))(conn, body)
+	})
+	again.endpoint(5, say(answerOf("200 OK", "", "")))
+	again.run()
+	again.until("nothing is owed", again.journal.empty)
+	if got := again.noticed(); !slices.Equal(got, []string{`{"id":"out-charge","status":"undeliverable"}`}) {
+		t.Errorf("notices %q", got)
+	}
+	got := []string{<-bodies, <-bodies}
+	slices.Sort(got)
+	if !slices.Equal(got, []string{"body of out-alert", "body of out-keyed"}) {
+		t.Errorf("sent again: %q", got)
+	}
+	good.mu.Lock()
+	defer good.mu.Unlock()
+	if head := strings.Join(good.heads, ""); !strings.Contains(head, "Req-Id: out-keyed\r\n") || !strings.Contains(head, "Idempotency-Key: mark-out-keyed\r\n") {
+		t.Errorf("ids and marks changed: %q", head)
+	}
+}
+
+func TestNoticeOwedAtARestartIsToldAndNothingSent(t *testing.T) {
+	w := newWorld(t)
+	w.balk = 1 << 30
+	w.endpoint(1, say(answerOf("500 Error", "", "")))
+	w.run()
+	w.dial().hand(request("x", "charge", "1", 8000, ""))
+	w.until("it is decided", func() bool { return w.held.Load() == 0 })
+	text, _ := os.ReadFile(filepath.Join(w.folder, fileName))
+	again := newWorld(t)
+	_ = os.WriteFile(filepath.Join(again.folder, fileName), text, fileMode)
+	at := again.endpoint(1, say(answerOf("200 OK", "", "")))
+	again.run()
+	again.until("nothing is owed", again.journal.empty)
+	if calls, _ := at.calls(); calls != 0 || len(again.noticed()) != 1 {
+		t.Errorf("%d calls, notices %q", calls, again.noticed())
+	}
+}
+
+func TestDrainAnswersEveryoneAndEndsWhatIsOut(t *testing.T) {
+	w := newWorld(t)
+	answer := make(chan bool)
+	w.endpoint(1, func(conn net.Conn, body string) bool {
+		<-answer
+		return say(answerOf("200 OK", "", ""))(conn, body)
+	})
+	w.run()
+	idle, busy, half := w.dial(), w.dial(), w.dial()
+	for i, c := range []*client{idle, busy} {
+		if status, _ := c.hand(request(fmt.Sprint("x", i), "charge", "1", 8000, "")); status != statusTaken {
+			t.Fatal(status)
+		}
+	}
+	text := request("late", "charge", "1", 8000, "body")
+	io.WriteString(half, text[:len(text)-2])
+	w.stop()
+	w.until("it drains", func() bool { return w.Phase() == Draining })
+	io.WriteString(busy, request("x2", "charge", "1", 8000, ""))
+	if status, connection := busy.hear("Connection"); status != statusTaken || connection != "close" {
+		t.Errorf("while draining: %d, Connection: %q", status, connection)
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("a connection between requests: %v", err)
+	}
+	io.WriteString(half, text[len(text)-2:]) // it had begun when the others were closed
+	if status, connection := half.hear("Connection"); status != statusTaken || connection != "close" {
+		t.Errorf("begun before: %d, Connection: %q", status, connection)
+	}
+	close(answer)
+	if err := <-w.done; err != nil {
+		t.Error(err)
+	}
+	w.done <- nil
+	if !w.journal.empty() || w.Phase() != Stopped {
+		t.Errorf("owed at the end: %v, %s", !w.journal.empty(), w.Phase())
+	}
+}
+
+func TestClientIsAnsweredWhenNothingIsDecidedAnyMore(t *testing.T) {
+	w := newWorld(t)
+	w.run()
+	w.desk.close()
+	if status, _ := w.dial().hand(request("x", "charge", "1", 8000, "")); status != statusTaken || w.journal.empty() {
+		t.Errorf("admitted, then the desk closed: %d", status)
+	}
+	w.deskShut.Store(true)
+	if status, _ := w.dial().hand(request("y", "charge", "1", 8000, "")); status != statusDeclined {
+		t.Errorf("after it closed: %d", status)
+	}
+	w.desk.stop = make(chan struct{}) // the drain closes it once more
+}
+
+func TestDoormanClosesIdleConnectionsWhenShort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDoorman(l, 2)
+	hold := make(chan bool)
+	server := &fasthttp.Server{ReduceMemoryUsage: true, IdleTimeout: clientIdle, ReadTimeout: readWithin,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/hold" {
+				<-hold
+			}
+		},
+		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
+			if s == fasthttp.StateIdle {
+				conn.(*guest).idle()
+			}
+		}}
+	go server.Serve(d)
+	defer d.Close()
+	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
+	get := func(c *client, path string) { fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
+	busy, idle := w.dial(), w.dial()
+	get(idle, "/")
+	idle.hear("")
+	get(busy, "/hold")
+	w.until("one is busy", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		n := 0
+		for g := range d.open {
+			if g.busy {
+				n++
+			}
+		}
+		return n == 1
+	})
+	third := w.dial()
+	get(third, "/")
+	if status, _ := third.hear(""); status != 200 {
+		t.Errorf("the third: %d", status)
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle one: %v", err)
+	}
+	fourth := w.dial() // the third is idle by now
+	get(fourth, "/")
+	fourth.hear("")
+	hold <- true
+	if status, _ := busy.hear(""); status != 200 {
+		t.Errorf("the busy one: %d", status)
+	}
+}
+
+// recorder is a module that writes down what it is told, and decides nothing.
+type recorder struct {
+	mu   sync.Mutex
+	said []string
+}
+
+func (r *recorder) say(format string, a ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.said = append(r.said, fmt.Sprintf(format, a...))
+}
+
+func (r *recorder) all() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.said, " ")
+}
+
+func (r *recorder) Round(now int64, feed port.Feed, out port.Writer)                        { feed.Deliver(r) }
+func (r *recorder) Full() int64                                                             { return 0 }
+func (r *recorder) Event(e int32, typ, customer int, key uint64, left, work int64, d int32) {}
+func (r *recorder) Resumed(e int32, sends int, mayRun bool, ago int64, zone int)            {}
+func (r *recorder) Begun(e int32, send int)                                                 {}
+func (r *recorder) Outcome(e int32, n int, ep int32, how port.Outcome, w, t int64, o bool, left, limit float64) {
+}
+func (r *recorder) Withdrawn(e int32)       {}
+func (r *recorder) ListBegins(whole bool)   { r.say("whole=%v", whole) }
+func (r *recorder) ListEnds()               { r.say(";") }
+func (r *recorder) ListFailed()             { r.say("failed") }
+func (r *recorder) Woken()                  {}
+func (r *recorder) PeerGood(p int, e int32) { r.say("good %d %d", p, e) }
+func (r *recorder) Listed(ep, dest int32, partner, zone int, state port.State, rate float64) {
+	r.say("%d/%d/%d/%d/%d/%v", ep, dest, partner, zone, state, rate)
+}
+func (r *recorder) Probed(ep int32, how port.Outcome, took int64, left, limit float64) {}
+
+// listen starts a desk with a recorder, and a directory at an address.
+func listen(t *testing.T, address string) (*directory, *recorder) {
+	r := &recorder{}
+	d := newDesk(clock{start: time.Now()}, r, ms, []int{1})
+	d.endpoints = newEndpoints(t, false, "")
+	d.directory = &directory{address: address, desk: d, endpoints: d.endpoints, partners: []string{"big", "small_one"},
+		zones: []string{"here", "there"}, rated: true, silence: 300 * time.Millisecond}
+	go d.run()
+	t.Cleanup(func() {
+		d.directory.close()
+		d.close()
+	})
+	return d.directory, r
+}
+
+func TestDirectoryIsFollowedHoweverItsLinesAreCut(t *testing.T) {
+	const first = `{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","site":"there","class":"small one",` +
+		`"block":3,"health":"Ready","share":2.5},{"host":"b","dial":"127.0.0.1:2","site":"?","class":"?","block":4,` +
+		`"health":"Terminating","share":1}]}` + "\n"
+	const second = `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"127.0.0.1:3","site":"there","class":"small one",` +
+		`"block":3,"health":"Gone","share":2.5}]}` + "\n"
+	go1 := make(chan bool)
+	at := newPeer(t, func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, part := range strings.SplitAfter(first+"\n\n"+second, "s") {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
+		}
+		for range 8 { // empty lines are signs of life, for far longer than silence is borne
+			time.Sleep(100 * time.Millisecond)
+			io.WriteString(conn, "1\r\n\n\r\n")
+		}
+		go1 <- true
+		return <-go1 // then silence
+	})
+	d, r := listen(t, at.Addr().String())
+	d.watch(true)
+	w := &world{t: t}
+	want := "whole=true 0/0/1/1/2/2.5 1/1/2/2/1/1 ; whole=false 0/0/1/1/3/2.5 ;"
+	<-go1
+	if got := r.all(); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	w.until("silence shows", func() bool { return r.all() == want+" failed" })
+	go1 <- false
+	d.watch(true)
+	w.until("it is asked again", func() bool { calls, _ := at.calls(); return calls == 2 })
+	<-go1
+	go1 <- false
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if !strings.Contains(at.heads[1], "GET /discovery/hosts?watch=1&from=9 ") {
+		t.Errorf("asked again: %q", at.heads[1])
+	}
+	if _, dial := d.endpoints.kept(0); dial != "127.0.0.1:3" {
+		t.Errorf("dial %q", dial)
+	}
+}
+
+func TestDirectoryCallsThatFail(t *testing.T) {
+	for name, act := range map[string]func(net.Conn, string) bool{
+		"503":           say(answerOf("503 Down", "", "")),
+		"reset":         breakOff("HTTP/1.1 200"),
+		"ended":         say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+		"silence":       silent,
+		"bad JSON":      say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"a\"\n\r\n"),
+		"no hosts":      say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n"),
+		"nameless host": say(answerOf("200 OK", "", `{"hosts":[{"block":1}]}`+"\n")),
+	} {
+		d, r := listen(t, newPeer(t, act).Addr().String())
+		d.watch(true)
+		(&world{t: t}).until(name+" shows", func() bool { return r.all() == "failed" })
+	}
+	d, r := listen(t, newPeer(t, say(answerOf("200 OK", "", `{"seq":1,"whole":true,"hosts":[]}`))).Addr().String())
+	d.fetch()
+	(&world{t: t}).until("the whole list comes", func() bool { return r.all() == "whole=true ;" })
+}
+
+func TestPeersTradeNotes(t *testing.T) {
+	sockets := make([]*net.UDPConn, 3)
+	var addresses []string
+	for i := range sockets {
+		sockets[i], _ = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		defer sockets[i].Close()
+		addresses = append(addresses, sockets[i].LocalAddr().String())
+	}
+	d, r := listen(t, "")
+	sockets[0].Close()
+	p, err := openPeers(addresses[0], addresses[1], addresses[:2], 0, d.desk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	go p.hear()
+	_ = d.line([]byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
+	p.tellGood("b")
+	buf := make([]byte, 300)
+	n, from, err := sockets[1].ReadFromUDP(buf)
+	if err != nil || from.String() != addresses[0] {
+		t.Fatal(err, from)
+	}
+	to, _ := net.ResolveUDPAddr("udp", addresses[0])
+	sockets[2].WriteToUDP(buf[:n], to) // no peer
+	sockets[1].WriteToUDP([]byte("nonsense"), to)
+	sockets[1].WriteToUDP([]byte("\x02unlisted"), to)
+	sockets[1].WriteToUDP(buf[:n], to)
+	(&world{t: t}).until("the note is heard", func() bool { return strings.HasSuffix(r.all(), "; good 1 1") })
+}
--- a/node/phases.go
+++ b/node/phases.go
@@ -30,6 +30,9 @@
 	drainLook   = 10 * time.Millisecond
 )
 
+// drainTimes are counted from the beginning of the drain.
+type drainTimes struct{ door, choose, end time.Duration }
+
 // Phase tells the present phase.
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
 
@@ -63,17 +66,16 @@
 
 	n.enter(Draining)
 	begin := time.Now()
-	n.sleep(begin.Add(drainDoor), nil)
+	n.sleep(begin.Add(n.drain.door), nil)
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(drainChoose), n.idle)
+	n.sleep(begin.Add(n.drain.choose), n.journal.empty)
 	n.deskShut.Store(true)
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(drainChoose), n.idle)
 	n.desk.close()
-	n.sleep(begin.Add(drainEnd), n.idle)
-	n.clients.door.dismiss()
+	n.sleep(begin.Add(n.drain.end), n.quiet)
 	n.clients.door.Close()
-	n.sleep(begin.Add(drainEnd), n.clients.door.empty)
+	n.clients.door.dismiss()
+	n.sleep(begin.Add(n.drain.end), n.clients.door.empty)
 	n.directory.close()
 	n.enter(Stopped)
 	return nil
@@ -86,5 +88,7 @@
 	}
 }
 
-// idle tells whether nothing is owed.
-func (n *Node) idle() bool { return n.journal.empty() }
+// quiet tells whether nothing is left that ends by itself. What is owed beyond that waits for the next start.
+func (n *Node) quiet() bool {
+	return n.journal.empty() || (n.endpoints.out.Load() == 0 && n.outcomes.empty())
+}
--- a/node/sends.go
+++ b/node/sends.go
@@ -41,6 +41,7 @@
 
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
+	defer p.out.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.mu.Lock()
--- /dev/null
+++ b/node/sends_test.go
@@ -0,0 +1,362 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"jaspersill/port"
+)
+
+const (
+	ms   = int64(1e6)
+	long = 20 * time.Second // for what must happen: far longer than it takes anywhere
+)
+
+// peer is an endpoint of the tests: each call it reads goes to act, which answers it or breaks off.
+type peer struct {
+	net.Listener
+	mu    sync.Mutex
+	heads []string // of the calls that came
+	conns int
+	ended chan struct{} // a connection was closed by the other side
+}
+
+func newPeer(t *testing.T, act func(conn net.Conn, body string) bool) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &peer{Listener: l, ended: make(chan struct{}, 100)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns++
+			p.mu.Unlock()
+			go p.serve(conn, act)
+		}
+	}()
+	return p
+}
+
+func (p *peer) serve(conn net.Conn, act func(net.Conn, string) bool) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(in); err != nil {
+			p.ended <- struct{}{}
+			return
+		}
+		p.mu.Lock()
+		p.heads = append(p.heads, req.Header.String())
+		p.mu.Unlock()
+		if !act(conn, string(req.Body())) {
+			return
+		}
+	}
+}
+
+func (p *peer) calls() (calls, conns int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.heads), p.conns
+}
+
+func say(text string) func(net.Conn, string) bool {
+	return func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, text)
+		return true
+	}
+}
+
+// breakOff says something and resets the connection.
+func breakOff(text string) func(net.Conn, string) bool {
+	return func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, text)
+		time.Sleep(20 * time.Millisecond) // a reset overtakes what was not read yet
+		conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+func silent(conn net.Conn, _ string) bool { return true }
+
+func newEndpoints(t *testing.T, copies bool, dial string) *endpoints {
+	t.Helper()
+	j, _ := reopen(t, t.TempDir(), 3)
+	p := &endpoints{clock: clock{start: time.Now()}, journal: j, copies: copies, connectWithin: 500 * ms,
+		idleFor: 15000 * ms, mostIdle: 10}
+	p.listed(0, "zone", dial)
+	return p
+}
+
+// deliver makes one call with an event for each time-out and returns how they ended.
+func deliver(t *testing.T, p *endpoints, timeouts ...time.Duration) (ends []result, c *call) {
+	t.Helper()
+	c = &call{of: p, left: len(timeouts)}
+	for i, timeout := range timeouts {
+		e := &event{id: fmt.Sprintf("id%d-%d", i, p.clock.now()), mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
+		if err := p.journal.take(e, "alert", ""); err != nil {
+			t.Fatal(err)
+		}
+		c.sends = append(c.sends, &send{event: e, timeout: int64(timeout), began: p.clock.now(), call: c})
+	}
+	go p.carry(c)
+	for _, s := range c.sends {
+		ends = append(ends, ending(t, s))
+	}
+	return ends, c
+}
+
+func ending(t *testing.T, s *send) result {
+	t.Helper()
+	select {
+	case st := <-s.event.steps:
+		return st.result
+	case <-time.After(long):
+		t.Fatal("a send never ended")
+		return result{}
+	}
+}
+
+func answerOf(status, heads, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, heads, len(body), body)
+}
+
+func TestSendsEndAsTheAnswerSays(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		act  func(net.Conn, string) bool
+		want result
+	}{
+		{"200", say(answerOf("200 OK", "Srv-Load: x0=0.4,x1=25\r\n", "any")),
+			result{how: port.Acked, over: true, left: 0.4, limit: 25}},
+		{"500", say(answerOf("500 Error", "", "")), result{how: port.Errored}},
+		{"429", say(answerOf("429 Full", "Retry-After: 1.5\r\nSrv-Load: x1=3\r\n", "")),
+			result{how: port.Declined, wait: 1500 * ms, limit: 3}},
+		{"503", say(answerOf("503 Shut", "", "")), result{how: port.Declined}},
+		{"503 without a slot", say(answerOf("503 Shut", "X-No-Slot: 1\r\n", "")), result{how: port.Unsent}},
+		{"504", say(answerOf("504 Used up", "", "")), result{how: port.Unsent}},
+		{"410", say(answerOf("410 Over", "", "")), result{how: port.Unsent, over: true}},
+		{"a status nobody knows", say(answerOf("418 Teapot", "", "")), result{how: port.Errored}},
+		{"a wait and a report that are no numbers", say(answerOf("429 Full", "Retry-After: soon\r\nSrv-Load: x0=,x1=NaN\r\n", "")),
+			result{how: port.Declined}},
+		{"no HTTP", say("hello\r\n\r\n"), result{how: port.Reset}},
+		{"broken before an answer", breakOff(""), result{how: port.Reset}},
+		{"ended before an answer", func(net.Conn, string) bool { return false }, result{how: port.Reset}},
+		{"broken within an answer", breakOff("HTTP/1.1 500 Err"), result{how: port.Reset}},
+		{"broken behind the first line of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Le"), result{how: port.Acked, over: true}},
+		{"broken in the body of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), result{how: port.Acked, over: true}},
+		{"silent", silent, result{how: port.TimedOut}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			at := newPeer(t, c.act)
+			p := newEndpoints(t, false, at.Addr().String())
+			timeout := long
+			if c.want.how == port.TimedOut {
+				timeout = 80 * time.Millisecond
+			}
+			ends, _ := deliver(t, p, timeout)
+			if ends[0].took <= 0 {
+				t.Errorf("took %d", ends[0].took)
+			}
+			if ends[0].took = 0; ends[0] != c.want {
+				t.Errorf("got %+v, want %+v", ends[0], c.want)
+			}
+			if c.want.how == port.TimedOut { // given up by closing the connection
+				select {
+				case <-at.ended:
+				case <-time.After(long):
+					t.Error("the connection of a call given up stays open")
+				}
+			}
+			if calls, _ := at.calls(); calls != 1 {
+				t.Errorf("the endpoint saw %d calls: one that broke must not be repeated", calls)
+			}
+		})
+	}
+}
+
+func TestSendsThatNeverLeave(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	nobody := l.Addr().String()
+	l.Close()
+	if ends, _ := deliver(t, newEndpoints(t, false, nobody), long); ends[0].how != port.ConnectFailed {
+		t.Errorf("refused: %+v", ends[0])
+	}
+	at := newPeer(t, say(answerOf("200 OK", "", "")))
+	p := newEndpoints(t, false, at.Addr().String())
+	c := &call{of: p, left: 1}
+	e := &event{id: "x", steps: make(chan step, maxSteps)}
+	c.sends = []*send{{event: e, timeout: int64(long), began: p.clock.now(), call: c}}
+	p.carry(c) // nothing is owed for it: it is over
+	if r := ending(t, c.sends[0]); r.how != port.Unsent {
+		t.Errorf("a send of an event that is over: %+v", r)
+	}
+	if err := p.journal.take(e, "alert", ""); err != nil {
+		t.Fatal(err)
+	}
+	c = &call{of: p, left: 1}
+	c.sends = []*send{{event: e, timeout: int64(long), began: p.clock.now(), call: c}}
+	c.giveUp(c.sends[0], port.Cancelled)
+	p.carry(c)
+	if r := ending(t, c.sends[0]); r.how != port.Unsent {
+		t.Errorf("a send called off before it left: %+v", r)
+	}
+	if calls, _ := at.calls(); calls != 0 {
+		t.Errorf("%d calls reached the endpoint", calls)
+	}
+}
+
+func TestConnectionsAreKeptAndNeverUsedDead(t *testing.T) {
+	at := newPeer(t, say(answerOf("200 OK", "", "")))
+	p := newEndpoints(t, false, at.Addr().String())
+	deliver(t, p, long)
+	settle := func(idle int) {
+		t.Helper()
+		for end := time.Now().Add(long); ; time.Sleep(time.Millisecond) {
+			p.mu.Lock()
+			n := p.idles
+			p.mu.Unlock()
+			if n == idle {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d idle connections, want %d", n, idle)
+			}
+		}
+	}
+	settle(1)
+	deliver(t, p, long)
+	settle(1)
+	if calls, conns := at.calls(); calls != 2 || conns != 1 {
+		t.Errorf("%d calls on %d connections", calls, conns)
+	}
+	p.expire(p.clock.now() + p.idleFor - idleMargin)
+	settle(0)
+	// An endpoint that closes behind its answer: the next call needs a new connection, and is no reset.
+	shy := newPeer(t, func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, answerOf("200 OK", "", ""))
+		return false
+	})
+	p.listed(0, "zone", shy.Addr().String())
+	for range 3 {
+		if ends, _ := deliver(t, p, long); ends[0].how != port.Acked {
+			t.Errorf("got %+v", ends[0])
+		}
+		time.Sleep(20 * time.Millisecond) // for the close to come
+	}
+	// Where it moves to, its connections follow.
+	deliver(t, p, long)
+	p.listed(0, "zone", at.Addr().String())
+	settle(0)
+	deliver(t, p, long)
+	if calls, _ := at.calls(); calls != 3 {
+		t.Errorf("%d calls came to where it moved", calls)
+	}
+	settle(1)
+	p.closeIdle(0)
+	settle(0)
+}
+
+// idOf finds the ids of a bulk call's body.
+func idsOf(body string) (ids []string) {
+	for line := range strings.Lines(body) {
+		if f := strings.Fields(line); len(f) == 3 && f[1] == "mark" && f[2] == "4" {
+			ids = append(ids, f[0])
+		}
+	}
+	return ids
+}
+
+func TestBulkCalls(t *testing.T) {
+	bodies := make(chan string, 10)
+	at := newPeer(t, func(conn net.Conn, body string) bool {
+		bodies <- body
+		ids, text := idsOf(body), ""
+		for i, word := range []string{"done", "failed", "busy", "void", "used_up"} {
+			text = ids[i] + " " + word + "\r\n" + text // not in the order they were sent
+		}
+		return say(answerOf("200 OK", "Retry-After: 0.25\r\nSrv-Load: x0=0.5,x1=2\r\n", text))(conn, body)
+	})
+	p := newEndpoints(t, true, at.Addr().String())
+	ends, _ := deliver(t, p, long, long, long, long, long, long)
+	if body := <-bodies; strings.Count(body, " mark 4\r\na\r\nb\r\n") != 6 || len(idsOf(body)) != 6 {
+		t.Errorf("body %q", body)
+	}
+	for i, want := range []result{{how: port.Acked, over: true}, {how: port.Errored}, {how: port.Declined},
+		{how: port.Unsent, over: true}, {how: port.Unsent}, {how: port.Errored}} { // the last was left out
+		got := ends[i]
+		if got.how != want.how || got.over != want.over || got.wait != 250*ms || got.left != 0.5 || got.limit != 2 {
+			t.Errorf("event %d: got %+v, want %+v", i, got, want)
+		}
+	}
+	for status, want := range map[string]port.Outcome{"400 Bad": port.Unsent, "413 Long": port.Unsent,
+		"429 Full": port.Declined, "500 Error": port.Errored, "503 Shut": port.Declined} {
+		p := newEndpoints(t, true, newPeer(t, say(answerOf(status, "", ""))).Addr().String())
+		if ends, _ := deliver(t, p, long, long); ends[0].how != want || ends[1].how != want {
+			t.Errorf("%s: %+v", status, ends)
+		}
+	}
+	cut := newPeer(t, breakOff("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nid0"))
+	if ends, _ := deliver(t, newEndpoints(t, true, cut.Addr().String()), long, long); ends[0].how != port.Reset || ends[1].how != port.Reset {
+		t.Errorf("a bulk answer cut off: %+v", ends)
+	}
+}
+
+func TestBulkCallsGivenUpInPart(t *testing.T) {
+	for _, copies := range []bool{false, true} {
+		answer := make(chan string)
+		at := newPeer(t, func(conn net.Conn, body string) bool {
+			answer <- strings.Join(idsOf(body), " done\r\n") + " done\r\n"
+			return say(answerOf("200 OK", "", <-answer))(conn, body)
+		})
+		p := newEndpoints(t, copies, at.Addr().String())
+		c := &call{of: p, left: 2}
+		for _, timeout := range []int64{50 * ms, int64(long)} {
+			e := &event{id: fmt.Sprint("id", timeout), mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
+			_ = p.journal.take(e, "alert", "")
+			c.sends = append(c.sends, &send{event: e, timeout: timeout, began: p.clock.now(), call: c})
+		}
+		go p.carry(c)
+		text := <-answer
+		if copies { // told at once, and again when the answer shows it over
+			if r := ending(t, c.sends[0]); r.how != port.TimedOut || r.late {
+				t.Errorf("given up: %+v", r)
+			}
+			answer <- text
+			if r := ending(t, c.sends[0]); r.how != port.Acked || !r.late {
+				t.Errorf("late answer: %+v", r)
+			}
+			if r := ending(t, c.sends[1]); r.how != port.Acked {
+				t.Errorf("the other: %+v", r)
+			}
+			continue
+		}
+		// Danger: with its call still out, a repeat would be a second copy. Nothing is told until it is over.
+		time.Sleep(100 * time.Millisecond)
+		if len(c.sends[0].event.steps) > 0 {
+			t.Error("a send was told to have ended while its call was out and copies are not allowed")
+		}
+		c.giveUp(c.sends[1], port.Cancelled)
+		if a, b := ending(t, c.sends[0]), ending(t, c.sends[1]); a.how != port.TimedOut || b.how != port.Cancelled {
+			t.Errorf("given up: %+v %+v", a, b)
+		}
+		answer <- text
+	}
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -89,8 +89,7 @@
 func (r *replyReader) read(sends []*send) (reply, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	first, _ := r.buf.Peek(len(firstOK))
-	delivered := len(sends) == 1 && string(first) == firstOK
+	delivered := len(sends) == 1 && r.begins(firstOK)
 	if err := resp.ReadLimitBody(r.buf, mostReply); err != nil {
 		// A first line with 200 has delivered a single event, whatever becomes of the rest.
 		if delivered {
@@ -114,6 +113,16 @@
 	return out, nil
 }
 
+// begins tells whether what comes next is text, waiting only for as long as it may be.
+func (r *replyReader) begins(text string) bool {
+	for n := range len(text) {
+		if b, err := r.buf.Peek(n + 1); err != nil || b[n] != text[n] {
+			return false
+		}
+	}
+	return true
+}
+
 // readStatus maps an answer's status to how the send ended and whether its event is over.
 func readStatus(status int, noSlot, bulk bool) (how port.Outcome, over bool) {
 	switch {
