--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,15 +79,14 @@
 )
 
 type event struct {
-	typ, sends, refusals, errors int
-	dest, call                   int32 // call is -1 while nothing is out
-	key                          uint64
-	came, deadline, notBefore    int64
-	slo                          int64   // SLO time, stretched by the event's own work where the type says so
-	value, loss                  float64 // utility in time; what it loses by waiting on
-	sentAt, ranAt                int64   // last send; first send that may have run
-	ranZone                      int
-	mayRun, live, calledOff      bool
+	typ, sends, refusals, errors             int
+	dest, call                               int32 // call is -1 while nothing is out
+	key                                      uint64
+	came, deadline, notBefore, sentAt, ranAt int64   // last send; first send that may have run
+	slo                                      int64   // SLO time, stretched by its work where the type says so
+	value, loss                              float64 // utility in time; what it loses by waiting on
+	ranZone                                  int
+	mayRun, live, calledOff                  bool
 }
 
 type call struct {
@@ -105,17 +104,16 @@
 	kinds      []port.Partner
 	room       port.Room
 
-	events         []event
-	waiting        []int32 // live events with nothing out, as last put in order
-	calls          []call  // those with no outcome to come are free to be used again
-	slots          int     // calls out
-	wakeAt, rankAt int64
+	events                []event
+	waiting               []int32 // live events with nothing out, as last put in order
+	calls                 []call  // those with no outcome to come are free to be used again
+	slots                 int     // calls out
+	wakeAt, rankAt, pause int64   // pause: a key rests so long after a send that may still run
 
 	dir   directory
 	keys  turns
 	notes bool // peers may be told things
 	stale stale
-	pause int64 // a key rests so long after a send that may still run
 	lanes lanes
 
 	eps      endpoints
@@ -410,7 +408,7 @@
 	return 1 - (1-t.LateUtility)*late/float64(max(1, t.MaxAge-slo))
 }
 
-// endpoint picks one for an event, -1 for none: the first with room, else the least used; one set aside singly.
+// endpoint picks one for an event, -1 for none: the first with room, else the least used; set aside singly.
 func (n *Node) endpoint(e *event) int32 {
 	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
 	for _, ep := range n.byDest[e.dest] {
--- a/cmd/jaspersill/main.go
+++ b/cmd/jaspersill/main.go
@@ -1,5 +1,5 @@
-// Command jaspersill is a delivery node. It reads what it is told at its start from the file that RELAY_CONFIG
-// names, and serves until SIGTERM.
+// Command jaspersill is a delivery node. It reads what it is told at its start from the file that
+// RELAY_CONFIG names, and serves until SIGTERM.
 package main
 
 import (
--- a/node/clients.go
+++ b/node/clients.go
@@ -44,8 +44,9 @@
 	c.server = &fasthttp.Server{
 		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
 		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: refuseBody,
-		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true,
-		Concurrency: most + 16, Logger: logrus.StandardLogger(),
+		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		DisablePreParseMultipartForm: true,
+		Concurrency:                  most + 16, Logger: logrus.StandardLogger(),
 		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
 			if g, ok := conn.(*guest); ok && s == fasthttp.StateIdle {
 				g.idle()
@@ -158,7 +159,8 @@
 }
 
 func readDest(envelope string) (uint32, bool) {
-	for part := range strings.FieldsFuncSeq(envelope, func(r rune) bool { return r == ',' || r == ';' || r == ' ' }) {
+	between := func(r rune) bool { return strings.ContainsRune(",; ", r) }
+	for part := range strings.FieldsFuncSeq(envelope, between) {
 		if value, ok := strings.CutPrefix(part, envelopeDest+"="); ok {
 			dest, err := strconv.ParseUint(value, 10, 32)
 			return uint32(dest), err == nil
--- a/node/desk.go
+++ b/node/desk.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// run calls the module until close: as soon as there is news, but a tick apart, and when it asked to be woken.
+// run calls the module until close: when there is news, but a tick apart, and when it asked to be woken.
 func (d *desk) run() {
 	defer close(d.done)
 	timer := time.NewTimer(0)
--- a/node/journal.go
+++ b/node/journal.go
@@ -17,8 +17,8 @@
 
 // journal holds what the delivery node has taken on and not ended, in a folder that outlasts the process. A
 // record is its payload's length and checksum, then the payload. What was written outlasts a killed process.
-// When the file would leave no room to write what is owed anew, that is done, and the new file takes its place.
-// A long body has a file of its own: it is written once, and gone with its event.
+// When the file would leave no room to write what is owed anew, that is done, and the new file takes its
+// place. A long body has a file of its own: it is written once, and gone with its event.
 type journal struct {
 	name string
 
@@ -84,8 +84,8 @@
 // coming. find maps the names of a stream type and a customer to their indices.
 func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
 	*journal, []*event, error) {
-	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, owed: make(map[string]*entry), sends: sends,
-		next: 1}
+	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, sends: sends, next: 1,
+		owed: make(map[string]*entry)}
 	if limitMB > 0 {
 		j.most = int64(limitMB*1e6) - slackSize
 	}
@@ -258,7 +258,7 @@
 	}
 }
 
-// must: danger: an end that was not written is told twice after a restart; serving on loses less than stopping.
+// must: danger: an end that was not written is told twice after a restart; stopping would lose more.
 func (j *journal) must(err error) {
 	if err != nil {
 		logrus.WithError(err).Error("journal: record not written")
@@ -280,8 +280,8 @@
 	return j.append(text)
 }
 
-// room writes the file anew if with so many bytes more, and with more needed later, there would be no room left
-// to do so. Danger: over its limit, even for a moment, the delivery node counts as crashed.
+// room writes the file anew if with so many bytes more, and with more needed later, there would be no room
+// left to do so. Danger: over its limit, even for a moment, the delivery node counts as crashed.
 func (j *journal) room(size int, more int64) error {
 	if j.size+int64(size) <= j.most-j.live-j.long-more {
 		return nil
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -75,10 +76,9 @@
 		}
 		switch e.id {
 		case "e1":
-			past := fmt.Sprint(e.past)
-			if past != fmt.Sprint([]sent{{50, "zone", true, port.Declined}, {60, "zone", true, port.Reset}, {70, "zone", false, 0}}) ||
-				e.sends != 3 || string(e.body) != "a\r\n\x00b" {
-				t.Errorf("e1: sends %s, body %q", past, e.body)
+			past := []sent{{50, "zone", true, port.Declined}, {60, "zone", true, port.Reset}, {70, "zone", false, 0}}
+			if !slices.Equal(e.past, past) || e.sends != 3 || string(e.body) != "a\r\n\x00b" {
+				t.Errorf("e1: sends %+v, body %q", e.past, e.body)
 			}
 		case "e2":
 			if e.verdict != declined || e.comeBack != 500 {
@@ -100,7 +100,8 @@
 		_, owed := reopen(t, folder, 3)
 		check(t, owed, 3)
 	}
-	if j, owed := reopen(t, folder, 3); j.began(owed[0], 3, 80, "zone") != nil || !errors.Is(j.began(&event{id: "e0"}, 0, 0, ""), errOver) {
+	j, owed := reopen(t, folder, 3)
+	if j.began(owed[0], 3, 80, "zone") != nil || !errors.Is(j.began(&event{id: "e0"}, 0, 0, ""), errOver) {
 		t.Error("a send of an owed event must begin, and one of an event that is over must not")
 	}
 }
@@ -130,7 +131,7 @@
 		}
 		taken := map[int]int{0: 0, 1: 1, 2: 0, 3: 1, 4: 1, 5: 1, 6: 1, 7: 1, 8: 1, 9: 2, 10: 2, 11: 3}
 		if len(owed) != taken[records] {
-			t.Fatalf("cut at %d of %d, behind %d records: %d owed, want %d", cut, len(whole), records, len(owed), taken[records])
+			t.Fatalf("cut at %d, behind %d records: %d owed, want %d", cut, records, len(owed), taken[records])
 		}
 	}
 	// What is written behind a torn record must be read again.
--- a/node/node.go
+++ b/node/node.go
@@ -1,5 +1,5 @@
-// Package node is the delivery node on sockets: it carries out what the decision module decides. Each file has
-// one job: an event's life, the desk that owns the module, the journal, and one for each peer spoken to.
+// Package node is the delivery node on sockets: it carries out what the decision module decides. Each file
+// has one job: an event's life, the desk that owns the module, the journal, and one for each peer spoken to.
 package node
 
 import (
@@ -57,7 +57,8 @@
 // Open opens the journal and the sockets of a delivery node; Run starts it.
 func Open(at Place, most Limits, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
-	n := &Node{clock: c, drain: drainTimes{drainDoor, drainChoose, drainEnd}, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n := &Node{clock: c, drain: drainTimes{drainDoor, drainChoose, drainEnd}, most: int64(s.Room.Events),
+		types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
 	n.enter(Starting)
 	var err error
 	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -30,7 +30,8 @@
 const settings = `{"services":[
  {"name":"alert","semantics":"repeatable","aim_ms":1000,"deadline_ms":9000,"value":1},
  {"name":"charge","semantics":"once","aim_ms":1000,"deadline_ms":9000,"value":1},
- {"name":"keyed","semantics":"by_key","group":"all","aim_ms":1000,"deadline_ms":9000,"value":1,"memory_span_ms":4000}],
+ {"name":"keyed","semantics":"by_key","group":"all","aim_ms":1000,"deadline_ms":9000,"value":1,
+  "memory_span_ms":4000}],
  "projects":[{"name":"acme","quota_rps":5}],"models":["big","small one"],"areas":["here","there"],"tick_ms":5,
  "family_info":{"slots":5,"per_call":[1,3],"own_limits":[false,false]},"discovery":"subscribe",
  "ceilings":{"max_open":%d,"max_attempts":6,"may_duplicate":true,"cancel":true,"retry_after":true,
@@ -38,7 +39,7 @@
  "rules":{"cold_share":0.2,"ramp_time_ms":9000,"fall_multiple":2,"tip_after_ms":2000,"drain_grace_ms":300,
   "ask_within_ms":9000}}`
 
-// world is what one delivery node of the tests lives among: a directory, which takes notices too, and endpoints.
+// world is where a delivery node of the tests lives: endpoints, and a directory, which takes notices too.
 type world struct {
 	t       *testing.T
 	folder  string
@@ -58,14 +59,14 @@
 // endpoint adds one of a destination.
 func (w *world) endpoint(dest int, act func(net.Conn, string) bool) *peer {
 	p := newPeer(w.t, act)
-	w.hosts = append(w.hosts, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"big","block":%d,"health":"Ready"}`,
-		len(w.hosts), p.Addr(), dest))
+	w.hosts = append(w.hosts, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"big","block":%d,
+		"health":"Ready"}`, len(w.hosts), p.Addr(), dest))
 	return p
 }
 
 func (w *world) run() {
 	w.t.Helper()
-	list := `{"seq":4,"whole":true,"hosts":[` + strings.Join(w.hosts, ",") + `]}`
+	list := strings.ReplaceAll(`{"seq":4,"whole":true,"hosts":[`+strings.Join(w.hosts, ",")+`]}`, "\n", "")
 	directory := newPeer(w.t, func(conn net.Conn, body string) bool {
 		if body == "" {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
@@ -179,16 +180,18 @@
 	w.until("nothing is owed", w.journal.empty)
 	got := w.noticed()
 	slices.Sort(got)
-	if want := []string{`{"id":"nowhere","status":"deferred"}`, `{"id":"undone","status":"undeliverable"}`}; !slices.Equal(got, want) {
+	want := []string{`{"id":"nowhere","status":"deferred"}`, `{"id":"undone","status":"undeliverable"}`}
+	if !slices.Equal(got, want) {
 		t.Errorf("notices %q, want %q", got, want)
 	}
 	good.mu.Lock()
 	defer good.mu.Unlock()
 	head := strings.Join(good.heads, "")
-	if !strings.Contains(head, "Req-Id: delivered\r\n") || !strings.Contains(head, "Idempotency-Key: mark-delivered\r\n") ||
-		!strings.Contains(head, "Content-Length: 6\r\n") || !strings.Contains(head, "POST /inbox HTTP/1.1\r\n") ||
-		!strings.Contains(head, "Req-Deadline-Ms: ") {
-		t.Errorf("the call was %q", head)
+	for _, line := range []string{"POST /inbox HTTP/1.1\r\n", "Req-Id: delivered\r\n", "Content-Length: 6\r\n",
+		"Idempotency-Key: mark-delivered\r\n", "Req-Deadline-Ms: "} {
+		if !strings.Contains(head, line) {
+			t.Errorf("no %q in the call %q", line, head)
+		}
 	}
 	if held := w.held.Load(); held != 0 {
 		t.Errorf("%d still held", held)
@@ -232,7 +235,8 @@
 		t.Error("a bad request was taken on")
 	}
 	for _, body := range []string{"", strings.Repeat("\x00\r\n", 21000)} { // those at the border are good ones
-		if status, _ := w.dial().hand(request("y"+fmt.Sprint(len(body)), "charge", "1", 8000, body)); status != statusTaken {
+		id := fmt.Sprint("y", len(body))
+		if status, _ := w.dial().hand(request(id, "charge", "1", 8000, body)); status != statusTaken {
 			t.Errorf("body of %d bytes: %d", len(body), status)
 		}
 	}
@@ -253,7 +257,7 @@
 			status, back = conn.hand(request(fmt.Sprint("x", i), "charge", "1", 8000, c.body))
 		}
 		if status != statusDeclined || !strings.HasPrefix(back, "0.") || back == "0.000" {
-			t.Errorf("%d events of %d bytes on %v MB: %d, come back after %q", c.open, len(c.body), c.diskMB, status, back)
+			t.Errorf("%d of %d bytes on %v MB: %d, come back after %q", c.open, len(c.body), c.diskMB, status, back)
 		}
 		if size := folderSize(t, w.folder); size > int64(c.diskMB*1e6) {
 			t.Errorf("%d bytes on disk", size)
@@ -300,7 +304,9 @@
 	}
 	good.mu.Lock()
 	defer good.mu.Unlock()
-	if head := strings.Join(good.heads, ""); !strings.Contains(head, "Req-Id: out-keyed\r\n") || !strings.Contains(head, "Idempotency-Key: mark-out-keyed\r\n") {
+	head := strings.Join(good.heads, "")
+	if !strings.Contains(head, "Req-Id: out-keyed\r\n") ||
+		!strings.Contains(head, "Idempotency-Key: mark-out-keyed\r\n") {
 		t.Errorf("ids and marks changed: %q", head)
 	}
 }
@@ -366,7 +372,8 @@
 	w := newWorld(t)
 	w.run()
 	w.desk.close()
-	if status, _ := w.dial().hand(request("x", "charge", "1", 8000, "")); status != statusTaken || w.journal.empty() {
+	status, _ := w.dial().hand(request("x", "charge", "1", 8000, ""))
+	if status != statusTaken || w.journal.empty() {
 		t.Errorf("admitted, then the desk closed: %d", status)
 	}
 	w.deskShut.Store(true)
@@ -430,10 +437,11 @@
 	}
 }
 
-// recorder is a module that writes down what it is told, and decides nothing.
+// recorder is a module that writes down what it is told of the list, and decides nothing.
 type recorder struct {
-	mu   sync.Mutex
-	said []string
+	port.Intake // what no test here tells it
+	mu          sync.Mutex
+	said        []string
 }
 
 func (r *recorder) say(format string, a ...any) {
@@ -448,31 +456,24 @@
 	return strings.Join(r.said, " ")
 }
 
-func (r *recorder) Round(now int64, feed port.Feed, out port.Writer)                        { feed.Deliver(r) }
-func (r *recorder) Full() int64                                                             { return 0 }
-func (r *recorder) Event(e int32, typ, customer int, key uint64, left, work int64, d int32) {}
-func (r *recorder) Resumed(e int32, sends int, mayRun bool, ago int64, zone int)            {}
-func (r *recorder) Begun(e int32, send int)                                                 {}
-func (r *recorder) Outcome(e int32, n int, ep int32, how port.Outcome, w, t int64, o bool, left, limit float64) {
-}
-func (r *recorder) Withdrawn(e int32)       {}
+func (r *recorder) Round(now int64, feed port.Feed, out port.Writer) { feed.Deliver(r) }
+
+func (r *recorder) Full() int64             { return 0 }
 func (r *recorder) ListBegins(whole bool)   { r.say("whole=%v", whole) }
 func (r *recorder) ListEnds()               { r.say(";") }
 func (r *recorder) ListFailed()             { r.say("failed") }
-func (r *recorder) Woken()                  {}
 func (r *recorder) PeerGood(p int, e int32) { r.say("good %d %d", p, e) }
 func (r *recorder) Listed(ep, dest int32, partner, zone int, state port.State, rate float64) {
 	r.say("%d/%d/%d/%d/%d/%v", ep, dest, partner, zone, state, rate)
 }
-func (r *recorder) Probed(ep int32, how port.Outcome, took int64, left, limit float64) {}
 
 // listen starts a desk with a recorder, and a directory at an address.
 func listen(t *testing.T, address string) (*directory, *recorder) {
 	r := &recorder{}
 	d := newDesk(clock{start: time.Now()}, r, ms, []int{1})
 	d.endpoints = newEndpoints(t, false, "")
-	d.directory = &directory{address: address, desk: d, endpoints: d.endpoints, partners: []string{"big", "small_one"},
-		zones: []string{"here", "there"}, rated: true, silence: 300 * time.Millisecond}
+	d.directory = &directory{address: address, desk: d, endpoints: d.endpoints, rated: true,
+		partners: []string{"big", "small_one"}, zones: []string{"here", "there"}, silence: 300 * time.Millisecond}
 	go d.run()
 	t.Cleanup(func() {
 		d.directory.close()
@@ -482,11 +483,11 @@
 }
 
 func TestDirectoryIsFollowedHoweverItsLinesAreCut(t *testing.T) {
-	const first = `{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","site":"there","class":"small one",` +
-		`"block":3,"health":"Ready","share":2.5},{"host":"b","dial":"127.0.0.1:2","site":"?","class":"?","block":4,` +
-		`"health":"Terminating","share":1}]}` + "\n"
-	const second = `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"127.0.0.1:3","site":"there","class":"small one",` +
-		`"block":3,"health":"Gone","share":2.5}]}` + "\n"
+	const first = `{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","site":"there",` +
+		`"class":"small one","block":3,"health":"Ready","share":2.5},{"host":"b","dial":"127.0.0.1:2","site":"?",` +
+		`"class":"?","block":4,"health":"Terminating","share":1}]}` + "\n"
+	const second = `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"127.0.0.1:3","site":"there",` +
+		`"class":"small one","block":3,"health":"Gone","share":2.5}]}` + "\n"
 	go1 := make(chan bool)
 	at := newPeer(t, func(conn net.Conn, _ string) bool {
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -538,7 +539,8 @@
 		d.watch(true)
 		(&world{t: t}).until(name+" shows", func() bool { return r.all() == "failed" })
 	}
-	d, r := listen(t, newPeer(t, say(answerOf("200 OK", "", `{"seq":1,"whole":true,"hosts":[]}`))).Addr().String())
+	at := newPeer(t, say(answerOf("200 OK", "", `{"seq":1,"whole":true,"hosts":[]}`)))
+	d, r := listen(t, at.Addr().String())
 	d.fetch()
 	(&world{t: t}).until("the whole list comes", func() bool { return r.all() == "whole=true ;" })
 }
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -26,10 +26,10 @@
 }
 
 func openOutcomes(address string) *outcomes {
-	return &outcomes{bell: make(chan struct{}, 1), client: &fasthttp.HostClient{Addr: address, MaxConns: 2,
-		ReadTimeout: noticeWithin, WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader: true,
-		Dial:                     func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, noticeWithin) }}}
+	dial := func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, noticeWithin) }
+	return &outcomes{bell: make(chan struct{}, 1), client: &fasthttp.HostClient{Addr: address, Dial: dial,
+		MaxConns: 2, ReadTimeout: noticeWithin, WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true}}
 }
 
 // post queues an event's notice; its life hears when the platform has it.
--- a/node/sends.go
+++ b/node/sends.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// leave marks a call as written and tells which sends go: those not given up while connecting; and the time-out.
+// leave marks a call as written and tells which sends go, as not given up while connecting, and how long.
 func (c *call) leave(l *link) (going []*send, longest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,8 +119,8 @@
 	return going, longest
 }
 
-// giveUp stops waiting for one send. Danger: where an event may not have two sends out, or when it is the last
-// of its call, it is over only once the connection is closed.
+// giveUp stops waiting for one send. Danger: where an event may not have two sends out, or when it is the
+// last of its call, it is over only once the connection is closed.
 func (c *call) giveUp(s *send, how port.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -104,16 +104,21 @@
 	return p
 }
 
+func newSend(t *testing.T, c *call, id string, timeout time.Duration) *send {
+	t.Helper()
+	e := &event{id: id, mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
+	if err := c.of.journal.take(e, "alert", ""); err != nil {
+		t.Fatal(err)
+	}
+	return &send{event: e, timeout: int64(timeout), began: c.of.clock.now(), call: c}
+}
+
 // deliver makes one call with an event for each time-out and returns how they ended.
 func deliver(t *testing.T, p *endpoints, timeouts ...time.Duration) (ends []result, c *call) {
 	t.Helper()
 	c = &call{of: p, left: len(timeouts)}
 	for i, timeout := range timeouts {
-		e := &event{id: fmt.Sprintf("id%d-%d", i, p.clock.now()), mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
-		if err := p.journal.take(e, "alert", ""); err != nil {
-			t.Fatal(err)
-		}
-		c.sends = append(c.sends, &send{event: e, timeout: int64(timeout), began: p.clock.now(), call: c})
+		c.sends = append(c.sends, newSend(t, c, fmt.Sprintf("id%d-%d", i, p.clock.now()), timeout))
 	}
 	go p.carry(c)
 	for _, s := range c.sends {
@@ -153,14 +158,16 @@
 		{"504", say(answerOf("504 Used up", "", "")), result{how: port.Unsent}},
 		{"410", say(answerOf("410 Over", "", "")), result{how: port.Unsent, over: true}},
 		{"a status nobody knows", say(answerOf("418 Teapot", "", "")), result{how: port.Errored}},
-		{"a wait and a report that are no numbers", say(answerOf("429 Full", "Retry-After: soon\r\nSrv-Load: x0=,x1=NaN\r\n", "")),
+		{"no numbers", say(answerOf("429 Full", "Retry-After: soon\r\nSrv-Load: x0=,x1=NaN\r\n", "")),
 			result{how: port.Declined}},
 		{"no HTTP", say("hello\r\n\r\n"), result{how: port.Reset}},
 		{"broken before an answer", breakOff(""), result{how: port.Reset}},
 		{"ended before an answer", func(net.Conn, string) bool { return false }, result{how: port.Reset}},
 		{"broken within an answer", breakOff("HTTP/1.1 500 Err"), result{how: port.Reset}},
-		{"broken behind the first line of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Le"), result{how: port.Acked, over: true}},
-		{"broken in the body of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), result{how: port.Acked, over: true}},
+		{"broken behind the first line of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Le"),
+			result{how: port.Acked, over: true}},
+		{"broken in the body of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
+			result{how: port.Acked, over: true}},
 		{"silent", silent, result{how: port.TimedOut}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -314,7 +321,8 @@
 		}
 	}
 	cut := newPeer(t, breakOff("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nid0"))
-	if ends, _ := deliver(t, newEndpoints(t, true, cut.Addr().String()), long, long); ends[0].how != port.Reset || ends[1].how != port.Reset {
+	ends, _ = deliver(t, newEndpoints(t, true, cut.Addr().String()), long, long)
+	if ends[0].how != port.Reset || ends[1].how != port.Reset {
 		t.Errorf("a bulk answer cut off: %+v", ends)
 	}
 }
@@ -328,10 +336,8 @@
 		})
 		p := newEndpoints(t, copies, at.Addr().String())
 		c := &call{of: p, left: 2}
-		for _, timeout := range []int64{50 * ms, int64(long)} {
-			e := &event{id: fmt.Sprint("id", timeout), mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
-			_ = p.journal.take(e, "alert", "")
-			c.sends = append(c.sends, &send{event: e, timeout: timeout, began: p.clock.now(), call: c})
+		for _, timeout := range []time.Duration{50 * time.Millisecond, long} {
+			c.sends = append(c.sends, newSend(t, c, fmt.Sprint("id", timeout), timeout))
 		}
 		go p.carry(c)
 		text := <-answer
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -342,7 +342,8 @@
 			to.Woken()
 		case evProbed:
 			if ep, ok := n.eps.Find(le.Uint32(r[1:])); ok {
-				to.Probed(ep, outcomes[le.Uint16(r[5:])], nanos(float(r[7:])), n.figure(r[15:], n.leftAt), n.figure(r[15:], n.limitAt))
+				to.Probed(ep, outcomes[le.Uint16(r[5:])], nanos(float(r[7:])),
+					n.figure(r[15:], n.leftAt), n.figure(r[15:], n.limitAt))
 			}
 		case evMemo:
 			if id, ok := note.ReadGood(it.entries); ok {
--- a/start/start_test.go
+++ b/start/start_test.go
@@ -44,7 +44,8 @@
 const nested = `{"models":["big","small one"],"areas":["here"],"discovery":"subscribe",
  "ceilings":{"max_open":50,"max_attempts":4,"retry_after":true,"max_retry_after_ms":1500.5,
   "conn_idle_ms":15000,"connect_timeout_ms":1500},
- "family_info":{"slots":5,"per_call":[3,1]},"feedback":{"names":["x1","x0"]},"me":1,"replicas_of_me":2,"tick_ms":5.0,
+ "family_info":{"slots":5,"per_call":[3,1]},"feedback":{"names":["x1","x0"]},"me":1,
+ "replicas_of_me":2,"tick_ms":5.0,
  "rules":{"cold_share":0.2,"ramp_time_ms":9000,"fall_multiple":2,"tip_after_ms":2000,"drain_grace_ms":300},
  "services":[{"name":"fleet alert","semantics":"by_key","group":"zone","aim_ms":1000,"deadline_ms":9000,
   "memory_span_ms":5000,"value":2}],
@@ -62,8 +63,9 @@
 	if !reflect.DeepEqual(a, b) {
 		t.Errorf("lines %+v\nJSON %+v", a, b)
 	}
-	if a.TypeNames[0] != Name("fleet alert") || a.CustomerNames[1] != Name("a,b c") || a.LimitAt != 0 || a.LeftAt != 1 ||
-		a.Tick != 5e6 || a.IdleFor != 15e9 || a.ConnectWithin != 15e8 || a.Room.ComeBack != 1500.5*1e6 {
+	if a.TypeNames[0] != Name("fleet alert") || a.CustomerNames[1] != Name("a,b c") || a.LimitAt != 0 ||
+		a.LeftAt != 1 || a.Tick != 5e6 || a.IdleFor != 15e9 || a.ConnectWithin != 15e8 ||
+		a.Room.ComeBack != 1500.5*1e6 {
 		t.Errorf("read %+v", a)
 	}
 }
