Report a call cut off while being written as never run; test the doorman's corners

Seen by a test with an endpoint that does not read: a send given up with half its body written was reported as timed out, which ends a non-idempotent event that cannot have run (sends.go, written was set before the write). Each test was seen failing with the guarded lines taken out, but for the room made before a long body is written: the moment it guards cannot be seen from outside.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -383,12 +384,25 @@
 	w.desk.stop = make(chan struct{}) // the drain closes it once more
 }
 
+// short is a listener that is out of descriptors at first.
+type short struct {
+	net.Listener
+	fails int
+}
+
+func (s *short) Accept() (net.Conn, error) {
+	if s.fails--; s.fails >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return s.Listener.Accept()
+}
+
 func TestDoormanClosesIdleConnectionsWhenShort(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDoorman(l, 2)
+	d := newDoorman(&short{Listener: l, fails: 2}, 2)
 	hold := make(chan bool)
 	server := &fasthttp.Server{ReduceMemoryUsage: true, IdleTimeout: clientIdle, ReadTimeout: readWithin,
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -437,6 +451,33 @@
 	}
 }
 
+func TestGuestAskedToCloseDoes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDoorman(l, 2)
+	defer d.Close()
+	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
+	io.WriteString(w.dial(), "half a request")
+	conn, _ := d.Accept()
+	first := make([]byte, 100)
+	if _, err := conn.Read(first); err != nil {
+		t.Fatal(err)
+	}
+	d.dismiss()
+	if conn.(*guest).leaving {
+		t.Error("asked to close within a request")
+	}
+	conn.(*guest).idle()
+	d.dismiss()
+	conn.SetReadDeadline(time.Now().Add(long)) // the server waits for the next request only now
+	begin := time.Now()
+	if n, err := conn.Read(first); n != 0 || err != net.ErrClosed || time.Since(begin) > long/2 {
+		t.Errorf("read %d, %v after %v", n, err, time.Since(begin))
+	}
+}
+
 // recorder is a module that writes down what it is told of the list, and decides nothing.
 type recorder struct {
 	port.Intake // what no test here tells it
--- a/node/sends.go
+++ b/node/sends.go
@@ -31,14 +31,23 @@
 	endpoint int32
 	sends    []*send
 
-	mu      sync.Mutex
-	abort   context.CancelFunc // while connecting
-	link    *link
-	written bool // its last byte may have gone out
-	ended   bool
-	left    int // sends not given up
+	mu    sync.Mutex
+	abort context.CancelFunc // while connecting
+	link  *link
+	bytes progress
+	ended bool
+	left  int // sends not given up
 }
 
+// progress is how much of a call has gone out.
+type progress uint8
+
+const (
+	none progress = iota // connecting
+	some                 // being written: the writer will know
+	all                  // its last byte has gone, or may have
+)
+
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
 	defer p.out.Add(-1)
@@ -84,7 +93,7 @@
 	if err := writeCall(out, going, longest); err != nil {
 		logrus.WithError(err).Error("call not written")
 	}
-	if size, err := l.Write(out.B); err != nil {
+	if size, err := l.Write(out.B); !c.wrote(size == out.Len()) || err != nil {
 		l.Close()
 		if size < out.Len() { // the call's last byte was not written: it never ran
 			c.finish(result{how: port.ConnectFailed})
@@ -115,10 +124,22 @@
 			going, longest = append(going, s), max(longest, s.timeout)
 		}
 	}
-	c.link, c.written = l, len(going) > 0
+	if c.link = l; len(going) > 0 {
+		c.bytes = some
+	}
 	return going, longest
 }
 
+// wrote notes whether a call was written to its last byte; it tells false if it was given up meanwhile.
+func (c *call) wrote(whole bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bytes = none; whole {
+		c.bytes = all
+	}
+	return c.left > 0
+}
+
 // giveUp stops waiting for one send. Danger: where an event may not have two sends out, or when it is the
 // last of its call, it is over only once the connection is closed.
 func (c *call) giveUp(s *send, how port.Outcome) {
@@ -127,16 +148,11 @@
 	if c.ended || s.gaveUp || s.told {
 		return
 	}
-	if !c.written {
-		if how == port.TimedOut {
-			how = port.ConnectFailed
-		} else {
-			how = port.Unsent
-		}
-	}
 	s.gaveUp, s.how = true, how
 	c.left--
 	switch {
+	case c.left == 0 && c.bytes == some: // danger: told now, it might be called unsent with its last byte gone
+		c.link.Close()
 	case c.left == 0:
 		c.ended = true
 		if c.abort != nil {
@@ -149,7 +165,7 @@
 			c.settle(s)
 		}
 	case c.of.copies:
-		c.report(s, result{how: how})
+		c.settle(s)
 	}
 }
 
@@ -170,11 +186,19 @@
 	}
 }
 
-// settle reports a send that was given up, unless that was done at once.
+// settle reports a send that was given up, unless that was done at once. With nothing of its call gone, or not all
+// when the connection was closed, it never ran.
 func (c *call) settle(s *send) {
-	if !s.told {
-		c.report(s, result{how: s.how})
+	how := s.how
+	switch {
+	case s.told:
+		return
+	case c.bytes == none && how == port.TimedOut:
+		how = port.ConnectFailed
+	case c.bytes == none:
+		how = port.Unsent
 	}
+	c.report(s, result{how: how})
 }
 
 // answered hands each send that went its part of an answer; it tells false where all were given up before.
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,6 +232,30 @@
 	}
 }
 
+func TestACallNotWrittenToItsLastByteNeverRan(t *testing.T) {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() // nobody reads there
+	p := newEndpoints(t, false, l.Addr().String())
+	c := &call{of: p, left: 2}
+	for i, body := range []int{40 << 20, 10} {
+		s := newSend(t, c, fmt.Sprint("id", i), 200*time.Millisecond)
+		s.event.body = make([]byte, body)
+		c.sends = append(c.sends, s)
+	}
+	c.sends[1].timeout = int64(long)
+	go p.carry(c)
+	time.AfterFunc(300*time.Millisecond, func() { c.giveUp(c.sends[1], port.Cancelled) })
+	if a, b := ending(t, c.sends[0]), ending(t, c.sends[1]); a.how != port.ConnectFailed || b.how != port.Unsent {
+		t.Errorf("given up while being written: %+v %+v", a, b)
+	}
+}
+
 func TestConnectionsAreKeptAndNeverUsedDead(t *testing.T) {
 	at := newPeer(t, say(answerOf("200 OK", "", "")))
 	p := newEndpoints(t, false, at.Addr().String())
