--- a/node/doorman.go
+++ b/node/doorman.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 const acceptAgain = 20 * time.Millisecond // a connection asked to close has gone by then
@@ -17,10 +15,11 @@
 	net.Listener
 	most int
 
-	mu    sync.Mutex
-	freed sync.Cond
-	open  map[*guest]struct{}
-	shut  bool
+	accepts trouble
+	mu      sync.Mutex
+	freed   sync.Cond
+	open    map[*guest]struct{}
+	shut    bool
 }
 
 // guest is a client's connection.
@@ -36,7 +35,8 @@
 var longAgo = time.Unix(1, 0)
 
 func newDoorman(l net.Listener, most int) *doorman {
-	d := &doorman{Listener: l, most: most, open: make(map[*guest]struct{})}
+	d := &doorman{Listener: l, most: most, accepts: trouble{what: "clients: accepting connections"},
+		open: make(map[*guest]struct{})}
 	d.freed.L = &d.mu
 	return d
 }
@@ -48,13 +48,14 @@
 			return nil, err
 		}
 		// Danger: out of descriptors, or a connection that broke before it was accepted, must not end the serving.
-		logrus.WithError(err).Warn("clients: connection not accepted")
+		d.accepts.note(err)
 		d.mu.Lock()
 		d.closeIdle(1)
 		d.mu.Unlock()
 		time.Sleep(acceptAgain)
 		c, err = d.Listener.Accept()
 	}
+	d.accepts.note(nil)
 	g := &guest{Conn: c, door: d, since: time.Now()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/journal.go
+++ b/node/journal.go
@@ -22,6 +22,8 @@
 type journal struct {
 	name string
 
+	disk trouble
+
 	mu    sync.Mutex
 	file  *os.File
 	size  int64 // of the file
@@ -85,7 +87,7 @@
 func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
 	*journal, []*event, error) {
 	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, sends: sends, next: 1,
-		owed: make(map[string]*entry)}
+		owed: make(map[string]*entry), disk: trouble{what: "journal: writing a record"}}
 	if limitMB > 0 {
 		j.most = int64(limitMB*1e6) - slackSize
 	}
@@ -203,13 +205,21 @@
 // began writes that a send goes out. Where it fails, nothing may go.
 func (j *journal) began(e *event, number int, at int64, zone string) error {
 	return j.note(e, errOver, func(o *entry) []byte {
-		for len(o.past) <= number {
-			o.past = append(o.past, sent{at: at, zone: zone})
-		}
+		o.begin(number, sent{at: at, zone: zone})
 		return beganRecord(nil, e.id, number, o.past[number])
 	})
 }
 
+// begin adds a send. One before it that never began cannot have run.
+func (o *entry) begin(number int, s sent) {
+	for len(o.past) < number {
+		o.past = append(o.past, sent{at: s.at, zone: s.zone, ended: true, how: port.Unsent})
+	}
+	if len(o.past) == number {
+		o.past = append(o.past, s)
+	}
+}
+
 // ended writes how a send ended.
 func (j *journal) ended(e *event, number int, how port.Outcome) {
 	j.must(j.note(e, nil, func(o *entry) []byte {
@@ -260,9 +270,7 @@
 
 // must: danger: an end that was not written is told twice after a restart; stopping would lose more.
 func (j *journal) must(err error) {
-	if err != nil {
-		logrus.WithError(err).Error("journal: record not written")
-	}
+	j.disk.note(err)
 }
 
 // note writes a record about an event that is owed; missing is returned for any other.
@@ -389,8 +397,8 @@
 		if f.bad {
 			return false
 		}
-		for o != nil && len(o.past) <= number {
-			o.past = append(o.past, s)
+		if o != nil {
+			o.begin(number, s)
 		}
 	case recEnded:
 		number, how := int(f.byte()), port.Outcome(f.byte())
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+func TestSendThatNeverBeganIsNoneThatMayHaveRun(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := reopen(t, folder, 3)
+	e := &event{id: "e"}
+	if err := j.take(e, "alert", "acme"); err != nil {
+		t.Fatal(err)
+	}
+	j.ended(e, 0, port.Unsent) // given up before it began
+	_ = j.began(e, 1, 50, "zone")
+	j.ended(e, 1, port.Declined)
+	for range 2 {
+		_, owed := reopen(t, folder, 3)
+		want := []sent{{50, "zone", true, port.Unsent}, {50, "zone", true, port.Declined}}
+		if !slices.Equal(owed[0].past, want) {
+			t.Errorf("sends %+v", owed[0].past)
+		}
+	}
+}
+
 func TestJournalForgetsBodiesThatNothingRefersTo(t *testing.T) {
 	folder := t.TempDir()
 	j, _ := reopen(t, folder, 3)
--- a/node/life.go
+++ b/node/life.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 
-	"github.com/sirupsen/logrus"
-
 	"jaspersill/port"
 )
 
@@ -26,7 +24,7 @@
 			case errors.Is(err, errFull):
 				tell(statusDeclined, n.desk.full())
 			default:
-				logrus.WithError(err).Error("journal: event not taken on")
+				n.journal.disk.note(err)
 				tell(statusDeclined, n.desk.full())
 			}
 			return
@@ -40,7 +38,9 @@
 		return
 	}
 
-	n.desk.take(e)
+	if e.answer != nil { // one restored was handed in before, in the order of their coming
+		n.desk.take(e)
+	}
 	out, over, noticed := 0, false, true
 	finish := func() {
 		if !over {
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,8 @@
 	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
 		idleFor: s.IdleFor, mostIdle: idle}
 	n.directory = &directory{address: at.Directory, silence: silentAfter, desk: n.desk, endpoints: n.endpoints,
-		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated}
+		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated,
+		answers: trouble{what: "directory: watching the list"}}
 	n.outcomes = openOutcomes(at.Directory)
 	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
 		return nil, err
@@ -86,7 +88,7 @@
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
 	if len(at.Known) > 0 {
 		if err := n.directory.line(at.Known); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
 	n.clients, err = openClients(n, at.Listen, sockets-idle-s.Room.Slots)
@@ -97,7 +99,9 @@
 func (n *Node) restore() {
 	n.held.Add(int64(len(n.owed)))
 	for _, e := range n.owed {
-		e.due = n.clock.now() + e.deadline - wall()
+		if e.due = n.clock.now() + e.deadline - wall(); e.verdict == open {
+			n.desk.take(e)
+		}
 		go n.life(e)
 	}
 	n.owed = nil
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 )
 
@@ -52,7 +51,7 @@
 
 // run sends notices for as long as the process lasts.
 func (o *outcomes) run(stop <-chan struct{}) {
-	failing := false
+	told := trouble{what: "outcomes: telling the platform"}
 	for {
 		select {
 		case <-stop:
@@ -67,11 +66,8 @@
 				break
 			}
 			// Danger: an end that nobody hears of is a lost event. It is told again until it was heard.
-			if err := o.send(part); err != nil {
-				if !failing {
-					logrus.WithError(err).Warn("outcomes: notice not taken, tried again until it is")
-				}
-				failing = true
+			err := o.send(part)
+			if told.note(err); err != nil {
 				select {
 				case <-stop:
 					return
@@ -79,7 +75,6 @@
 				}
 				continue
 			}
-			failing = false
 			for _, e := range part {
 				e.steps <- step{what: stepNoticed}
 			}
--- a/node/phases.go
+++ b/node/phases.go
@@ -68,9 +68,10 @@
 	begin := time.Now()
 	n.sleep(begin.Add(n.drain.door), nil)
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(n.drain.choose), n.journal.empty)
+	n.sleep(begin.Add(n.drain.choose), n.unowed)
 	n.deskShut.Store(true)
 	n.clients.door.dismiss()
+	n.sleep(begin.Add(n.drain.choose), n.unowed) // what was admitted just before
 	n.desk.close()
 	n.sleep(begin.Add(n.drain.end), n.quiet)
 	n.clients.door.Close()
@@ -88,7 +89,10 @@
 	}
 }
 
+// unowed tells whether nothing is owed, nor about to be.
+func (n *Node) unowed() bool { return n.held.Load() == 0 && n.journal.empty() }
+
 // quiet tells whether nothing is left that ends by itself. What is owed beyond that waits for the next start.
 func (n *Node) quiet() bool {
-	return n.journal.empty() || (n.endpoints.out.Load() == 0 && n.outcomes.empty())
+	return n.unowed() || (n.endpoints.out.Load() == 0 && n.outcomes.empty())
 }
--- a/node/sends.go
+++ b/node/sends.go
@@ -68,7 +68,7 @@
 		// Danger: the process may end while the send is out. The journal has it before its bytes go.
 		if err := p.journal.began(s.event, s.number, wall(), p.site(c.endpoint)); err != nil {
 			if !errors.Is(err, errOver) { // danger: a late answer may have ended the event: nothing may follow
-				logrus.WithError(err).Error("journal: a send was kept back")
+				p.journal.disk.note(err)
 			}
 			c.giveUp(s, port.Unsent)
 		}
@@ -91,7 +91,10 @@
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
 	if err := writeCall(out, going, longest); err != nil {
-		logrus.WithError(err).Error("call not written")
+		logrus.WithError(err).Error("endpoints: a call cannot be written as HTTP")
+		l.Close()
+		c.finish(result{how: port.Unsent})
+		return
 	}
 	if size, err := l.Write(out.B); !c.wrote(size == out.Len()) || err != nil {
 		l.Close()
@@ -186,8 +189,8 @@
 	}
 }
 
-// settle reports a send that was given up, unless that was done at once. With nothing of its call gone, or not all
-// when the connection was closed, it never ran.
+// settle reports a send that was given up, unless that was done at once. With nothing of its call gone, or not
+// all when the connection was closed, it never ran.
 func (c *call) settle(s *send) {
 	how := s.how
 	switch {
