--- a/node/desk.go
+++ b/node/desk.go
@@ -192,7 +192,8 @@
 	d.hear(func(port.Intake) { d.gone = append(d.gone, e.index) })
 }
 
-// Send implements port.Writer, as do the methods below. Sends of a round to one endpoint share a call.
+// Send implements port.Writer, as do the methods below. Sends of a round to one endpoint share a call, while their
+// bodies fit into one.
 func (d *desk) Send(evt, ep int32, timeout int64) {
 	e := d.lives[evt]
 	s := &send{event: e, number: e.sends, endpoint: ep, timeout: timeout, began: d.clock.now()}
@@ -200,12 +201,12 @@
 	d.current[evt] = s
 	most := d.perCall[min(d.partner[ep], len(d.perCall)-1)]
 	for _, c := range d.calls {
-		if c.endpoint == ep && len(c.sends) < most {
-			s.call, c.sends, c.left = c, append(c.sends, s), c.left+1
+		if c.endpoint == ep && len(c.sends) < most && c.size+bulkSize(e) <= mostBody {
+			s.call, c.sends, c.left, c.size = c, append(c.sends, s), c.left+1, c.size+bulkSize(e)
 			return
 		}
 	}
-	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}, left: 1}
+	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}, left: 1, size: bulkSize(e)}
 	d.calls = append(d.calls, s.call)
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
 	"jaspersill/choice"
@@ -327,6 +328,27 @@
 	}
 }
 
+func TestCallsOfSeveralKeepToTheBodyLimit(t *testing.T) {
+	d := newDesk(clock{start: time.Now()}, nil, ms, []int{3})
+	d.partner = []int{0}
+	for i, size := range []int{40 << 10, 20 << 10, 20 << 10, 10, 10} {
+		d.lives = append(d.lives, &event{id: fmt.Sprint(i), body: make([]byte, size)})
+		d.current = append(d.current, nil)
+		d.Send(int32(i), 0, ms)
+	}
+	got := ""
+	for _, c := range d.calls {
+		got += fmt.Sprint(len(c.sends), " ")
+		var out bytebufferpool.ByteBuffer
+		if err := writeCall(&out, c.sends, ms); err != nil || out.Len() > mostBody+1000 {
+			t.Errorf("%d bytes, %v", out.Len(), err)
+		}
+	}
+	if got != "3 2 " {
+		t.Errorf("calls of %s", got)
+	}
+}
+
 func TestNoticeOwedAtARestartIsToldAndNothingSent(t *testing.T) {
 	w := newWorld(t)
 	w.balk = 1 << 30
--- a/node/sends.go
+++ b/node/sends.go
@@ -30,6 +30,7 @@
 	of       *endpoints
 	endpoint int32
 	sends    []*send
+	size     int // bytes of its body, if it has several
 
 	mu    sync.Mutex
 	abort context.CancelFunc // while connecting
--- a/node/wire.go
+++ b/node/wire.go
@@ -31,9 +31,13 @@
 	firstOK = "HTTP/1.1 200"
 
 	mostBody  = 64 << 10  // bytes of an event's body: the protocol's
+	bulkLine  = 16        // bytes of a bulk call's line for an event, without id and mark: " - 65536" and two CRLFs
 	mostReply = 256 << 10 // bytes of an answer's body: a line for each event of a call fits many times
 )
 
+// bulkSize is what an event takes of the body of a call of several.
+func bulkSize(e *event) int { return len(e.id) + len(e.mark) + len(e.body) + bulkLine }
+
 // writeCall writes a call of one event, or of several. Id, mark and body go on as they came.
 func writeCall(out *bytebufferpool.ByteBuffer, sends []*send, wait int64) error {
 	req := fasthttp.AcquireRequest()
