Tell a send that its call left behind as never run

Seen with the tests run eight at a time: a send of a shared call given up while connecting was left out of the body, yet reported as timed out once the rest had gone, so a non-idempotent event that never left would be discarded (sends.go, settle looked at the call alone). The tests now wait for states, not times.

--- a/node/sends.go
+++ b/node/sends.go
@@ -21,6 +21,7 @@
 	timeout  int64
 	call     *call
 
+	went         bool // it was in what was written
 	gaveUp, told bool
 	how          port.Outcome // when given up
 }
@@ -125,6 +126,7 @@
 	defer c.mu.Unlock()
 	for _, s := range c.sends {
 		if !s.gaveUp {
+			s.went = true
 			going, longest = append(going, s), max(longest, s.timeout)
 		}
 	}
@@ -190,16 +192,16 @@
 	}
 }
 
-// settle reports a send that was given up, unless that was done at once. With nothing of its call gone, or not
-// all when the connection was closed, it never ran.
+// settle reports a send that was given up, unless that was done at once. If it was not written, or its call not
+// to the last byte when the connection was closed, it never ran.
 func (c *call) settle(s *send) {
-	how := s.how
+	how, never := s.how, !s.went || c.bytes == none
 	switch {
 	case s.told:
 		return
-	case c.bytes == none && how == port.TimedOut:
+	case never && how == port.TimedOut:
 		how = port.ConnectFailed
-	case c.bytes == none:
+	case never:
 		how = port.Unsent
 	}
 	c.report(s, result{how: how})
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -243,19 +243,45 @@
 	p := newEndpoints(t, false, l.Addr().String())
 	c := &call{of: p, left: 2}
 	for i, body := range []int{40 << 20, 10} {
-		s := newSend(t, c, fmt.Sprint("id", i), 200*time.Millisecond)
+		s := newSend(t, c, fmt.Sprint("id", i), long)
 		s.event.body = make([]byte, body)
 		c.sends = append(c.sends, s)
 	}
-	c.sends[1].timeout = int64(long)
 	go p.carry(c)
-	time.AfterFunc(300*time.Millisecond, func() { c.giveUp(c.sends[1], port.Cancelled) })
+	(&world{t: t}).until("it is being written", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.bytes == some
+	})
+	c.giveUp(c.sends[0], port.TimedOut)
+	c.giveUp(c.sends[1], port.Cancelled)
 	a, b := ending(t, c.sends[0]), ending(t, c.sends[1])
 	if a.how != port.ConnectFailed || b.how != port.Unsent {
 		t.Errorf("given up while being written: %+v %+v", a, b)
 	}
 }
 
+func TestASendGivenUpBeforeItsCallWentNeverRan(t *testing.T) {
+	came := make(chan string)
+	at := newPeer(t, func(conn net.Conn, body string) bool {
+		came <- body
+		return silent(conn, body)
+	})
+	p := newEndpoints(t, false, at.Addr().String())
+	c := &call{of: p, left: 2}
+	c.sends = []*send{newSend(t, c, "early", long), newSend(t, c, "late", long)}
+	c.giveUp(c.sends[0], port.Cancelled)
+	go p.carry(c)
+	if body := <-came; body != "a\r\nb" { // that of the other alone
+		t.Errorf("body %q", body)
+	}
+	c.giveUp(c.sends[1], port.TimedOut)
+	a, b := ending(t, c.sends[0]), ending(t, c.sends[1])
+	if a.how != port.Unsent || b.how != port.TimedOut {
+		t.Errorf("got %+v %+v", a, b)
+	}
+}
+
 func TestConnectionsAreKeptAndNeverUsedDead(t *testing.T) {
 	at := newPeer(t, say(answerOf("200 OK", "", "")))
 	p := newEndpoints(t, false, at.Addr().String())
