Answer nobody's request with nothing: let clients connect ahead of their requests

Seen in fasthttp's loop: on a connection that never carried a request, the read time-out is answered with 408, which a client whose first request crosses it would take for its own answer. The doorman's connections now close silently between requests, and the time-out for a request that does not come whole is 2 s (doorman.go, clients.go). The drain waits 0.15 s for answers still being written.

--- a/node/clients.go
+++ b/node/clients.go
@@ -15,7 +15,7 @@
 const (
 	headSize     = 4096             // bytes of a request's head; a longer one is answered 431
 	refuseBody   = 4 * mostBody     // a body up to this is read and answered; a longer one ends its connection
-	readWithin   = 10 * time.Second // a request whose bytes stop coming ends its connection
+	readWithin   = 2 * time.Second  // a request still not whole is nobody's any more: its client waits 400 ms
 	clientIdle   = 10 * time.Minute // clients keep their connections
 	writeWithin  = 2 * time.Second  // a client that does not read is long gone: it waits 400 ms
 	longestID    = 64               // bytes; the journal counts on it
--- a/node/desk.go
+++ b/node/desk.go
@@ -192,8 +192,8 @@
 	d.hear(func(port.Intake) { d.gone = append(d.gone, e.index) })
 }
 
-// Send implements port.Writer, as do the methods below. Sends of a round to one endpoint share a call, while their
-// bodies fit into one.
+// Send implements port.Writer, as do the methods below. Sends of a round to one endpoint share a call, while
+// their bodies fit into one.
 func (d *desk) Send(evt, ep int32, timeout int64) {
 	e := d.lives[evt]
 	s := &send{event: e, number: e.sends, endpoint: ep, timeout: timeout, began: d.clock.now()}
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -115,19 +116,23 @@
 		g.busy, g.leaving = true, false
 		return n, err
 	}
-	if g.leaving {
-		return 0, net.ErrClosed
+	if g.leaving || (!g.busy && errors.Is(err, os.ErrDeadlineExceeded)) {
+		return 0, net.ErrClosed // danger: a complaint that nothing came would pass for the next request's answer
 	}
 	return n, err
 }
 
-// SetReadDeadline leaves the deadline alone by which a connection was asked to close.
+// SetReadDeadline leaves the deadline alone by which a connection was asked to close, and gives clients that
+// connect ahead of their first request as long as between two.
 func (g *guest) SetReadDeadline(t time.Time) error {
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
 	if g.leaving {
 		return nil
 	}
+	if !g.busy {
+		t = time.Now().Add(clientIdle)
+	}
 	return g.Conn.SetReadDeadline(t)
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -515,6 +516,32 @@
 	}
 }
 
+func TestClientsMayConnectAheadOfTheirRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDoorman(l, 2)
+	defer d.Close()
+	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
+	c := w.dial()
+	conn, _ := d.Accept()
+	conn.SetReadDeadline(time.Now().Add(-time.Second)) // the server's, for a request that never comes
+	io.WriteString(c, "request")
+	if n, err := conn.Read(make([]byte, 100)); n != 7 || err != nil {
+		t.Errorf("read %d, %v", n, err)
+	}
+	conn.SetReadDeadline(time.Now().Add(-time.Second))
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("within a request: %v", err)
+	}
+	conn.(*guest).idle()
+	conn.(*guest).Conn.SetReadDeadline(longAgo)
+	if _, err := conn.Read(make([]byte, 1)); err != net.ErrClosed { // no answer is written to nobody's request
+		t.Errorf("between requests: %v", err)
+	}
+}
+
 // recorder is a module that writes down some of what it is told, and decides nothing.
 type recorder struct {
 	port.Intake // what no test here tells it
--- a/node/phases.go
+++ b/node/phases.go
@@ -24,9 +24,10 @@
 
 // The platform kills 3.7 s after it said to stop, and for the first 0.4 s sends new connections.
 const (
-	drainDoor   = 500 * time.Millisecond  // then waiting connections are closed: their clients go elsewhere
+	drainDoor   = 600 * time.Millisecond  // then waiting connections are closed: their clients go elsewhere
 	drainChoose = 2000 * time.Millisecond // then nothing new is decided or taken on: sends out have time to end
 	drainEnd    = 3400 * time.Millisecond // then it exits, whatever is still out
+	drainLast   = 150 * time.Millisecond  // and so much later with answers unwritten: they take no time to write
 	drainLook   = 10 * time.Millisecond
 )
 
@@ -76,7 +77,7 @@
 	n.sleep(begin.Add(n.drain.end), n.quiet)
 	n.clients.door.Close()
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(n.drain.end), n.clients.door.empty)
+	n.sleep(begin.Add(n.drain.end+drainLast), n.clients.door.empty)
 	n.directory.close()
 	n.enter(Stopped)
 	return nil
--- a/node/sends.go
+++ b/node/sends.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// settle reports a send that was given up, unless that was done at once. If it was not written, or its call not
-// to the last byte when the connection was closed, it never ran.
+// settle reports a send that was given up, unless that was done at once. If it was not written, or its call
+// not to the last byte when the connection was closed, it never ran.
 func (c *call) settle(s *send) {
 	how, never := s.how, !s.went || c.bytes == none
 	switch {
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -233,7 +233,7 @@
 }
 
 func TestACallNotWrittenToItsLastByteNeverRan(t *testing.T) {
-	little := func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) }
+	little := func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) }
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return raw.Control(little) }}
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
