--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -13,7 +13,7 @@
 const (
 	idleMargin = int64(1e9) // ns by which an idle connection is closed before the endpoint would: the way there
 	idleSweep  = time.Second
-	replySize  = 2048 // bytes of a connection's read buffer: an answer is a few lines
+	replySize  = 4096 // bytes of a connection's read buffer: an answer is a few lines
 )
 
 // endpoints keeps the connections to endpoints. A connection carries one call at a time.
--- a/node/wire.go
+++ b/node/wire.go
@@ -31,7 +31,7 @@
 	firstOK = "HTTP/1.1 200"
 
 	mostBody  = 64 << 10  // bytes of an event's body: the protocol's
-	bulkLine  = 16        // bytes around an event in a bulk call, with neither id nor mark: length, spaces, two CRLFs
+	bulkLine  = 16        // bytes around an event in a bulk call: length, two spaces, two CRLFs, some to spare
 	mostReply = 256 << 10 // bytes of an answer's body: a line for each event of a call fits many times
 )
 
