Give each event in hand its own index, also where an id comes again

Read over: an id handed in again in the round that frees its former index shared that index, which was then released under it; its next step would have ended the process (desk.go).

--- a/door/door.go
+++ b/door/door.go
@@ -33,7 +33,7 @@
 	return i, true
 }
 
-// ID returns the id that an index was last given out for.
+// ID returns the id that an index is given out for.
 func (t *Table[K]) ID(i int32) K { return t.ids[i] }
 
 // Len returns how many indices there are, released ones too.
@@ -43,6 +43,8 @@
 func (t *Table[K]) Release(i int32) {
 	if at, ok := t.of[t.ids[i]]; ok && at == i {
 		delete(t.of, t.ids[i])
+		var none K
+		t.ids[i] = none
 		t.free = append(t.free, i)
 	}
 }
--- a/node/desk.go
+++ b/node/desk.go
@@ -27,8 +27,7 @@
 	stop chan struct{}
 	done chan struct{}
 
-	evts    door.Table[string]
-	lives   []*event
+	evts    door.Table[*event]
 	current []*send // the send that is out, by event
 	dests   door.Table[uint32]
 	eps     door.Table[string]
@@ -97,7 +96,7 @@
 	d.module.Round(now, d, d)
 	for _, e := range d.fresh {
 		if !d.ended[e] {
-			d.lives[e].steps <- step{what: stepHeld}
+			d.evts.ID(e).steps <- step{what: stepHeld}
 		}
 	}
 	for _, c := range d.calls {
@@ -108,7 +107,7 @@
 		go d.endpoints.carry(c)
 	}
 	for _, e := range d.gone {
-		d.lives[e], d.current[e] = nil, nil
+		d.current[e] = nil
 		d.evts.Release(e)
 	}
 	d.fresh, d.calls, d.gone = d.fresh[:0], d.calls[:0], d.gone[:0]
@@ -132,11 +131,10 @@
 // take hands an event in. One that was out before a restart comes with its sends so far.
 func (d *desk) take(e *event) {
 	d.hear(func(to port.Intake) {
-		e.index, _ = d.evts.Take(e.id)
-		for int(e.index) >= len(d.lives) {
-			d.lives, d.current, d.ended = append(d.lives, nil), append(d.current, nil), append(d.ended, false)
+		if e.index, _ = d.evts.Take(e); int(e.index) == len(d.ended) {
+			d.current, d.ended = append(d.current, nil), append(d.ended, false)
 		}
-		d.lives[e.index], d.ended[e.index] = e, false
+		d.ended[e.index] = false
 		d.fresh = append(d.fresh, e.index)
 		dest, _ := d.dests.Take(e.dest)
 		to.Event(e.index, e.typ, e.customer, 0, e.due-d.clock.now(), 0, dest)
@@ -195,7 +193,7 @@
 // Send implements port.Writer, as do the methods below. Sends of a round to one endpoint share a call, while
 // their bodies fit into one.
 func (d *desk) Send(evt, ep int32, timeout int64) {
-	e := d.lives[evt]
+	e := d.evts.ID(evt)
 	s := &send{event: e, number: e.sends, endpoint: ep, timeout: timeout, began: d.clock.now()}
 	e.sends++
 	d.current[evt] = s
@@ -219,7 +217,7 @@
 func (d *desk) end(evt int32, s step) {
 	if !d.ended[evt] {
 		d.ended[evt] = true
-		d.lives[evt].steps <- s
+		d.evts.ID(evt).steps <- s
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -201,6 +201,36 @@
 	}
 }
 
+func TestAnIdThatComesAgain(t *testing.T) {
+	w := newWorld(t)
+	answer := make(chan string)
+	at := w.endpoint(1, func(conn net.Conn, body string) bool { return say(<-answer)(conn, body) })
+	w.run()
+	c := w.dial()
+	for range 2 { // while it is owed, it is not taken on twice
+		if status, _ := c.hand(request("same", "charge", "1", 8000, "")); status != statusTaken {
+			t.Fatal(status)
+		}
+	}
+	answer <- answerOf("200 OK", "", "")
+	w.until("it is over", w.journal.empty)
+	if calls, _ := at.calls(); calls != 1 {
+		t.Errorf("%d calls", calls)
+	}
+	// Handed in as the former ends, in the round that frees its index, it is another event.
+	d := newDesk(clock{start: time.Now()}, &recorder{}, ms, []int{1})
+	first, second := &event{id: "same", steps: make(chan step, 9)}, &event{id: "same", steps: make(chan step, 9)}
+	d.take(first)
+	d.round(0)
+	d.leave(first)
+	d.take(second)
+	d.round(1)
+	d.Discard(second.index)
+	if len(second.steps) != 2 || len(first.steps) != 1 {
+		t.Errorf("%d and %d steps", len(first.steps), len(second.steps))
+	}
+}
+
 func TestBadRequestsGetPlainAnswers(t *testing.T) {
 	w := newWorld(t)
 	w.run()
@@ -333,7 +363,7 @@
 	d := newDesk(clock{start: time.Now()}, nil, ms, []int{3})
 	d.partner = []int{0}
 	for i, size := range []int{40 << 10, 20 << 10, 20 << 10, 10, 10} {
-		d.lives = append(d.lives, &event{id: fmt.Sprint(i), body: make([]byte, size)})
+		d.evts.Take(&event{id: fmt.Sprint(i), body: make([]byte, size)})
 		d.current = append(d.current, nil)
 		d.Send(int32(i), 0, ms)
 	}
