--- a/node/journal.go
+++ b/node/journal.go
@@ -278,7 +278,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	o := j.owed[e.id]
-	if o == nil {
+	if o == nil || o.e != e { // danger: an id may come again while the former event's last send is still out
 		return missing
 	}
 	text := rec(o)
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -212,6 +212,24 @@
 	}
 }
 
+func TestJournalTellsEventsOfOneIdApart(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := reopen(t, folder, 3)
+	first, second := &event{id: "e"}, &event{id: "e"}
+	_ = j.take(first, "alert", "acme")
+	_ = j.began(first, 0, 50, "zone")
+	j.over(first)
+	_ = j.take(second, "alert", "acme")
+	j.ended(first, 0, port.Acked)
+	j.over(first)
+	if err := j.began(first, 1, 60, "zone"); !errors.Is(err, errOver) {
+		t.Errorf("a send of the former began: %v", err)
+	}
+	if _, owed := reopen(t, folder, 3); len(owed) != 1 || len(owed[0].past) != 0 {
+		t.Errorf("owed %+v", owed)
+	}
+}
+
 func TestJournalForgetsBodiesThatNothingRefersTo(t *testing.T) {
 	folder := t.TempDir()
 	j, _ := reopen(t, folder, 3)
