--- a/node/node.go
+++ b/node/node.go
@@ -83,16 +83,24 @@
 		answers: trouble{what: "directory: watching the list"}}
 	n.outcomes = openOutcomes(at.Directory)
 	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
+		n.journal.close()
 		return nil, err
 	}
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
 	if len(at.Known) > 0 {
-		if err := n.directory.line(at.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+		if err = n.directory.line(at.Known); err != nil {
+			err = fmt.Errorf("known: %w", err)
 		}
 	}
-	n.clients, err = openClients(n, at.Listen, sockets-idle-s.Room.Slots)
-	return n, err
+	if err == nil {
+		n.clients, err = openClients(n, at.Listen, sockets-idle-s.Room.Slots)
+	}
+	if err != nil {
+		n.peers.close()
+		n.journal.close()
+		return nil, err
+	}
+	return n, nil
 }
 
 // restore hands in what is owed from before the restart.
