--- a/node/desk.go
+++ b/node/desk.go
@@ -149,7 +149,7 @@
 	ranAgo, zone, mayRun := int64(0), 0, false
 	for _, s := range e.past {
 		if !mayRun && (!s.ended || s.how.MayHaveRun()) {
-			mayRun, ranAgo, zone = true, wall()-s.at, d.directory.zone(s.zone)
+			mayRun, ranAgo, zone = true, max(0, wall()-s.at), d.directory.zone(s.zone)
 		}
 	}
 	to.Resumed(e.index, len(e.past), mayRun, ranAgo, zone)
