Catch SIGHUP: read the configuration again, move the watch and the notices

main now takes SIGHUP before anything else, reads the file again and checks it as a whole; a bad one is logged and changes nothing. The watch at the new address is opened from the known version while the old one still stands, and the old one ends once the new one has brought a line. What ends on purpose, or was replaced, is no failure to the module, and its lines are passed over once the new one stands (node/directory.go). A notice that is out at the old address is broken off and told again at the new one (node/outcomes.go).

Tests: a process of its own gets a bad file, then a good one, with SIGHUP after each; the directory and the notices move while the old address hangs. Seen failing: without the signal the child dies, and with the old watch closed first nothing is told between.

--- a/cmd/jaspersill/main_test.go
+++ b/cmd/jaspersill/main_test.go
@@ -1,13 +1,93 @@
 package main
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
+const child = "JASPERSILL_TEST_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(child) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// wait gives what must happen far longer than it takes anywhere.
+func wait[T any](t *testing.T, what string, from <-chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-from:
+	case <-time.After(20 * time.Second):
+		t.Fatalf("never: %s", what)
+	}
+	return got
+}
+
+func TestReplacedConfigurationMovesTheWatch(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(string(text), "127.0.0.1:0")
+	name := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery, extra string) {
+		t.Helper()
+		text := strings.Replace(whole, `"discovery": "127.0.0.1:0"`, `"discovery": "`+discovery+`"`, 1) + extra
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asked := make(chan string, 100)
+	open := func() string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprintln(w, `{"seq":7,"whole":true,"hosts":[]}`)
+			w.(http.Flusher).Flush()
+			asked <- r.Host + r.URL.String()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.Close)
+		t.Cleanup(s.CloseClientConnections)
+		return s.Listener.Addr().String()
+	}
+	first, second := open(), open()
+	write(first, "")
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), child+"=1", "RELAY_CONFIG="+name, "RELAY_STATE="+t.TempDir())
+	c.Stderr = io.Discard
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	defer c.Process.Kill()
+	wait(t, "it watches the first", asked)
+	write(second, "}") // no JSON: nothing changes, and the process lives
+	c.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	write(second, "")
+	c.Process.Signal(syscall.SIGHUP)
+	if got := wait(t, "it watches the second", asked); !strings.HasSuffix(got, "?watch=1&from=7") {
+		t.Errorf("asked the second for %q", got)
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	if err := wait(t, "it ends", ended); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestBadStartsEndWithAMessage(t *testing.T) {
 	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
@@ -30,12 +110,12 @@
 		}
 		t.Setenv("RELAY_CONFIG", name)
 		t.Setenv("RELAY_STATE", t.TempDir())
-		if err := run(); err == nil || !strings.Contains(err.Error(), c.want) {
+		if err := run(nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: got %v, want %q", c.new, err, c.want)
 		}
 	}
 	t.Setenv("RELAY_CONFIG", "no such file")
-	if err := run(); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+	if err := run(nil); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
 		t.Errorf("no file: %v", err)
 	}
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -42,9 +42,13 @@
 
 	mu     sync.Mutex
 	seq    uint64
-	cancel context.CancelFunc // of the watch that stands or is being opened
+	newest *watch              // nil for none wanted
+	open   map[*watch]struct{} // the newest, and those before it until it stands
 }
 
+// watch is one call for changes, with what ends it.
+type watch struct{ cancel context.CancelFunc }
+
 // zone maps a zone's name to its index; an unknown one is one more.
 func (d *directory) zone(name string) int {
 	if i := slices.Index(d.zones, start.Name(name)); i >= 0 {
@@ -53,50 +57,83 @@
 	return len(d.zones)
 }
 
-// watch opens a watch or ends it. One that is asked for again replaces the one before.
+// watch opens a watch or ends all. One that is asked for again replaces the one before.
 func (d *directory) watch(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cancel != nil {
-		d.cancel()
-		d.cancel = nil
-	}
-	if !on {
+	if on {
+		d.begin()
 		return
 	}
+	d.newest = nil
+	d.endOthers()
+}
+
+// move asks at another address from now on.
+func (d *directory) move(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address != d.address {
+		d.address = address
+		d.begin()
+	}
+}
+
+// begin opens a watch from the version that is known. Danger: nothing is told while none stands, and the one
+// before, or the call for it, may hang. Each goes by itself, and the others end only once the newest stands.
+func (d *directory) begin() {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
+	w := &watch{cancel: cancel}
+	if d.newest = w; d.open == nil {
+		d.open = make(map[*watch]struct{})
+	}
+	d.open[w] = struct{}{}
+	address, path := d.address, listPath+"?watch=1&from="+strconv.FormatUint(d.seq, 10)
 	go func() {
-		d.ended(ctx, d.follow(ctx, listPath+"?watch=1&from="+strconv.FormatUint(d.version(), 10), true))
+		defer cancel()
+		err := d.follow(ctx, w, address, path)
+		d.mu.Lock()
+		delete(d.open, w)
+		failed := d.newest == w
+		d.mu.Unlock()
+		if failed { // one that was replaced, or ended on purpose, tells nothing
+			d.failed(err)
+		}
 	}()
 }
 
+// endOthers ends all watches but the newest.
+func (d *directory) endOthers() {
+	for w := range d.open {
+		if w != d.newest {
+			w.cancel()
+			delete(d.open, w)
+		}
+	}
+}
+
 // fetch asks for the whole list once.
 func (d *directory) fetch() {
+	d.mu.Lock()
+	address := d.address
+	d.mu.Unlock()
 	go func() {
-		ctx := context.Background()
-		d.ended(ctx, d.follow(ctx, listPath, false))
+		if err := d.follow(context.Background(), nil, address, listPath); err != nil {
+			d.failed(err)
+		}
 	}()
 }
 
-// ended tells the module that a call failed or a watch broke, unless it was ended on purpose.
-func (d *directory) ended(ctx context.Context, err error) {
-	if err != nil && ctx.Err() == nil {
-		d.answers.note(err)
-		d.desk.hear(func(to port.Intake) { to.ListFailed() })
-	}
-}
-
-func (d *directory) version() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.seq
+// failed tells the module that a call failed or the watch broke.
+func (d *directory) failed(err error) {
+	d.answers.note(err)
+	d.desk.hear(func(to port.Intake) { to.ListFailed() })
 }
 
-// follow makes one call and hands in each line that it brings.
-func (d *directory) follow(ctx context.Context, path string, watch bool) error {
+// follow makes one call and hands in each line that it brings; of is nil where it is no watch.
+func (d *directory) follow(ctx context.Context, of *watch, address, path string) error {
 	dialer := net.Dialer{Timeout: d.silence, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", d.address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -127,24 +164,29 @@
 	lines.Buffer(nil, mostListLine)
 	for lines.Scan() && ctx.Err() == nil {
 		conn.SetDeadline(time.Now().Add(d.silence))
-		if len(lines.Bytes()) > 0 {
-			if err := d.line(lines.Bytes()); err != nil {
-				return fmt.Errorf("a line cannot be read: %w", err)
-			}
-			d.answers.note(nil)
+		if err := d.line(of, lines.Bytes()); err != nil {
+			return fmt.Errorf("a line cannot be read: %w", err)
 		}
+		d.answers.note(nil)
 	}
 	if err := lines.Err(); err != nil {
 		return err
 	}
-	if watch {
+	if of != nil {
 		return errors.New("the watch ended")
 	}
 	return nil
 }
 
-// line reads one version of the list, or what changed since the last, and hands it in.
-func (d *directory) line(text []byte) error {
+// line reads one version of the list, or what changed since the last, and hands it in. An empty one is a
+// sign of life.
+func (d *directory) line(of *watch, text []byte) error {
+	if len(text) == 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.stands(of)
+		return nil
+	}
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return err
@@ -188,8 +230,11 @@
 		list = append(list, e)
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stands(of) { // danger: what a watch says that was replaced may be older than what the new one said
+		return nil
+	}
 	d.seq = v.GetUint64("seq")
-	d.mu.Unlock()
 	d.desk.hear(func(to port.Intake) {
 		to.ListBegins(whole)
 		for _, e := range list {
@@ -211,4 +256,15 @@
 	return nil
 }
 
+// stands notes a sign of life of a watch; it tells false for one that was ended.
+func (d *directory) stands(of *watch) bool {
+	if _, open := d.open[of]; of != nil && !open {
+		return false
+	}
+	if of != nil && of == d.newest {
+		d.endOthers()
+	}
+	return true
+}
+
 func (d *directory) close() { d.watch(false) }
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,7 @@
 	}
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
 	if len(at.Known) > 0 {
-		if err = n.directory.line(at.Known); err != nil {
+		if err = n.directory.line(nil, at.Known); err != nil {
 			err = fmt.Errorf("known: %w", err)
 		}
 	}
@@ -103,6 +103,12 @@
 	return n, nil
 }
 
+// Move tells that the directory, which takes the notices too, is at another address from now on.
+func (n *Node) Move(directory string) {
+	n.directory.move(directory)
+	n.outcomes.move(directory)
+}
+
 // restore hands in what is owed from before the restart.
 func (n *Node) restore() {
 	n.held.Add(int64(len(n.owed)))
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -684,6 +684,71 @@
 	(&world{t: t}).until("the whole list comes", func() bool { return r.all() == "whole=true 0/0/1/2/2/0 ;" })
 }
 
+func TestDirectoryMovesWhileTheOldOneStands(t *testing.T) {
+	line := func(seq int, host string) string {
+		return fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[{"host":"%s","dial":"x","block":1,"health":"Ready"}]}`+
+			"\n", seq, host)
+	}
+	old := make(chan string, 1)
+	before := newPeer(t, func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for text := range old {
+			io.WriteString(conn, text)
+		}
+		return true
+	})
+	hangs := newPeer(t, silent)
+	after := newPeer(t, say("HTTP/1.1 200 OK\r\n\r\n"+line(5, "b")))
+	d, r := listen(t, before.Addr().String())
+	d.silence = long
+	w := &world{t: t}
+	d.watch(true)
+	old <- line(4, "a")
+	w.until("the old one tells", func() bool { return strings.HasSuffix(r.all(), ";") })
+	d.move(hangs.Addr().String())
+	w.until("the next is asked", func() bool { calls, _ := hangs.calls(); return calls == 1 })
+	old <- line(5, "b") // until another stands, the old one is heard
+	w.until("the old one tells on", func() bool { return strings.Contains(r.all(), "1/0") })
+	d.move(after.Addr().String())
+	w.until("the new one tells", func() bool { return strings.Count(r.all(), ";") == 3 })
+	close(old) // it does not end by itself
+	w.until("the others are closed once the new one stands", func() bool {
+		return len(before.ended) == 1 && len(hangs.ended) == 1
+	})
+	d.watch(true) // the same address, asked again
+	w.until("it is asked again", func() bool { return strings.Count(r.all(), ";") == 4 })
+	if strings.Contains(r.all(), "failed") {
+		t.Errorf("an end on purpose passed for a failure: %s", r.all())
+	}
+	after.mu.Lock()
+	defer after.mu.Unlock()
+	if !strings.Contains(after.heads[0], "?watch=1&from=5 ") {
+		t.Errorf("asked %q", after.heads[0])
+	}
+}
+
+func TestNoticesMoveAndDoNotWaitForTheOldAddress(t *testing.T) {
+	hangs, heard := newPeer(t, silent), make(chan string, 9)
+	after := newPeer(t, func(conn net.Conn, body string) bool {
+		heard <- body
+		return say("HTTP/1.1 204 No Content\r\n\r\n")(conn, body)
+	})
+	o, stop := openOutcomes(hangs.Addr().String()), make(chan struct{})
+	defer close(stop)
+	o.client.ReadTimeout = long
+	go o.run(stop)
+	e := &event{id: "x", verdict: discarded, steps: make(chan step, 9)}
+	o.post(e)
+	(&world{t: t}).until("it is out", func() bool { calls, _ := hangs.calls(); return calls == 1 })
+	o.move(after.Addr().String())
+	select {
+	case <-heard:
+	case <-time.After(long / 2):
+		t.Fatal("the notice waits at the old address")
+	}
+	<-e.steps
+}
+
 func TestPeersTradeNotes(t *testing.T) {
 	sockets := make([]*net.UDPConn, 3)
 	var addresses []string
@@ -700,7 +765,7 @@
 	}
 	defer p.close()
 	go p.hear()
-	_ = d.line([]byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
+	_ = d.line(nil, []byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
 	p.tellGood("b")
 	buf := make([]byte, 300)
 	n, from, err := sockets[1].ReadFromUDP(buf)
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"sync"
@@ -17,18 +18,53 @@
 
 // outcomes tells the platform how events ended that were taken on and not delivered, until it has heard.
 type outcomes struct {
+	bell chan struct{}
+
+	mu     sync.Mutex
+	queue  []*event
 	client *fasthttp.HostClient
+	leave  context.CancelFunc // closes the client's connections
+}
+
+// leaving is a connection that ends with the address that it goes to, whatever is out on it.
+type leaving struct {
+	net.Conn
+	stop func() bool
+}
 
-	mu    sync.Mutex
-	queue []*event
-	bell  chan struct{}
+func (l *leaving) Close() error {
+	l.stop()
+	return l.Conn.Close()
 }
 
 func openOutcomes(address string) *outcomes {
-	dial := func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, noticeWithin) }
-	return &outcomes{bell: make(chan struct{}, 1), client: &fasthttp.HostClient{Addr: address, Dial: dial,
-		MaxConns: 2, ReadTimeout: noticeWithin, WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader: true}}
+	o := &outcomes{bell: make(chan struct{}, 1), leave: func() {}}
+	o.move(address)
+	return o
+}
+
+// move tells the platform at another address from now on. Danger: a notice that hangs at the old one would hold
+// back all others. It is broken off, and told again.
+func (o *outcomes) move(address string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	dialer := net.Dialer{Timeout: noticeWithin, KeepAlive: -1}
+	dial := func(addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return &leaving{conn, context.AfterFunc(ctx, func() { conn.Close() })}, nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.client != nil && o.client.Addr == address {
+		cancel()
+		return
+	}
+	o.leave()
+	o.leave = cancel
+	o.client = &fasthttp.HostClient{Addr: address, Dial: dial, MaxConns: 2, ReadTimeout: noticeWithin,
+		WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
 }
 
 // post queues an event's notice; its life hears when the platform has it.
@@ -60,13 +96,13 @@
 		}
 		for {
 			o.mu.Lock()
-			part := o.queue[:min(len(o.queue), noticePart)]
+			part, client := o.queue[:min(len(o.queue), noticePart)], o.client
 			o.mu.Unlock()
 			if len(part) == 0 {
 				break
 			}
 			// Danger: an end that nobody hears of is a lost event. It is told again until it was heard.
-			err := o.send(part)
+			err := post(client, part)
 			if told.note(err); err != nil {
 				select {
 				case <-stop:
@@ -89,13 +125,13 @@
 
 func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
 
-func (o *outcomes) send(part []*event) error {
+func post(client *fasthttp.HostClient, part []*event) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("/v1/outcomes")
-	req.Header.SetHost(o.client.Addr)
+	req.Header.SetHost(client.Addr)
 	req.Header.SetContentType("application/x-ndjson")
 	body := req.Body()
 	for _, e := range part {
@@ -113,7 +149,7 @@
 		body = append(body, '\n')
 	}
 	req.SetBody(body)
-	if err := o.client.Do(req, resp); err != nil {
+	if err := client.Do(req, resp); err != nil {
 		return err
 	}
 	if resp.StatusCode() != fasthttp.StatusNoContent {
