Give bad clients an error or a close in time, and keep the door open for usual ones

The first request must now be whole 2.5 s after its connection; idle connections are closed after 5 s. - At the limit of connections the one idle longest was closed, so a flood of silent ones drove out the usual clients, and half requests could not be driven out at all. Now silent ones go first, then half requests. - Content-Length with Transfer-Encoding was taken (fasthttp uses the coding), and "identity" left its body to be read as the next request: both are refused and the connection is closed. fasthttp refuses two, signed and huge lengths. - Deadlines were read as floating numbers; now whole milliseconds only. - Any number passed for a destination, and the event was held for all its time. One that was never listed hears 503 with when to come back, as it may be listed later. - A body over 64 KiB was read up to 256 KiB, which hundreds at once could make the memory pay for: now 413 at once. - fasthttp logged a line for each bad connection: now one line in 10 s counts them.

Seen failing without: idle and half requests stayed, and usual clients were closed out at ten connections.

--- a/node/clients.go
+++ b/node/clients.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"bytes"
 	"errors"
-	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -13,15 +13,15 @@
 )
 
 const (
-	headSize     = 4096             // bytes of a request's head; a longer one is answered 431
-	refuseBody   = 4 * mostBody     // a body up to this is read and answered; a longer one ends its connection
-	readWithin   = 2 * time.Second  // a request still not whole is nobody's any more: its client waits 400 ms
-	clientIdle   = 10 * time.Minute // clients keep their connections
-	writeWithin  = 2 * time.Second  // a client that does not read is long gone: it waits 400 ms
-	longestID    = 64               // bytes; the journal counts on it
-	longestMark  = 256              // bytes
-	longestLeft  = 24 * time.Hour   // no event may be delivered for longer
-	retryDigits  = 3                // Retry-After is told to the millisecond
+	headSize     = 4096                    // bytes of a request's head; a longer one is answered 431
+	readWithin   = 2 * time.Second         // a request still not whole is nobody's any more: its client waits 400 ms
+	firstWithin  = 2500 * time.Millisecond // the first counts from the connection: an error is owed within 3 s
+	clientIdle   = 5 * time.Second         // clients open another when they come again; some never do
+	writeWithin  = 2 * time.Second         // a client that does not read is long gone: it waits 400 ms
+	longestID    = 64                      // bytes; the journal counts on it
+	longestMark  = 256                     // bytes
+	longestLeft  = 24 * time.Hour          // no event may be delivered for longer
+	retryDigits  = 3                       // Retry-After is told to the millisecond
 	typePlain    = "text/plain; charset=utf-8"
 	pathReady    = "/up"
 	pathHandIn   = "/api"
@@ -33,20 +33,26 @@
 	node   *Node
 	server *fasthttp.Server
 	door   *doorman
+	bad    tally
 }
 
+// quiet takes fasthttp's lines, one for each connection that fails. Danger: bad clients would fill the log.
+type quiet struct{}
+
+func (quiet) Printf(format string, args ...any) { logrus.Debugf(format, args...) }
+
 func openClients(n *Node, listen string, most int) (*clients, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, door: newDoorman(l, most)}
+	c := &clients{node: n, door: newDoorman(l, most), bad: tally{what: "clients: refused what is no event"}}
 	c.server = &fasthttp.Server{
 		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
-		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: refuseBody,
+		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: mostBody,
 		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		DisablePreParseMultipartForm: true,
-		Concurrency:                  most + 16, Logger: logrus.StandardLogger(),
+		Concurrency:                  most + 16, Logger: quiet{},
 		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
 			if g, ok := conn.(*guest); ok && s == fasthttp.StateIdle {
 				g.idle()
@@ -62,7 +68,15 @@
 	if c.node.Phase() != Serving { // what comes while draining is answered, and told to go elsewhere
 		ctx.SetConnectionClose()
 	}
-	switch path := string(ctx.Path()); {
+	path, framed := string(ctx.Path()), isFramed(ctx.Request.Header.RawHeaders())
+	if g, ok := ctx.Conn().(*guest); ok {
+		g.read(framed && (path == pathReady || path == pathHandIn))
+	}
+	switch {
+	case !framed:
+		// Danger: what stands behind it may be of its body, and pass for a request that nobody made.
+		ctx.SetConnectionClose()
+		c.turnAway(ctx, fasthttp.StatusBadRequest, "the request has two lengths, or one that cannot be read")
 	case path == pathReady && ctx.IsGet():
 		if c.node.Phase() == Serving {
 			ctx.SetStatusCode(fasthttp.StatusOK)
@@ -72,20 +86,38 @@
 	case path == pathHandIn && ctx.IsPost():
 		c.handIn(ctx)
 	case path == pathReady || path == pathHandIn:
-		plain(ctx, fasthttp.StatusMethodNotAllowed, "wrong method")
+		c.turnAway(ctx, fasthttp.StatusMethodNotAllowed, "wrong method")
 	default:
-		plain(ctx, fasthttp.StatusNotFound, "no such path")
+		c.turnAway(ctx, fasthttp.StatusNotFound, "no such path")
 	}
 }
 
+// isFramed tells whether a head names its body's length in one way only, and as HTTP/1.1 has it. fasthttp refuses
+// all else that is wrong with lengths, but takes the coding where both are given.
+func isFramed(head []byte) bool {
+	length, coding := false, false
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			length = true
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if coding = true; !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return false
+			}
+		}
+	}
+	return !length || !coding
+}
+
 // handIn reads an event and waits for its life to say what its client hears.
 func (c *clients) handIn(ctx *fasthttp.RequestCtx) {
 	e, status, problem := c.node.readEvent(ctx)
 	if problem != "" {
-		plain(ctx, status, problem)
+		c.turnAway(ctx, status, problem)
 		return
 	}
-	if !c.node.admit() {
+	if !c.node.directory.knows(e.dest) || !c.node.admit() { // a destination may be listed later
 		c.reply(ctx, answer{status: statusDeclined, comeBack: c.node.desk.full()})
 		return
 	}
@@ -107,16 +139,22 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &small):
-		plain(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+		c.turnAway(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too long")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		plain(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too long")
+		c.turnAway(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	case errors.As(err, &timeout) && timeout.Timeout():
-		plain(ctx, fasthttp.StatusRequestTimeout, "the request did not come")
+		c.turnAway(ctx, fasthttp.StatusRequestTimeout, "the request did not come")
 	default:
-		plain(ctx, fasthttp.StatusBadRequest, "the request cannot be read")
+		c.turnAway(ctx, fasthttp.StatusBadRequest, "the request cannot be read")
 	}
 }
 
+// turnAway answers a client's mistake.
+func (c *clients) turnAway(ctx *fasthttp.RequestCtx, status int, text string) {
+	c.bad.note(text)
+	plain(ctx, status, text)
+}
+
 func plain(ctx *fasthttp.RequestCtx, status int, text string) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(typePlain)
@@ -141,19 +179,15 @@
 	if e.mark == "" && n.marked(e.typ) {
 		return nil, bad, headMark + " is missing"
 	}
-	left, err := strconv.ParseFloat(head(headDeadline), 64)
-	if err != nil || math.IsNaN(left) || left < 0 || left > float64(longestLeft/time.Millisecond) {
-		return nil, bad, headDeadline + ": want milliseconds"
+	left, err := strconv.ParseUint(head(headDeadline), 10, 63)
+	if err != nil || left > uint64(longestLeft/time.Millisecond) {
+		return nil, bad, headDeadline + ": want whole milliseconds"
 	}
 	if e.dest, ok = readDest(head(headEnvelope)); !ok {
 		return nil, bad, headEnvelope + ": want dest=NUMBER"
 	}
-	body := ctx.PostBody()
-	if len(body) > mostBody {
-		return nil, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB"
-	}
-	e.body = append([]byte(nil), body...)
-	e.due, e.deadline = n.clock.now()+int64(left*1e6), wall()+int64(left*1e6)
+	e.body = append([]byte(nil), ctx.PostBody()...)
+	e.due, e.deadline = n.clock.now()+int64(left)*1e6, wall()+int64(left)*1e6
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
 	return e, 0, ""
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -44,6 +44,7 @@
 	seq    uint64
 	newest *watch              // nil for none wanted
 	open   map[*watch]struct{} // the newest, and those before it until it stands
+	dests  map[uint32]struct{} // destinations that were ever listed
 }
 
 // watch is one call for changes, with what ends it.
@@ -84,9 +85,7 @@
 func (d *directory) begin() {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &watch{cancel: cancel}
-	if d.newest = w; d.open == nil {
-		d.open = make(map[*watch]struct{})
-	}
+	d.newest = w
 	d.open[w] = struct{}{}
 	address, path := d.address, listPath+"?watch=1&from="+strconv.FormatUint(d.seq, 10)
 	go func() {
@@ -124,6 +123,15 @@
 	}()
 }
 
+// knows tells whether a destination was ever listed; before there is a list, all may be. Danger: an event for one
+// that does not exist would be held for all its time.
+func (d *directory) knows(dest uint32) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.dests[dest]
+	return known || len(d.dests) == 0
+}
+
 // failed tells the module that a call failed or the watch broke.
 func (d *directory) failed(err error) {
 	d.answers.note(err)
@@ -235,6 +243,9 @@
 		return nil
 	}
 	d.seq = v.GetUint64("seq")
+	for _, e := range list {
+		d.dests[e.dest] = struct{}{}
+	}
 	d.desk.hear(func(to port.Intake) {
 		to.ListBegins(whole)
 		for _, e := range list {
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -8,10 +8,15 @@
 	"time"
 )
 
-const acceptAgain = 20 * time.Millisecond // a connection asked to close has gone by then
+const (
+	acceptAgain = 20 * time.Millisecond  // a connection asked to close has gone by then
+	silentGrace = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
+	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece
+)
 
-// doorman accepts clients' connections, up to a limit. When short it closes those that wait between requests,
-// the longest first; if none does, new ones wait.
+// doorman accepts clients' connections, up to a limit. When short it closes first those that never asked for
+// anything that could be read, then those whose request does not come whole, then those that wait between
+// requests, the longest first each. If there are none, new ones wait for one.
 type doorman struct {
 	net.Listener
 	most int
@@ -27,10 +32,14 @@
 type guest struct {
 	net.Conn
 	door  *doorman
-	since time.Time
+	came  time.Time
+	since time.Time // of its first byte, or of its last answer
 
 	busy    bool // bytes of a request have been read and its answer is not written
+	whole   bool // all of them
+	asked   bool // it has brought an event, or asked how we are
 	leaving bool // asked to close
+	hurried bool // its request has no more time
 }
 
 var longAgo = time.Unix(1, 0)
@@ -51,40 +60,76 @@
 		// Danger: out of descriptors, or a connection that broke before it was accepted, must not end the serving.
 		d.accepts.note(err)
 		d.mu.Lock()
-		d.closeIdle(1)
+		d.makeRoom(time.Now())
 		d.mu.Unlock()
 		time.Sleep(acceptAgain)
 		c, err = d.Listener.Accept()
 	}
 	d.accepts.note(nil)
-	g := &guest{Conn: c, door: d, since: time.Now()}
+	now := time.Now()
+	g := &guest{Conn: c, door: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
-		d.closeIdle(1) // danger: past the limit of descriptors nothing can be sent any more
+		d.makeRoom(time.Now()) // danger: past the limit of descriptors nothing can be sent any more
+		look := time.AfterFunc(acceptAgain, d.freed.Broadcast)
 		d.freed.Wait()
+		look.Stop()
 	}
 	d.open[g] = struct{}{}
 	return g, nil
 }
 
+// makeRoom asks a connection to close. Danger: hundreds that say nothing, or begin requests and never end them,
+// keep the usual clients out. One whose request has come but was not read is not silent.
+func (d *doorman) makeRoom(now time.Time) {
+	var worst *guest
+	rank, soon := 0, false
+	for g := range d.open {
+		r := 0
+		switch {
+		case g.leaving || g.hurried:
+		case !g.busy && !g.asked && now.Sub(g.since) < silentGrace:
+			soon = true
+		case !g.busy && !g.asked:
+			r = 3
+		case g.busy && !g.whole && now.Sub(g.since) < wholeGrace:
+			soon = true
+		case g.busy && !g.whole:
+			r = 2
+		case !g.busy && g.asked:
+			r = 1
+		}
+		if r > rank || (r > 0 && r == rank && g.since.Before(worst.since)) {
+			worst, rank = g, r
+		}
+	}
+	switch {
+	case worst == nil || (rank == 1 && soon): // one that will be worse goes first
+	case worst.busy:
+		worst.hurried = true
+		worst.Conn.SetReadDeadline(longAgo) // it is answered that its request did not come
+	default:
+		worst.leave()
+	}
+}
+
 // closeIdle asks up to so many connections to close that wait between requests.
 func (d *doorman) closeIdle(most int) {
-	for ; most > 0; most-- {
-		var oldest *guest
-		for g := range d.open {
-			if !g.busy && !g.leaving && (oldest == nil || g.since.Before(oldest.since)) {
-				oldest = g
-			}
-		}
-		if oldest == nil {
-			return
+	for g := range d.open {
+		if most > 0 && !g.busy && !g.leaving {
+			g.leave()
+			most--
 		}
-		oldest.leaving = true
-		oldest.Conn.SetReadDeadline(longAgo) // its reader closes it, unless a request comes first
 	}
 }
 
+// leave asks a connection between requests to close: its reader does, unless a request comes first.
+func (g *guest) leave() {
+	g.leaving = true
+	g.Conn.SetReadDeadline(longAgo)
+}
+
 // dismiss closes all connections that wait between requests.
 func (d *doorman) dismiss() {
 	d.mu.Lock()
@@ -113,7 +158,10 @@
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
 	if n > 0 {
-		g.busy, g.leaving = true, false
+		if !g.busy {
+			g.busy, g.whole, g.since = true, false, time.Now()
+		}
+		g.leaving = false
 		return n, err
 	}
 	if g.leaving || (!g.busy && errors.Is(err, os.ErrDeadlineExceeded)) {
@@ -122,20 +170,30 @@
 	return n, err
 }
 
-// SetReadDeadline leaves the deadline alone by which a connection was asked to close, and gives clients that
-// connect ahead of their first request as long as between two.
+// SetReadDeadline leaves the deadline alone by which a connection was asked to close. Between requests it gives
+// clients their time, and for the first no more than is left of it since they connected.
 func (g *guest) SetReadDeadline(t time.Time) error {
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
-	if g.leaving {
+	if g.leaving || g.hurried {
 		return nil
 	}
 	if !g.busy {
 		t = time.Now().Add(clientIdle)
 	}
+	if first := g.came.Add(firstWithin); !g.asked && t.After(first) {
+		t = first // danger: by a byte now and then, or none, a client would keep its connection for good
+	}
 	return g.Conn.SetReadDeadline(t)
 }
 
+// read marks that a request has come whole; good tells whether it was one.
+func (g *guest) read(good bool) {
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	g.whole, g.asked = true, g.asked || good
+}
+
 // idle marks that the answer was written.
 func (g *guest) idle() {
 	g.door.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,8 @@
 	n.desk = newDesk(c, module, s.Tick, append(perCall, 1))
 	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
 		idleFor: s.IdleFor, mostIdle: idle}
-	n.directory = &directory{address: at.Directory, silence: silentAfter, desk: n.desk, endpoints: n.endpoints,
+	n.directory = &directory{address: at.Directory, open: make(map[*watch]struct{}),
+		dests: make(map[uint32]struct{}), silence: silentAfter, desk: n.desk, endpoints: n.endpoints,
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated,
 		answers: trouble{what: "directory: watching the list"}}
 	n.outcomes = openOutcomes(at.Directory)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -170,6 +170,7 @@
 	w.endpoint(3, say(answerOf("410 Over", "", "")))
 	w.run()
 	c := w.dial()
+	w.directory.dests[9] = struct{}{} // listed once
 	for id, r := range map[string]string{
 		"delivered": request("delivered", "alert", "1", 8000, "a\x00\r\n b"),
 		"undone":    request("undone", "charge", "2", 8000, ""),
@@ -233,30 +234,42 @@
 
 func TestBadRequestsGetPlainAnswers(t *testing.T) {
 	w := newWorld(t)
+	w.endpoint(1, silent)
 	w.run()
 	good := request("x", "charge", "1", 8000, "")
 	for text, want := range map[string]int{
-		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                  200,
-		"POST /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
-		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
-		"GET /else HTTP/1.1\r\nHost: x\r\n\r\n":                                                404,
-		"nonsense\r\n\r\n":                                                                     400,
-		"POST /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                400,
-		strings.Replace(good, "charge", "no such", 1):                                          400,
-		strings.Replace(good, "acme", "nobody", 1):                                             400,
-		strings.Replace(good, "8000", "soon", 1):                                               400,
-		strings.Replace(good, "8000", "-5", 1):                                                 400,
-		strings.Replace(good, "8000", "NaN", 1):                                                400,
-		strings.Replace(good, "dest=1", "dest=-1", 1):                                          400,
-		strings.Replace(good, "dest=1", "to=1", 1):                                             400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: a b", 1):                                   400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: \"", 1):                                    400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: "+strings.Repeat("x", 65), 1):              400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: x", 1):                     400,
-		strings.Replace(request("x", "keyed", "1", 8000, ""), "Idempotency-Key", "Other", 1):   400,
-		strings.Replace(good, "Host: x", "Host: x\r\nLong: "+strings.Repeat("x", headSize), 1): 431,
-		request("x", "charge", "1", 8000, strings.Repeat("x", mostBody+1)):                     413,
-		request("x", "charge", "1", 8000, strings.Repeat("x", refuseBody+1)):                   413,
+		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                                          200,
+		"POST /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                                         405,
+		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                                         405,
+		"GET /else HTTP/1.1\r\nHost: x\r\n\r\n":                                                                        404,
+		"nonsense\r\n\r\n":                                                                                             400,
+		"POST /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                                        400,
+		strings.Replace(good, "charge", "no such", 1):                                                                  400,
+		strings.Replace(good, "acme", "nobody", 1):                                                                     400,
+		strings.Replace(good, "8000", "soon", 1):                                                                       400,
+		strings.Replace(good, "8000", "-5", 1):                                                                         400,
+		strings.Replace(good, "8000", "NaN", 1):                                                                        400,
+		strings.Replace(good, "dest=1", "dest=-1", 1):                                                                  400,
+		strings.Replace(good, "dest=1", "to=1", 1):                                                                     400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: a b", 1):                                                           400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: \"", 1):                                                            400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: "+strings.Repeat("x", 65), 1):                                      400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: x", 1):                                             400,
+		strings.Replace(request("x", "keyed", "1", 8000, ""), "Idempotency-Key", "Other", 1):                           400,
+		strings.Replace(good, "Host: x", "Host: x\r\nLong: "+strings.Repeat("x", headSize), 1):                         431,
+		request("x", "charge", "1", 8000, strings.Repeat("x", mostBody+1)):                                             413,
+		strings.Replace(good, "8000", "8000.5", 1):                                                                     400,
+		strings.Replace(good, "8000", "+8000", 1):                                                                      400,
+		strings.Replace(good, "8000", "9e99", 1):                                                                       400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: -5", 1):                                            400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: +0", 1):                                            400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: 0\r\nContent-Length: 0", 1):                        400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: 60000000", 1):                                      413,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: "+strings.Repeat("9", 40), 1):                      400,
+		strings.Replace(good, "Content-Length: 0", "Transfer-Encoding: identity", 1):                                   400,
+		strings.Replace(good, "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 1):             400,
+		strings.Replace(good, "Content-Length: 0", "Content-Length: 5\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n": 400,
+		strings.Replace(good, "dest=1", "dest=2", 1):                                                                   503, // not listed, or not yet
 	} {
 		c := w.dial()
 		go io.WriteString(c, text)
@@ -264,6 +277,14 @@
 			t.Errorf("%.80q: %d, want %d", text, status, want)
 		}
 	}
+	// What stands behind a request that cannot be read is none.
+	both := strings.Replace(good, "Content-Length: 0", "Content-Length: 5\r\nTransfer-Encoding: chunked", 1)
+	c := w.dial()
+	io.WriteString(c, both+"0\r\n\r\n"+request("hidden", "charge", "1", 8000, ""))
+	c.hear("")
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("it goes on behind a request with two lengths")
+	}
 	if !w.journal.empty() {
 		t.Error("a bad request was taken on")
 	}
@@ -519,6 +540,59 @@
 	}
 }
 
+func TestClientsThatNeverEndTheirRequestsAreClosed(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	text := request("x", "alert", "1", 8000, "body")
+	silent, trickle, body := w.dial(), w.dial(), w.dial()
+	io.WriteString(body, text[:len(text)-1])
+	go func() {
+		for i := 0; ; i++ {
+			if _, err := io.WriteString(trickle, text[i%20:i%20+1]); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	begin := time.Now()
+	for what, c := range map[string]*client{"says nothing": silent, "trickles": trickle, "keeps its body": body} {
+		c.SetDeadline(begin.Add(long / 2))
+		if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("one that %s stays open", what)
+		}
+	}
+	if !w.journal.empty() {
+		t.Error("half a request was taken on")
+	}
+}
+
+func TestUsualClientsGetInWhileOthersFillTheDoor(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	w.clients.door.mu.Lock()
+	w.clients.door.most = 10
+	w.clients.door.mu.Unlock()
+	usual, text := w.dial(), request("x", "alert", "1", 8000, "body")
+	usual.hand(text)
+	for i := range 30 {
+		if c := w.dial(); i%2 == 0 {
+			io.WriteString(c, text[:20]) // and no more; the others say nothing
+		}
+	}
+	begin := time.Now()
+	if status, _ := w.dial().hand(request("y", "alert", "1", 8000, "")); status != statusTaken {
+		t.Errorf("a new one hears %d", status)
+	}
+	if took := time.Since(begin); took > firstWithin {
+		t.Errorf("a new one waits for %v", took)
+	}
+	if status, _ := usual.hand(request("z", "alert", "1", 8000, "")); status != statusTaken {
+		t.Errorf("one that was there before hears %d", status)
+	}
+}
+
 func TestGuestAskedToCloseDoes(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -611,7 +685,8 @@
 	r := &recorder{}
 	d := newDesk(clock{start: time.Now()}, r, ms, []int{1})
 	d.endpoints = newEndpoints(t, false, "")
-	d.directory = &directory{address: address, desk: d, endpoints: d.endpoints, rated: true,
+	d.directory = &directory{address: address, open: make(map[*watch]struct{}),
+		dests: make(map[uint32]struct{}), desk: d, endpoints: d.endpoints, rated: true,
 		partners: []string{"big", "small_one"}, zones: []string{"here", "there"}, silence: 300 * time.Millisecond}
 	go d.run()
 	t.Cleanup(func() {
--- a/node/trouble.go
+++ b/node/trouble.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,3 +24,26 @@
 		logrus.Info(t.what + " works again")
 	}
 }
+
+// tally logs how often something happened that others can make happen at will, with the last case. Danger: as
+// many lines would fill the disk and take the CPU; none would hide it.
+type tally struct {
+	what string
+
+	mu    sync.Mutex
+	count int
+	at    time.Time // of the last line
+}
+
+const tallyEvery = 10 * time.Second
+
+// note takes one more case; the first is logged at once.
+func (t *tally) note(last string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count++
+	if now := time.Now(); now.Sub(t.at) >= tallyEvery {
+		logrus.WithFields(logrus.Fields{"times": t.count, "last": last}).Warn(t.what)
+		t.count, t.at = 0, now
+	}
+}
