--- a/choice/choice.go
+++ b/choice/choice.go
@@ -543,8 +543,8 @@
 
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full, sure bool, luck float64) {
 	switch {
-	case how == port.Unsent || how == port.Cancelled || (how == port.Declined && full && !sure):
-		return // called off, the silence may be of the way there; over a limit, it is not shut
+	case how == port.Unsent, how == port.Cancelled, how == port.Spoilt, how == port.Declined && full && !sure:
+		return // called off, the silence may be of the way there; spoilt, it answers; over a limit, it is not shut
 	case how == port.Acked:
 		if p.aside[ep] {
 			p.takeBack(ep, now, luck)
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -69,14 +69,15 @@
 	p.idle[ep] = nil
 }
 
-// expire closes the connections that have been idle for so long that the endpoint is about to.
+// expire closes the connections that have been idle for so long that the endpoint is about to, and those that
+// it has closed or written to. Danger: what came unasked would pass for the next call's answer.
 func (p *endpoints) expire(now int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for ep, list := range p.idle {
 		keep := list[:0]
 		for _, l := range list {
-			if p.stale(l, now) {
+			if p.stale(l, now) || !alive(l.Conn) {
 				l.Close()
 				p.idles--
 			} else {
--- a/node/sends.go
+++ b/node/sends.go
@@ -110,7 +110,11 @@
 	reply, err := l.in.read(going)
 	if err != nil {
 		l.Close()
-		c.finish(result{how: port.Reset})
+		if errors.Is(err, errSpoilt) {
+			c.finish(result{how: port.Spoilt})
+		} else {
+			c.finish(result{how: port.Reset})
+		}
 		return
 	}
 	if c.answered(going, reply) && !reply.close {
--- a/port/port.go
+++ b/port/port.go
@@ -15,11 +15,12 @@
 	Reset                        // the connection broke; it may have run
 	Cancelled                    // called off; it may have run
 	Unsent                       // never left the delivery node
+	Spoilt                       // an answer came that cannot be read; it may have run
 )
 
 // MayHaveRun reports whether a send that ended so may have taken effect.
 func (o Outcome) MayHaveRun() bool {
-	return o == Acked || o == Errored || o == TimedOut || o == Reset || o == Cancelled
+	return o != Declined && o != ConnectFailed && o != Unsent
 }
 
 // Safety is what repeating an event of a stream type may do.
