Forget endpoints off the list, in the module and on the sockets

The module now gives an endpoint's index up when it has been off the list for 30 s, with nothing out and no told wait: so long, what follows it still takes over its outage. The desk gives the index out anew only when no call knows it any more, so that a late answer or its connection cannot pass for the next owner's; one that is listed again in time keeps it. A lane is free when its endpoints are forgotten. Connections to one that is gone are not kept.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,6 +74,7 @@
 	staleSigns  = 3              // signs that make it so: a crash may bring one or two
 	staleKeep   = 30 * second    // idle connections are closed for so long after the last sign
 	crowdNodes  = 8              // fewer nodes do not fill an endpoint with an idle connection each
+	goneKeep    = 30 * second    // an endpoint off the list is known so long: what follows it takes its outage
 	rankEvery   = 1 * second     // the order of endpoints is renewed so often: a few answers come in between
 	rankFill    = 1              // calls out at an endpoint before the next in order is used: no queue there
 )
@@ -97,18 +98,18 @@
 }
 
 type Node struct {
-	now, round int64
-	out        port.Writer
-	chance     pcg
-	types      []port.StreamType
-	kinds      []port.Partner
-	room       port.Room
+	out    port.Writer
+	chance pcg
+	types  []port.StreamType
+	kinds  []port.Partner
+	room   port.Room
 
 	events                []event
-	waiting               []int32 // live events with nothing out, as last put in order
+	waiting, destLane     []int32 // live events with nothing out, in order; a destination's lane, where shared
 	calls                 []call  // those with no outcome to come are free to be used again
 	slots                 int     // calls out
-	wakeAt, rankAt, pause int64   // pause: a key rests so long after a send that may still run
+	now, round            int64
+	wakeAt, rankAt, pause int64 // pause: a key rests so long after a send that may still run
 
 	dir   directory
 	keys  turns
@@ -116,17 +117,15 @@
 	stale stale
 	lanes lanes
 
-	eps      endpoints
-	byDest   [][]int32 // a destination's endpoints, in their ranked order
-	destLane []int32   // its lane, where its endpoints share one
+	eps    endpoints
+	byDest [][]int32 // a destination's endpoints, in their ranked order
 }
 
 func New(seed uint64, types []port.StreamType, kinds []port.Partner, room port.Room, back port.Recovery,
 	dir port.Directory, fleet port.Fleet, orderPause int64) *Node {
 	return &Node{chance: pcg(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
-		dir:  directory{asked: dir.Asked, within: dir.AskWithin},
-		keys: turns{}, pause: orderPause, notes: fleet.Notes,
-		eps: endpoints{back: back}, lanes: lanes{nodes: float64(max(1, fleet.Nodes))}}
+		dir: directory{asked: dir.Asked, within: dir.AskWithin}, keys: turns{}, pause: orderPause,
+		notes: fleet.Notes, eps: endpoints{back: back}, lanes: lanes{nodes: float64(max(1, fleet.Nodes))}}
 }
 
 func (n *Node) Round(now int64, feed port.Feed, out port.Writer) {
@@ -136,11 +135,10 @@
 	n.eps.look(now, n.calls, &n.stale)
 	if now >= n.rankAt { // the quickest first; by chance until measured, else all nodes begin with the same
 		n.rankAt = now + rankEvery
-		for _, list := range n.byDest {
+		for d, list := range n.byDest {
+			list = slices.DeleteFunc(list, func(ep int32) bool { return n.forget(ep, d) })
 			slices.SortStableFunc(list, func(a, b int32) int { return cmp.Compare(n.eps.mean[a], n.eps.mean[b]) })
-		}
-		for ep := range n.eps.out {
-			n.closeIdle(int32(ep))
+			n.byDest[d] = list
 		}
 	}
 	n.sweep()
@@ -153,12 +151,11 @@
 
 // Event implements port.Intake, as do the methods below.
 func (n *Node) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) {
-	n.events = append(n.events, make([]event, max(0, int(evt)+1-len(n.events)))...)
 	n.destination(dest)
 	t, age := &n.types[typ], n.types[typ].MaxAge-left // handed in before, it is no longer new
-	n.events[evt] = event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age, notBefore: n.now,
-		deadline: n.now + left - answerBefore, live: true, value: t.Utility,
-		slo: min(t.MaxAge, t.SLO+int64(t.SLOPerWork*float64(work)))}
+	n.events = put(n.events, evt, event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age,
+		notBefore: n.now, deadline: n.now + left - answerBefore, live: true, value: t.Utility,
+		slo: min(t.MaxAge, t.SLO+int64(t.SLOPerWork*float64(work)))})
 	if t.Ordered && key != 0 {
 		n.keys.join(key, evt)
 	}
@@ -245,8 +242,8 @@
 
 func (n *Node) Listed(ep, dest int32, kind, zone int, state port.State, rate float64) {
 	n.destination(dest)
-	n.eps.grow(int(ep))
-	if n.eps.lane[ep] < 0 {
+	if int(ep) >= len(n.eps.lane) || n.eps.lane[ep] < 0 {
+		n.eps.blank(ep)
 		n.eps.zone[ep], n.eps.credit[ep], n.eps.creditAt[ep] = zone, n.chance.float(), n.now
 		n.byDest[dest] = slices.Insert(n.byDest[dest], int(n.chance.float()*float64(len(n.byDest[dest])+1)), ep)
 		partner := n.kinds[min(kind, len(n.kinds)-1)]
@@ -279,8 +276,8 @@
 }
 
 func (n *Node) destination(dest int32) {
-	for int(dest) >= len(n.byDest) {
-		n.byDest, n.destLane = append(n.byDest, nil), append(n.destLane, -1)
+	if int(dest) >= len(n.byDest) {
+		n.byDest, n.destLane = put(n.byDest, dest, nil), put(n.destLane, dest, -1)
 	}
 }
 
@@ -341,9 +338,8 @@
 	}
 }
 
-// sweep answers events whose time is up: an unanswered one is lost. Danger: after a release, or on dead
-// connections, silent calls hold every slot. Called off is what is overdue at an endpoint off the list, or
-// past its time-out on a dead connection or while slots are scarce: not before, as repeats load what is slow.
+// sweep answers events whose time is up: an unanswered one is lost. Danger: silent calls hold all slots.
+// Called off is what is overdue off the list, or past its time-out on a dead connection or while slots are scarce.
 func (n *Node) sweep() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
@@ -372,6 +368,23 @@
 	}
 }
 
+// forget frees the index of an endpoint off the list. Danger: where all are new, what is kept of them grows.
+func (n *Node) forget(ep int32, dest int) bool {
+	if n.closeIdle(ep); n.eps.ready[ep] || n.eps.out[ep] > 0 {
+		n.eps.leftAt[ep] = n.now
+	}
+	lane := n.eps.lane[ep]
+	old := n.now >= max(n.eps.leftAt[ep]+goneKeep, n.lanes.waitUntil[lane])
+	if old {
+		if n.lanes.ends[lane]--; n.lanes.ends[lane] == 0 && n.destLane[dest] == lane {
+			n.destLane[dest] = -1
+		}
+		n.eps.lane[ep] = -1
+		n.out.Forget(ep)
+	}
+	return old
+}
+
 func (n *Node) dispatch() {
 	for _, evt := range n.waiting {
 		e, t := &n.events[evt], &n.types[n.events[evt].typ]
@@ -384,12 +397,11 @@
 	})
 	for _, evt := range n.waiting {
 		e := &n.events[evt]
-		if ordered := n.types[e.typ].Ordered; !e.live || n.now < e.notBefore ||
-			(ordered && !n.keys.may(e.key, evt, e.sends > 0, n.now)) {
-			continue
-		}
-		if ep := n.endpoint(e); ep >= 0 {
-			n.send(evt, ep)
+		if ordered := n.types[e.typ].Ordered; e.live && n.now >= e.notBefore &&
+			(!ordered || n.keys.may(e.key, evt, e.sends > 0, n.now)) {
+			if ep := n.endpoint(e); ep >= 0 {
+				n.send(evt, ep)
+			}
 		}
 	}
 	n.waiting = slices.DeleteFunc(n.waiting, func(evt int32) bool {
@@ -413,17 +425,12 @@
 	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
 	for _, ep := range n.byDest[e.dest] {
 		lane := n.eps.lane[ep]
-		if !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane] || // another zone does not know the mark: a second
-			(e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone) { // effect is the danger
-			continue
-		}
-		if n.joinable(ep) >= 0 {
-			return ep
-		}
-		if !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes) {
-			continue
-		}
 		switch {
+		case !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane]:
+		case e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone: // danger: it does not know the mark
+		case n.joinable(ep) >= 0:
+			return ep
+		case !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes):
 		case n.eps.suspect(ep, n.now):
 			if n.eps.out[ep] == 0 && (trial < 0 || n.eps.failedAt[ep] < n.eps.failedAt[trial]) {
 				trial = ep
@@ -443,21 +450,17 @@
 func (n *Node) send(evt, ep int32) {
 	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
 	if e.call = n.joinable(ep); e.call < 0 {
-		// Danger: a destination that answers late or never fills the slots, and the healthy wait behind it. A
-		// lane may hold no more slots than are left free, so each sick one still leaves half of what it found.
+		// Danger: a destination that answers late or never fills the slots. Each leaves half of those it finds.
 		if l.out[lane] >= n.room.Slots-n.slots || !l.may(lane, n.now) {
 			return
 		}
-		if e.call = int32(slices.IndexFunc(n.calls, func(c call) bool { return c.events == 0 })); e.call < 0 {
-			e.call = int32(len(n.calls))
-			n.calls = append(n.calls, call{})
-		}
+		e.call = int32(slices.IndexFunc(append(n.calls, call{}), func(c call) bool { return c.events == 0 }))
 		idle := n.now - cmp.Or(n.eps.used[ep][min(n.eps.out[ep], levels-1)], n.now) // 0 for a first call
 		if n.stale.dead(idle, n.now) {
 			n.out.CloseIdle(ep)
 			idle = 0
 		}
-		n.calls[e.call] = call{endpoint: ep, at: n.now, round: n.round, idle: idle}
+		n.calls = put(n.calls, e.call, call{endpoint: ep, at: n.now, round: n.round, idle: idle})
 		n.slots, n.eps.out[ep], l.out[lane] = n.slots+1, n.eps.out[ep]+1, l.out[lane]+1
 		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
 		l.last[lane] = e.call
@@ -489,27 +492,29 @@
 type endpoints struct {
 	back port.Recovery
 
-	lane                      []int32
-	zone, out                 []int
-	ready, aside              []bool          // listed as ready; set aside
-	last                      []port.Outcome  // how the last call that failed ended
-	mean, dev, credit         []float64       // answer times; calls that may go while cold
-	fails, timeouts           []int           // in a row
-	failedAt, ackAt, creditAt []int64         // first of the failures in a row; last good answer
-	used                      [][levels]int64 // when it last had a call more than so many out, 0 for never
-	overdueAt                 []int64         // when the oldest unanswered call is overdue, 0 for none
-	warmAt                    []int64         // first good answer after it was set aside, -1 for never
+	lane                       []int32
+	ready, aside               []bool          // listed as ready; set aside
+	last                       []port.Outcome  // how the last call that failed ended
+	mean, dev, credit          []float64       // answer times; calls that may go while cold
+	zone, out, fails, timeouts []int           // fails, timeouts: in a row
+	failedAt, ackAt, creditAt  []int64         // first of the failures in a row; last good answer
+	used                       [][levels]int64 // when it last had a call more than so many out, 0 for never
+	overdueAt, leftAt, warmAt  []int64         // oldest call overdue, 0: none; last listed; back, -1: never
 }
 
-func (p *endpoints) grow(ep int) {
-	for ep >= len(p.lane) {
-		p.lane, p.zone, p.out = append(p.lane, -1), append(p.zone, 0), append(p.out, 0)
-		p.ready, p.aside, p.last = append(p.ready, false), append(p.aside, false), append(p.last, port.Acked)
-		p.mean, p.dev, p.credit = append(p.mean, 0), append(p.dev, 0), append(p.credit, 1)
-		p.fails, p.timeouts, p.failedAt = append(p.fails, 0), append(p.timeouts, 0), append(p.failedAt, 0)
-		p.ackAt, p.overdueAt, p.warmAt = append(p.ackAt, -1), append(p.overdueAt, 0), append(p.warmAt, -1)
-		p.creditAt, p.used = append(p.creditAt, 0), append(p.used, [levels]int64{})
-	}
+func (p *endpoints) blank(ep int32) { // as one that was never heard of
+	p.lane, p.zone, p.out = put(p.lane, ep, -1), put(p.zone, ep, 0), put(p.out, ep, 0)
+	p.ready, p.aside, p.last = put(p.ready, ep, false), put(p.aside, ep, false), put(p.last, ep, port.Acked)
+	p.mean, p.dev, p.credit = put(p.mean, ep, 0), put(p.dev, ep, 0), put(p.credit, ep, 1)
+	p.fails, p.timeouts, p.failedAt = put(p.fails, ep, 0), put(p.timeouts, ep, 0), put(p.failedAt, ep, 0)
+	p.ackAt, p.overdueAt, p.warmAt = put(p.ackAt, ep, -1), put(p.overdueAt, ep, 0), put(p.warmAt, ep, -1)
+	p.creditAt, p.leftAt, p.used = put(p.creditAt, ep, 0), put(p.leftAt, ep, 0), put(p.used, ep, [levels]int64{})
+}
+
+func put[T any](list []T, i int32, v T) []T { // sets a figure, also of the next new index
+	list = append(list, make([]T, max(0, int(i)+1-len(list)))...)
+	list[i] = v
+	return list
 }
 
 // look finds the overdue calls: silence shows before any time-out ends.
@@ -607,21 +612,21 @@
 type lanes struct {
 	nodes float64
 
-	perCall, out             []int // events in a call, calls out
-	waitUntil                []int64
-	limit, ends              []float64 // calls a second that the destination told; endpoints
-	pace, credit             []float64 // calls a second, 0 for unpaced; calls that may go now
-	creditAt, cutAt, climbAt []int64
-	recent                   [][]int64 // sends of the last second
-	last                     []int32   // the call opened last
+	perCall, out                        []int     // events in a call, calls out
+	limit, ends                         []float64 // calls a second that the destination told; endpoints
+	pace, credit                        []float64 // calls a second, 0 for unpaced; calls that may go now
+	waitUntil, creditAt, cutAt, climbAt []int64
+	recent                              [][]int64 // sends of the last second
+	last                                []int32   // the call opened last
 }
 
 func (l *lanes) add(perCall int, credit float64) int32 { // by chance: many nodes refused at once spread out
-	l.perCall, l.out, l.ends = append(l.perCall, perCall), append(l.out, 0), append(l.ends, 0)
-	l.waitUntil, l.limit, l.recent = append(l.waitUntil, 0), append(l.limit, 0), append(l.recent, nil)
-	l.pace, l.credit, l.creditAt = append(l.pace, 0), append(l.credit, credit), append(l.creditAt, 0)
-	l.cutAt, l.climbAt, l.last = append(l.cutAt, -paceCutEvery), append(l.climbAt, 0), append(l.last, -1)
-	return int32(len(l.out) - 1)
+	i := int32(slices.Index(append(l.ends, 0), 0)) // one is free once all its endpoints are forgotten
+	l.perCall, l.out, l.ends = put(l.perCall, i, perCall), put(l.out, i, 0), put(l.ends, i, 0)
+	l.waitUntil, l.limit, l.recent = put(l.waitUntil, i, 0), put(l.limit, i, 0), put(l.recent, i, nil)
+	l.pace, l.credit, l.creditAt = put(l.pace, i, 0), put(l.credit, i, credit), put(l.creditAt, i, 0)
+	l.cutAt, l.climbAt, l.last = put(l.cutAt, i, -paceCutEvery), put(l.climbAt, i, 0), put(l.last, i, -1)
+	return i
 }
 
 func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, left, limit float64) {
@@ -666,8 +671,7 @@
 	return true
 }
 
-// stale learns from quick resets and from silence after an idle time that idle connections are dead. Danger:
-// something on the way drops them unseen; each next call is lost, which ends a non-idempotent event.
+// stale learns from calls lost after an idle time that idle connections are dead. Danger: each next is lost.
 type stale struct {
 	lost, good              int
 	at, after, crowdedUntil int64 // last call lost; shortest idle time before one; connects fail till then
@@ -699,8 +703,7 @@
 
 func (t turns) join(key uint64, evt int32) {
 	k := cmp.Or(t[key], &turn{})
-	k.events = append(k.events, evt)
-	t[key] = k
+	t[key], k.events = k, append(k.events, evt)
 }
 
 func (t turns) leave(key uint64, evt int32, now int64) {
@@ -732,8 +735,7 @@
 
 // failed plans the next call: the notice does not say whether a watch still stands.
 func (d *directory) failed(now int64, chance *pcg) {
-	d.watched = false
-	d.delay = min(max(askFirst, 2*d.delay), max(askFirst, d.within/2))
+	d.watched, d.delay = false, min(max(askFirst, 2*d.delay), max(askFirst, d.within/2))
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
--- a/node/desk.go
+++ b/node/desk.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +32,8 @@
 	current []*send // the send that is out, by event
 	dests   door.Table[uint32]
 	eps     door.Table[string]
-	partner []int // by endpoint
+	partner []int   // by endpoint
+	left    []int32 // endpoints that the module forgot and calls may still know
 
 	wakeAt int64 // 0 for not asked for
 	fresh  []int32
@@ -103,9 +105,16 @@
 		for _, s := range c.sends {
 			s.event.steps <- step{what: stepBegun, send: s}
 		}
-		d.endpoints.out.Add(1)
+		d.endpoints.begin(c.endpoint)
 		go d.endpoints.carry(c)
 	}
+	d.left = slices.DeleteFunc(d.left, func(ep int32) bool {
+		free := d.endpoints.free(ep)
+		if free {
+			d.eps.Release(ep)
+		}
+		return free
+	})
 	for _, e := range d.gone {
 		d.current[e] = nil
 		d.evts.Release(e)
@@ -185,6 +194,18 @@
 	}
 }
 
+// listed gives out an endpoint's index; fresh tells that nothing is known of it. Danger: one that is listed again
+// just after it was forgotten must keep the index.
+func (d *desk) listed(host string, partner int) (ep int32, fresh bool) {
+	ep, fresh = d.eps.Take(host)
+	if int(ep) == len(d.partner) {
+		d.partner = append(d.partner, 0)
+	}
+	d.partner[ep] = partner
+	d.left = slices.DeleteFunc(d.left, func(left int32) bool { return left == ep })
+	return ep, fresh
+}
+
 // leave frees the event's index.
 func (d *desk) leave(e *event) {
 	d.hear(func(port.Intake) { d.gone = append(d.gone, e.index) })
@@ -231,6 +252,7 @@
 func (d *desk) Watch(on bool)      { d.directory.watch(on) }
 func (d *desk) FetchList()         { d.directory.fetch() }
 func (d *desk) CloseIdle(ep int32) { d.endpoints.closeIdle(ep) }
+func (d *desk) Forget(ep int32)    { d.left = append(d.left, ep) }
 func (d *desk) TellGood(ep int32)  { d.peers.tellGood(d.eps.ID(ep)) }
 
 // Probe is never asked for: the module sends none, and the protocol has no call for it.
--- a/node/directory.go
+++ b/node/directory.go
@@ -249,15 +249,12 @@
 	d.desk.hear(func(to port.Intake) {
 		to.ListBegins(whole)
 		for _, e := range list {
-			ep, fresh := d.desk.eps.Take(e.host)
-			if fresh {
-				d.desk.partner = append(d.desk.partner, e.partner)
-			}
+			ep, fresh := d.desk.listed(e.host, e.partner)
 			if e.dial != "" || fresh {
 				d.endpoints.listed(ep, e.site, e.dial)
 			}
-			if e.state == port.Gone {
-				d.endpoints.closeIdle(ep)
+			if e.state == port.Gone { // danger: what answers there from now on may be another
+				d.endpoints.listed(ep, e.site, "")
 			}
 			dest, _ := d.desk.dests.Take(e.dest)
 			to.Listed(ep, dest, e.partner, d.zone(e.site), e.state, e.rate)
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -30,6 +30,7 @@
 	mu    sync.Mutex
 	dials []string // by endpoint
 	sites []string
+	busy  []int     // calls that know its index
 	idle  [][]*link // by endpoint, the one used last at the end
 	idles int
 }
@@ -48,6 +49,7 @@
 	defer p.mu.Unlock()
 	for int(ep) >= len(p.dials) {
 		p.dials, p.sites, p.idle = append(p.dials, ""), append(p.sites, ""), append(p.idle, nil)
+		p.busy = append(p.busy, 0)
 	}
 	if p.sites[ep] = site; p.dials[ep] != dial {
 		p.dials[ep] = dial
@@ -55,6 +57,34 @@
 	}
 }
 
+// begin notes a call that knows the endpoint's index, until end.
+func (p *endpoints) begin(ep int32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[ep]++
+	p.out.Add(1)
+}
+
+func (p *endpoints) end(ep int32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[ep]--
+	p.out.Add(-1)
+}
+
+// free empties the place of an endpoint that is forgotten, for the next one. Danger: a late answer, or its
+// connection, must not pass for the next one's. It tells false while a call is out.
+func (p *endpoints) free(ep int32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[ep] > 0 {
+		return false
+	}
+	p.drop(ep)
+	p.dials[ep], p.sites[ep] = "", ""
+	return true
+}
+
 func (p *endpoints) closeIdle(ep int32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/sends.go
+++ b/node/sends.go
@@ -52,7 +52,7 @@
 
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
-	defer p.out.Add(-1)
+	defer p.end(c.endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.mu.Lock()
--- a/node/wire.go
+++ b/node/wire.go
@@ -36,8 +36,8 @@
 	firstInterim = "HTTP/1.1 1" // more comes
 	mostInterim  = 16
 
-	mostBody  = 64 << 10  // bytes of an event's body: the protocol's
-	bulkLine  = 16        // bytes around an event in a bulk call: length, two spaces, two CRLFs, some to spare
+	mostBody  = 64 << 10 // bytes of an event's body: the protocol's
+	bulkLine  = 16       // bytes around an event in a bulk call: length, two spaces, two CRLFs, some to spare
 	mostReply = 64 << 10 // bytes of an answer's body: a line for each event of a call fits many times
 
 	// restWithin is how long the rest of an answer may take once it has begun: it is written in one piece.
--- a/port/port.go
+++ b/port/port.go
@@ -104,6 +104,7 @@
 	FetchList()
 	Probe(endpoint int32)
 	CloseIdle(endpoint int32)
+	Forget(endpoint int32)           // its index stands for nothing any more, and may be given out again
 	TellGood(endpoint int32)         // tells all peers that the endpoint answers well
 	Log(text string, endpoint int32) // a line for the staff, about an endpoint
 }
