Ack an event by a first line with 200 only once that line has come whole

Checked: node/wire.go took "HTTP/1.1 200 " for the line, while an event is delivered once its first line is written; cut off within it, the event was over here and owed out there. Cut within the first line, it is a reset now: it may have run.

--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -185,6 +185,7 @@
 		{"broken within an answer", breakOff("HTTP/1.1 500 Err"), result{how: port.Reset}},
 		{"broken behind the first line of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Le"),
 			result{how: port.Acked, over: true}},
+		{"broken within the first line of a 200", breakOff("HTTP/1.1 200 O"), result{how: port.Reset}},
 		{"broken in the body of a 200", breakOff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
 			result{how: port.Acked, over: true}},
 		{"silent", silent, result{how: port.TimedOut}},
--- a/node/wire.go
+++ b/node/wire.go
@@ -119,7 +119,7 @@
 			err = errSpoilt
 		}
 	}
-	delivered := err == nil && len(sends) == 1 && (r.begins(firstOK+" ") || r.begins(firstOK+"\r"))
+	delivered := err == nil && len(sends) == 1 && r.saysOK()
 	if err == nil {
 		err = resp.ReadLimitBody(r.buf, mostReply)
 	}
@@ -158,6 +158,22 @@
 	return true
 }
 
+// saysOK tells whether a first line comes that says 200. Danger: cut off within it, nothing is delivered yet.
+func (r *replyReader) saysOK() bool {
+	if !r.begins(firstOK) {
+		return false
+	}
+	for n := len(firstOK) + 1; ; n++ {
+		b, err := r.buf.Peek(n)
+		if err != nil || (n == len(firstOK)+1 && b[n-1] != ' ' && b[n-1] != '\r') {
+			return false
+		}
+		if b[n-1] == '\n' {
+			return true
+		}
+	}
+}
+
 // readStatus maps an answer's status to how the send ended and whether its event is over.
 func readStatus(status int, noSlot, bulk bool) (how port.Outcome, over bool) {
 	switch {
