Learn dead connections from quick resets after short idle times; four resets set aside

The trace told each call's connection, its idle time and how long until it was lost: within the trouble, of calls on connections idle for 0.1 to 0.5 s a fifth and more were reset at once (0 ms; an answer takes 60 ms and more), of those idle for less 3 in 100, of new ones 6 in 100; and each node set some 45 endpoints aside, all back within a second, and held them to the budget of a cold return.

choice.go: idle times under 0.5 s were no sign, and dead connections had to lose more calls than they carried. Now a reset counts from 0.1 s on, the quicker the shorter the idle time, and a call lost outweighs three good answers. Silence still counts from 0.5 s only. Resets alone set an endpoint aside at the fourth in a row, not the second: one that is down refuses the next connects, which still count as before.

Also covers idle connections cut by what stands between; may hurt where an endpoint drops calls without ever refusing a connect: it takes two more calls to see.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,6 +57,7 @@
 	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
+	asideResets = 4              // resets do so: a network breaks connections too, and one that is down refuses
 	shutWait    = 2 * second     // so does a told wait as long: a limit's count begins anew within less
 	shutLeft    = 0.8            // a refusal with this share of the limit left shows a destination that is shut
 	answerKeep  = 0.125          // weight of a new answer time: the usual figure for round trips
@@ -69,7 +70,8 @@
 	backlog     = 3              // events waiting for each slot that make silence cost more than a repeat
 	scarcePart  = 8              // slots are scarce with less than this part of them free: one or two
 	waitAhead   = 2 * second     // an event's place in the queue weighs what it loses by waiting so long
-	staleLeast  = second / 2     // calls lost after a shorter idle time are no sign of dead connections
+	staleLeast  = second / 10    // calls lost after a shorter idle time are no sign of dead connections
+	staleShare  = 3              // good answers for each call lost that clear idle connections of it
 	levels      = 8              // calls out at once up to which idle times are told apart: one connection each
 	staleSigns  = 3              // signs that make it so: a crash may bring one or two
 	staleKeep   = 30 * second    // idle connections are closed for so long after the last sign
@@ -149,8 +151,7 @@
 	}
 }
 
-// Event implements port.Intake, as do the methods below.
-func (n *Node) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) {
+func (n *Node) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) { // port.Intake
 	n.destination(dest)
 	t, age := &n.types[typ], n.types[typ].MaxAge-left // handed in before, it is no longer new
 	n.events = put(n.events, evt, event{typ: typ, dest: dest, call: -1, key: key, came: n.now - age,
@@ -186,7 +187,8 @@
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, left, limit)
 			was := n.eps.aside[ep]
-			if how == port.Acked || (how == port.Reset && float64(took) < n.eps.mean[ep]/2) {
+			soon := n.eps.mean[ep] * min(0.5, float64(c.idle)/1e9) // after a short idle time it must be the quicker
+			if how == port.Acked || (how == port.Reset && float64(took) < soon) {
 				n.stale.learn(how == port.Reset, c.idle, n.now)
 			}
 			if how == port.Acked && !was && n.eps.fails[ep] > 0 && n.eps.last[ep] == port.ConnectFailed &&
@@ -330,16 +332,14 @@
 	n.close(evt)
 }
 
-// close marks an event as over; a send still out keeps its key's turn until its outcome.
-func (n *Node) close(evt int32) {
+func (n *Node) close(evt int32) { // a send still out keeps its key's turn until its outcome
 	n.events[evt].live = false
 	if e := &n.events[evt]; e.call < 0 {
 		n.keys.leave(e.key, evt, n.now)
 	}
 }
 
-// sweep answers events whose time is up: an unanswered one is lost. Danger: silent calls hold all slots.
-// Called off is what is overdue off the list, or past its time-out on a dead connection or while slots are scarce.
+// sweep answers events whose time is up. Danger: silent calls hold all slots; those leading nowhere are ended.
 func (n *Node) sweep() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
@@ -523,7 +523,7 @@
 	for i := range calls {
 		if c := &calls[i]; c.events > 0 && c.at > p.ackAt[c.endpoint] && !s.dead(c.idle, now) {
 			at := c.at + max(leastLate, int64(p.mean[c.endpoint]+overdueDevs*p.dev[c.endpoint]))
-			if now >= c.at+p.timeout(c.endpoint) && !c.silent {
+			if now >= c.at+p.timeout(c.endpoint) && !c.silent && c.idle >= leastLate {
 				c.silent = true
 				s.learn(true, c.idle, now)
 			}
@@ -567,7 +567,8 @@
 	if p.last[ep], p.fails[ep] = how, p.fails[ep]+1; p.fails[ep] == 1 {
 		p.failedAt[ep] = now
 	}
-	if sure || (p.fails[ep] >= asideAfter && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery)) {
+	enough := p.fails[ep] >= asideAfter && (how != port.Reset || p.fails[ep] >= asideResets)
+	if sure || (enough && (how != port.Declined || now-p.failedAt[ep] >= paceCutEvery)) {
 		p.setAside(ep, now, luck)
 	}
 }
@@ -583,8 +584,7 @@
 	p.aside[ep], p.warmAt[ep], p.fails[ep], p.timeouts[ep], p.ackAt[ep] = false, now, 0, 0, now
 }
 
-// may tells if a cold endpoint bears one more call. Danger: pushing over what comes back cold. The budget is
-// shared by the nodes that can have met the outage, going by its length and what the endpoint takes warm.
+// may tells if a cold endpoint bears one more call. Danger: pushed over it stays down. All that met it share.
 func (p *endpoints) may(ep int32, now int64, rate, nodes float64) bool {
 	warm, until := p.back.ColdShare, now
 	if !p.aside[ep] {
@@ -690,7 +690,7 @@
 }
 
 func (s *stale) dead(idle, now int64) bool {
-	return s.lost >= staleSigns && s.lost > s.good && now-s.at <= staleKeep && idle >= s.after
+	return s.lost >= staleSigns && staleShare*s.lost > s.good && now-s.at <= staleKeep && idle >= s.after
 }
 
 // turn is the line of one key: its events in the order of their coming, and when a new one may start.
