Keep fewer client connections idle than clients may hold, so that others can connect

The door's trace (f.e. at 5 s: 128 of 197 connections had asked, none was busy) and one of what is asked for show why: clients may hold a third of the descriptors, 128 here, and each of many asked once and kept its connection; the others could not connect, and 46 events a second came of 110. A connection stayed for 5 s.

node/doorman.go now closes the one idle longest when more than a quarter of the descriptors wait between requests. Also kept from the tries: a young idle connection is spared for a silent one for 0.15 s at most, where it was without end, and Accept looks again after 10 ms, not 20.

May cost a connection more for a client that comes seldom, while many others do.

--- a/node/clients.go
+++ b/node/clients.go
@@ -41,12 +41,12 @@
 
 func (quiet) Printf(format string, args ...any) { logrus.Debugf(format, args...) }
 
-func openClients(n *Node, listen string, most int) (*clients, error) {
+func openClients(n *Node, listen string, most, keep int) (*clients, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, door: newDoorman(l, most), bad: tally{what: "clients: refused what is no event"}}
+	c := &clients{node: n, door: newDoorman(l, most, keep), bad: tally{what: "clients: refused what is no event"}}
 	c.server = &fasthttp.Server{
 		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
 		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: mostBody,
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -11,7 +11,8 @@
 const (
 	acceptAgain = 20 * time.Millisecond  // a connection asked to close has gone by then
 	silentGrace = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
-	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece
+	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
+	idleGrace   = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
 )
 
 // doorman accepts clients' connections, up to a limit. When short it closes first those that never asked for
@@ -19,7 +20,8 @@
 // requests, the longest first each. If there are none, new ones wait for one.
 type doorman struct {
 	net.Listener
-	most int
+	most int // connections in all
+	keep int // of them, between requests
 
 	accepts trouble
 	mu      sync.Mutex
@@ -44,8 +46,8 @@
 
 var longAgo = time.Unix(1, 0)
 
-func newDoorman(l net.Listener, most int) *doorman {
-	d := &doorman{Listener: l, most: most, accepts: trouble{what: "clients: accepting connections"},
+func newDoorman(l net.Listener, most, keep int) *doorman {
+	d := &doorman{Listener: l, most: most, keep: keep, accepts: trouble{what: "clients: accepting connections"},
 		open: make(map[*guest]struct{})}
 	d.freed.L = &d.mu
 	return d
@@ -72,7 +74,7 @@
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
 		d.makeRoom(time.Now()) // danger: past the limit of descriptors nothing can be sent any more
-		look := time.AfterFunc(acceptAgain, d.freed.Broadcast)
+		look := time.AfterFunc(silentGrace, d.freed.Broadcast)
 		d.freed.Wait()
 		look.Stop()
 	}
@@ -105,7 +107,7 @@
 		}
 	}
 	switch {
-	case worst == nil || (rank == 1 && soon): // one that will be worse goes first
+	case worst == nil || (rank == 1 && soon && now.Sub(worst.since) < idleGrace):
 	case worst.busy:
 		worst.hurried = true
 		worst.Conn.SetReadDeadline(longAgo) // it is answered that its request did not come
@@ -194,11 +196,29 @@
 	g.whole, g.asked = true, g.asked || good
 }
 
+// trim closes the connection idle longest when more wait between requests than are kept. Danger: clients hold so
+// many at most; where many clients ask once and keep theirs, the next one cannot connect and is refused.
+func (d *doorman) trim() {
+	var oldest *guest
+	idle := 0
+	for g := range d.open {
+		if !g.busy && !g.leaving && g.asked {
+			if idle++; oldest == nil || g.since.Before(oldest.since) {
+				oldest = g
+			}
+		}
+	}
+	if idle > d.keep {
+		oldest.leave()
+	}
+}
+
 // idle marks that the answer was written.
 func (g *guest) idle() {
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
 	g.busy, g.since = false, time.Now()
+	g.door.trim()
 	if len(g.door.open) >= g.door.most {
 		g.door.freed.Signal()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,9 @@
 const (
 	ownSockets  = 48 // descriptors for the runtime, the listener, the directory, notices, peers and the journal
 	idlePart    = 4  // idle connections to endpoints take up to this part of the rest
+	keepPart    = 4  // clients' connections between requests, of all: clients hold a third, and need room in it
 	fewSockets  = 64
+	fewClients  = 16
 	manySockets = 1024 // where no limit is told
 )
 
@@ -69,6 +71,7 @@
 	if sockets <= 0 {
 		sockets = manySockets
 	}
+	keep := sockets / keepPart
 	sockets = max(fewSockets, sockets-ownSockets)
 	idle := sockets / idlePart
 	var perCall []int
@@ -94,7 +97,7 @@
 		}
 	}
 	if err == nil {
-		n.clients, err = openClients(n, at.Listen, sockets-idle-s.Room.Slots)
+		n.clients, err = openClients(n, at.Listen, max(fewClients, sockets-idle-s.Room.Slots), keep)
 	}
 	if err != nil {
 		n.peers.close()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -491,7 +491,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDoorman(&short{Listener: l, fails: 2}, 2)
+	d := newDoorman(&short{Listener: l, fails: 2}, 2, 2)
 	hold := make(chan bool)
 	server := &fasthttp.Server{ReduceMemoryUsage: true, IdleTimeout: clientIdle, ReadTimeout: readWithin,
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -593,12 +593,39 @@
 	}
 }
 
+func TestClientsThatAskOnceAndStayLeaveRoomForOthers(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	w.clients.door.mu.Lock()
+	w.clients.door.keep = 3
+	w.clients.door.mu.Unlock()
+	var all []*client
+	for i := range 5 {
+		all = append(all, w.dial())
+		if status, _ := all[i].hand(request(fmt.Sprint("x", i), "alert", "1", 8000, "")); status != statusTaken {
+			t.Fatal(status)
+		}
+	}
+	begin := time.Now()
+	for i, c := range all[:2] { // far sooner than idle ones are closed
+		if _, err := c.in.ReadByte(); err != io.EOF || time.Since(begin) > clientIdle/2 {
+			t.Errorf("connection %d: %v after %v", i, err, time.Since(begin))
+		}
+	}
+	for i, c := range all[2:] {
+		if status, _ := c.hand(request(fmt.Sprint("y", i), "alert", "1", 8000, "")); status != statusTaken {
+			t.Errorf("one of those used last: %d", status)
+		}
+	}
+}
+
 func TestGuestAskedToCloseDoes(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDoorman(l, 2)
+	d := newDoorman(l, 2, 2)
 	defer d.Close()
 	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
 	io.WriteString(w.dial(), "half a request")
@@ -625,7 +652,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDoorman(l, 2)
+	d := newDoorman(l, 2, 2)
 	defer d.Close()
 	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
 	c := w.dial()
