--- a/choice/choice.go
+++ b/choice/choice.go
@@ -339,7 +339,7 @@
 	}
 }
 
-// sweep answers events whose time is up. Danger: silent calls hold all slots; those leading nowhere are ended.
+// sweep answers events whose time is up. Danger: silent calls hold all slots; those without hope end.
 func (n *Node) sweep() {
 	scarce := scarcePart*(n.room.Slots-n.slots) <= n.room.Slots && len(n.waiting) > backlog*n.room.Slots
 	for i := range n.events {
--- a/node/clients.go
+++ b/node/clients.go
@@ -14,7 +14,7 @@
 
 const (
 	headSize     = 4096                    // bytes of a request's head; a longer one is answered 431
-	readWithin   = 2 * time.Second         // a request still not whole is nobody's any more: its client waits 400 ms
+	readWithin   = 2 * time.Second         // a request not whole by then is nobody's: its client waits 400 ms
 	firstWithin  = 2500 * time.Millisecond // the first counts from the connection: an error is owed within 3 s
 	clientIdle   = 5 * time.Second         // clients open another when they come again; some never do
 	writeWithin  = 2 * time.Second         // a client that does not read is long gone: it waits 400 ms
@@ -46,7 +46,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, door: newDoorman(l, most, keep), bad: tally{what: "clients: refused what is no event"}}
+	c := &clients{node: n, door: newDoorman(l, most, keep),
+		bad: tally{what: "clients: refused what is no event"}}
 	c.server = &fasthttp.Server{
 		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
 		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: mostBody,
@@ -92,8 +93,8 @@
 	}
 }
 
-// isFramed tells whether a head names its body's length in one way only, and as HTTP/1.1 has it. fasthttp refuses
-// all else that is wrong with lengths, but takes the coding where both are given.
+// isFramed tells whether a head names its body's length in one way only, and as HTTP/1.1 has it. fasthttp
+// refuses all else that is wrong with lengths, but takes the coding where both are given.
 func isFramed(head []byte) bool {
 	length, coding := false, false
 	for line := range bytes.Lines(head) {
--- a/node/desk.go
+++ b/node/desk.go
@@ -194,8 +194,8 @@
 	}
 }
 
-// listed gives out an endpoint's index; fresh tells that nothing is known of it. Danger: one that is listed again
-// just after it was forgotten must keep the index.
+// listed gives out an endpoint's index; fresh tells that nothing is known of it. Danger: one that is listed
+// again just after it was forgotten must keep the index.
 func (d *desk) listed(host string, partner int) (ep int32, fresh bool) {
 	ep, fresh = d.eps.Take(host)
 	if int(ep) == len(d.partner) {
--- a/node/directory.go
+++ b/node/directory.go
@@ -123,8 +123,8 @@
 	}()
 }
 
-// knows tells whether a destination was ever listed; before there is a list, all may be. Danger: an event for one
-// that does not exist would be held for all its time.
+// knows tells whether a destination was ever listed; before there is a list, all may be. Danger: an event for
+// one that does not exist would be held for all its time.
 func (d *directory) knows(dest uint32) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -82,8 +82,8 @@
 	return g, nil
 }
 
-// makeRoom asks a connection to close. Danger: hundreds that say nothing, or begin requests and never end them,
-// keep the usual clients out. One whose request has come but was not read is not silent.
+// makeRoom asks a connection to close. Danger: hundreds that say nothing, or begin requests and never end
+// them, keep the usual clients out.
 func (d *doorman) makeRoom(now time.Time) {
 	var worst *guest
 	rank, soon := 0, false
@@ -172,8 +172,8 @@
 	return n, err
 }
 
-// SetReadDeadline leaves the deadline alone by which a connection was asked to close. Between requests it gives
-// clients their time, and for the first no more than is left of it since they connected.
+// SetReadDeadline leaves the deadline alone by which a connection was asked to close. Between requests it
+// gives clients their time, and for the first no more than is left of it since they connected.
 func (g *guest) SetReadDeadline(t time.Time) error {
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
@@ -196,8 +196,8 @@
 	g.whole, g.asked = true, g.asked || good
 }
 
-// trim closes the connection idle longest when more wait between requests than are kept. Danger: clients hold so
-// many at most; where many clients ask once and keep theirs, the next one cannot connect and is refused.
+// trim closes the connection idle longest when more wait between requests than are kept. Danger: clients may
+// hold so many; where many ask once and keep theirs, the next one cannot connect and is refused.
 func (d *doorman) trim() {
 	var oldest *guest
 	idle := 0
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -237,39 +237,41 @@
 	w.endpoint(1, silent)
 	w.run()
 	good := request("x", "charge", "1", 8000, "")
+	length := func(heads string) string { return strings.Replace(good, "Content-Length: 0", heads, 1) }
+	both := length("Content-Length: 5\r\nTransfer-Encoding: chunked")
 	for text, want := range map[string]int{
-		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                                          200,
-		"POST /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                                         405,
-		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                                         405,
-		"GET /else HTTP/1.1\r\nHost: x\r\n\r\n":                                                                        404,
-		"nonsense\r\n\r\n":                                                                                             400,
-		"POST /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                                        400,
-		strings.Replace(good, "charge", "no such", 1):                                                                  400,
-		strings.Replace(good, "acme", "nobody", 1):                                                                     400,
-		strings.Replace(good, "8000", "soon", 1):                                                                       400,
-		strings.Replace(good, "8000", "-5", 1):                                                                         400,
-		strings.Replace(good, "8000", "NaN", 1):                                                                        400,
-		strings.Replace(good, "dest=1", "dest=-1", 1):                                                                  400,
-		strings.Replace(good, "dest=1", "to=1", 1):                                                                     400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: a b", 1):                                                           400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: \"", 1):                                                            400,
-		strings.Replace(good, "Req-Id: x", "Req-Id: "+strings.Repeat("x", 65), 1):                                      400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: x", 1):                                             400,
-		strings.Replace(request("x", "keyed", "1", 8000, ""), "Idempotency-Key", "Other", 1):                           400,
-		strings.Replace(good, "Host: x", "Host: x\r\nLong: "+strings.Repeat("x", headSize), 1):                         431,
-		request("x", "charge", "1", 8000, strings.Repeat("x", mostBody+1)):                                             413,
-		strings.Replace(good, "8000", "8000.5", 1):                                                                     400,
-		strings.Replace(good, "8000", "+8000", 1):                                                                      400,
-		strings.Replace(good, "8000", "9e99", 1):                                                                       400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: -5", 1):                                            400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: +0", 1):                                            400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: 0\r\nContent-Length: 0", 1):                        400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: 60000000", 1):                                      413,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: "+strings.Repeat("9", 40), 1):                      400,
-		strings.Replace(good, "Content-Length: 0", "Transfer-Encoding: identity", 1):                                   400,
-		strings.Replace(good, "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 1):             400,
-		strings.Replace(good, "Content-Length: 0", "Content-Length: 5\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n": 400,
-		strings.Replace(good, "dest=1", "dest=2", 1):                                                                   503, // not listed, or not yet
+		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                  200,
+		"POST /up HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
+		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                 405,
+		"GET /else HTTP/1.1\r\nHost: x\r\n\r\n":                                                404,
+		"nonsense\r\n\r\n":                                                                     400,
+		"POST /api HTTP/1.1\r\nHost: x\r\n\r\n":                                                400,
+		strings.Replace(good, "charge", "no such", 1):                                          400,
+		strings.Replace(good, "acme", "nobody", 1):                                             400,
+		strings.Replace(good, "8000", "soon", 1):                                               400,
+		strings.Replace(good, "8000", "-5", 1):                                                 400,
+		strings.Replace(good, "8000", "NaN", 1):                                                400,
+		strings.Replace(good, "dest=1", "dest=-1", 1):                                          400,
+		strings.Replace(good, "dest=1", "to=1", 1):                                             400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: a b", 1):                                   400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: \"", 1):                                    400,
+		strings.Replace(good, "Req-Id: x", "Req-Id: "+strings.Repeat("x", 65), 1):              400,
+		length("Content-Length: x"):                                                            400,
+		strings.Replace(request("x", "keyed", "1", 8000, ""), "Idempotency-Key", "Other", 1):   400,
+		strings.Replace(good, "Host: x", "Host: x\r\nLong: "+strings.Repeat("x", headSize), 1): 431,
+		request("x", "charge", "1", 8000, strings.Repeat("x", mostBody+1)):                     413,
+		strings.Replace(good, "8000", "8000.5", 1):                                             400,
+		strings.Replace(good, "8000", "+8000", 1):                                              400,
+		strings.Replace(good, "8000", "9e99", 1):                                               400,
+		length("Content-Length: -5"):                                                           400,
+		length("Content-Length: +0"):                                                           400,
+		length("Content-Length: 0\r\nContent-Length: 0"):                                       400,
+		length("Content-Length: 60000000"):                                                     413,
+		length("Content-Length: " + strings.Repeat("9", 40)):                                   400,
+		length("Transfer-Encoding: identity"):                                                  400,
+		length("Transfer-Encoding: chunked\r\n\r\nxyz\r\n"):                                    400,
+		both + "0\r\n\r\n":                                                                     400,
+		strings.Replace(good, "dest=1", "dest=2", 1):                                           503, // not listed, or not yet
 	} {
 		c := w.dial()
 		go io.WriteString(c, text)
@@ -278,7 +280,6 @@
 		}
 	}
 	// What stands behind a request that cannot be read is none.
-	both := strings.Replace(good, "Content-Length: 0", "Content-Length: 5\r\nTransfer-Encoding: chunked", 1)
 	c := w.dial()
 	io.WriteString(c, both+"0\r\n\r\n"+request("hidden", "charge", "1", 8000, ""))
 	c.hear("")
@@ -556,7 +557,7 @@
 		}
 	}()
 	begin := time.Now()
-	for what, c := range map[string]*client{"says nothing": silent, "trickles": trickle, "keeps its body": body} {
+	for what, c := range map[string]*client{"is silent": silent, "trickles": trickle, "keeps its body": body} {
 		c.SetDeadline(begin.Add(long / 2))
 		if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("one that %s stays open", what)
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -43,8 +43,8 @@
 	return o
 }
 
-// move tells the platform at another address from now on. Danger: a notice that hangs at the old one would hold
-// back all others. It is broken off, and told again.
+// move tells the platform at another address from now on. Danger: a notice that hangs at the old one would
+// hold back all others. It is broken off, and told again.
 func (o *outcomes) move(address string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	dialer := net.Dialer{Timeout: noticeWithin, KeepAlive: -1}
--- a/node/wire.go
+++ b/node/wire.go
@@ -232,8 +232,8 @@
 	return int64(math.Ceil(f * 1e9))
 }
 
-// readLoad reads a load report: the share of the limit that is left, and the limit in calls a second. Danger: read
-// in part, a spoilt one would say that nothing is left, or that there is no limit. It is no news.
+// readLoad reads a load report: the share of the limit that is left, and the limit in calls a second. Danger:
+// read in part, a spoilt one would say that nothing is left, or that there is no limit. It is no news.
 func readLoad(text string) (left, limit float64) {
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
