Take a bulk answer that leaves out an event as spoilt: it was cut short

Now all events of a call must be named by whole lines, or all may have run and none is over. A wait that was told binds all the same. Seen failing without: an answer of one line to two events acked the first.

--- a/node/wire.go
+++ b/node/wire.go
@@ -195,8 +195,10 @@
 	return port.Errored, false // danger: what is not known may have run
 }
 
-// readEnds reads the line of each event. Danger: one that the answer leaves out, or spoils, may have run.
+// readEnds reads the line of each event. Danger: an answer that leaves one out is not whole: it was cut short, and
+// the events that it names are still owed out there. What was sent may have run, all of it.
 func readEnds(body []byte, sends []*send, all result, results []result) {
+	named := 0
 	for i := range results {
 		results[i] = all
 		results[i].how = port.Spoilt
@@ -204,9 +206,10 @@
 	for line := range bytes.Lines(body) {
 		id, word, _ := strings.Cut(strings.TrimSpace(string(line)), " ")
 		for i, s := range sends {
-			if s.event.id != id {
+			if s.event.id != id || !bytes.HasSuffix(line, []byte("\n")) {
 				continue
 			}
+			named++
 			switch strings.TrimSpace(word) {
 			case "done":
 				results[i].how, results[i].over = port.Acked, true
@@ -218,9 +221,17 @@
 				results[i].how, results[i].over = port.Unsent, true
 			case "used_up":
 				results[i].how = port.Unsent
+			default:
+				named--
 			}
 		}
 	}
+	if named != len(sends) {
+		for i := range results {
+			results[i] = all // a wait that it told binds all the same
+			results[i].how = port.Spoilt
+		}
+	}
 }
 
 // readWait reads seconds, whole or decimal, as nanoseconds, rounded up: a wait must not end early.
