--- a/node/node_test.go
+++ b/node/node_test.go
@@ -170,7 +170,9 @@
 	w.endpoint(3, say(answerOf("410 Over", "", "")))
 	w.run()
 	c := w.dial()
+	w.directory.mu.Lock()
 	w.directory.dests[9] = struct{}{} // listed once
+	w.directory.mu.Unlock()
 	for id, r := range map[string]string{
 		"delivered": request("delivered", "alert", "1", 8000, "a\x00\r\n b"),
 		"undone":    request("undone", "charge", "2", 8000, ""),
