Give the program commands, a configuration file of its own and logs by part

Need: the program could only be started; what its times are, what a folder owes or whether a file is good could not be asked, nothing but the directory changed at SIGHUP, and a failing partner could fill the log.

Package house holds one table of all keys and reads a TOML file and the environment under the platform's word; every fault of a file is told at once with file, line, key, what was wanted and what was found. At SIGHUP a good pair of files is put in force as a whole, and what needs a restart is named. Package logs gives each part a level and each message a limit, and tells what was held back.

--- a/cmd/jaspersill/main.go
+++ b/cmd/jaspersill/main.go
@@ -1,129 +1,159 @@
-// Command jaspersill is a delivery node. It reads what it is told at its start from the file that
-// RELAY_CONFIG names, and serves until SIGTERM.
+// Command jaspersill is a delivery node, with what its operators need around it. `serve` runs the node: it reads
+// what the platform tells from the file that RELAY_CONFIG names, and what the installation tells from a TOML file.
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
-	"net"
+	"io"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
 
-	"jaspersill/choice"
-	"jaspersill/node"
-	"jaspersill/start"
+	"jaspersill/logs"
 )
 
-// memoryPart is the part of the memory limit that the heap may fill: stacks, sockets and files need the rest.
-const memoryPart = 0.6
+// Exit codes.
+const (
+	exitGood = iota
+	exitFailed
+	exitUsage
+)
 
-// told is what the configuration's file says.
-type told struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
-		Cores    float64
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int
-		DiskMB   float64 `json:"disk_mb"`
-	}
-	PeerListen string `json:"peer_listen"`
-	Peers      []string
-	PeersAll   string `json:"peers_all"`
-	Known      json.RawMessage
-	Settings   json.RawMessage
-}
+// usageError is a wrong use of the command line.
+type usageError struct{ error }
 
 func main() {
 	// Danger: uncaught, the signal that says that the file was replaced ends the process, at whatever moment.
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
-	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	if err := run(replaced); err != nil {
-		logrus.Error(err)
-		os.Exit(1)
-	}
+	os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr, replaced))
 }
 
-// read reads the file and checks it as a whole. Danger: of a bad one nothing may be used.
-func read(name string) (t told, s start.Start, err error) {
-	text, err := os.ReadFile(name)
-	if err == nil {
-		err = json.Unmarshal(text, &t)
+// execute runs one command and returns the process's exit code.
+func execute(args []string, out, problems io.Writer, replaced <-chan os.Signal) int {
+	gate := logs.New()
+	logrus.SetFormatter(gate)
+	root := commands(gate, replaced)
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(problems)
+	err := root.Execute()
+	var wrong usageError
+	switch {
+	case err == nil:
+		return exitGood
+	case errors.As(err, &wrong):
+		fmt.Fprintln(problems, "jaspersill:", err)
+		return exitUsage
 	}
-	if err != nil {
-		return t, s, fmt.Errorf("RELAY_CONFIG: %w", err)
+	for line := range strings.SplitSeq(err.Error(), "\n") {
+		fmt.Fprintln(problems, "jaspersill:", line)
 	}
-	for what, address := range map[string]string{"listen": t.Listen, "discovery": t.Discovery} {
-		_, port, err := net.SplitHostPort(address)
-		if err == nil {
-			_, err = strconv.ParseUint(port, 10, 16)
+	return exitFailed
+}
+
+func commands(gate *logs.Gate, replaced <-chan os.Signal) *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use:   "jaspersill",
+		Short: "A delivery node that hands events on to destinations nobody here controls",
+		Long: "A delivery node that hands events on to destinations nobody here controls.\n\n" +
+			"Without a command it serves where RELAY_CONFIG is set, as `serve` does.\n" +
+			"Exit codes: 0 good, 1 failed, 2 wrong usage.",
+		SilenceUsage: true, SilenceErrors: true,
+		Args: noneOf("command"),
+		RunE: func(c *cobra.Command, args []string) error {
+			if os.Getenv(platformFile) == "" {
+				c.Help()
+				return usageError{errors.New("a command is needed, or RELAY_CONFIG to serve")}
+			}
+			return serve(gate, file, replaced)
+		},
+	}
+	root.SuggestionsMinimumDistance = 2
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.PersistentFlags().StringVar(&file, "file", os.Getenv(ownFile),
+		"the installation's own TOML file; "+ownFile+" names it too")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Run the delivery node until SIGTERM", Args: noneOf("argument"),
+			RunE: func(*cobra.Command, []string) error { return serve(gate, file, replaced) }},
+		&cobra.Command{Use: "check FILE...", Short: "Tell all that is wrong with files of either format",
+			Args: some("FILE"), RunE: func(c *cobra.Command, names []string) error { return check(c, names) }},
+		configCommand(&file), journalCommand(),
+		&cobra.Command{Use: "version", Short: "Print what this program was built from", Args: noneOf("argument"),
+			RunE: func(c *cobra.Command, _ []string) error {
+				_, err := fmt.Fprintln(c.OutOrStdout(), version())
+				return err
+			}},
+	)
+	return root
+}
+
+// noneOf refuses all arguments, and tells the nearest command where there are commands.
+func noneOf(what string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return nil
 		}
-		if err != nil {
-			return t, s, fmt.Errorf("%s: want HOST:PORT: %w", what, err)
+		text := fmt.Sprintf("%s: no such %s: %q", c.CommandPath(), what, args[0])
+		if near := c.SuggestionsFor(args[0]); len(near) > 0 {
+			text += "; did you mean " + strings.Join(near, " or ") + "?"
 		}
+		return usageError{errors.New(text)}
 	}
-	l := t.Limits
-	if l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.DiskMB < 0 {
-		return t, s, errors.New("limits: none may be under 0")
-	}
-	if s, err = start.JSON(t.Settings); err != nil {
-		return t, s, err
-	}
-	s.Directory.Asked = true // on sockets every change is asked for
-	return t, s, nil
 }
 
-func run(replaced <-chan os.Signal) error {
-	name, folder := os.Getenv("RELAY_CONFIG"), os.Getenv("RELAY_STATE")
-	t, s, err := read(name)
-	if err != nil {
-		return err
-	}
-	if folder == "" {
-		return errors.New("RELAY_STATE is needed")
-	}
-	seed, err := strconv.ParseUint(t.Seed, 16, 64)
-	if err != nil {
-		return fmt.Errorf("seed: want up to 16 hex digits: %w", err)
-	}
-	if t.Limits.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)))
-	}
-	if t.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(t.Limits.MemoryMB * memoryPart * (1 << 20)))
+// some wants one argument or more; one wants exactly one.
+func some(what string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return usageError{fmt.Errorf("%s: %s is missing", c.CommandPath(), what)}
+		}
+		return nil
 	}
-	module := choice.New(seed, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
-	n, err := node.Open(
-		node.Place{Listen: t.Listen, Directory: t.Discovery, Folder: folder, PeerListen: t.PeerListen,
-			PeersAll: t.PeersAll, Peers: t.Peers, Known: t.Known},
-		node.Limits{DiskMB: t.Limits.DiskMB, Sockets: t.Limits.Sockets}, s, module)
-	if err != nil {
-		return err
+}
+
+func one(what string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return usageError{fmt.Errorf("%s: want one %s, got %d", c.CommandPath(), what, len(args))}
+		}
+		return nil
 	}
-	go follow(replaced, name, n.Move)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return n.Run(ctx)
 }
 
-// follow reads the file again each time it was replaced, for as long as the process lasts. Only where the
-// directory is can change under way; a bad file changes nothing.
-func follow(replaced <-chan os.Signal, name string, move func(directory string)) {
-	for range replaced {
-		if t, _, err := read(name); err != nil {
-			logrus.WithError(err).Error("the new configuration is passed over, the old one stays")
-		} else {
-			logrus.WithField("discovery", t.Discovery).Info("configuration read again; the rest needs a restart")
-			move(t.Discovery)
+// group is a command that only holds others.
+func group(use, short string, inner ...*cobra.Command) *cobra.Command {
+	c := &cobra.Command{Use: use, Short: short, SuggestionsMinimumDistance: 2, Args: noneOf("command"),
+		RunE: func(c *cobra.Command, _ []string) error {
+			c.Help()
+			return usageError{fmt.Errorf("%s: a command is needed", c.CommandPath())}
+		}}
+	c.AddCommand(inner...)
+	return c
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "jaspersill (no build information)"
+	}
+	text := "jaspersill " + info.Main.Version + " " + info.GoVersion
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision", "vcs.time":
+			text += " " + s.Value
+		case "vcs.modified":
+			if s.Value == "true" {
+				text += " modified"
+			}
 		}
 	}
+	return text
 }
--- a/cmd/jaspersill/main_test.go
+++ b/cmd/jaspersill/main_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"jaspersill/logs"
 )
 
 const child = "JASPERSILL_TEST_CHILD"
@@ -110,12 +112,12 @@
 		}
 		t.Setenv("RELAY_CONFIG", name)
 		t.Setenv("RELAY_STATE", t.TempDir())
-		if err := run(nil); err == nil || !strings.Contains(err.Error(), c.want) {
+		if err := serve(logs.New(), "", nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: got %v, want %q", c.new, err, c.want)
 		}
 	}
 	t.Setenv("RELAY_CONFIG", "no such file")
-	if err := run(nil); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+	if err := serve(logs.New(), "", nil); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
 		t.Errorf("no file: %v", err)
 	}
 }
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,60 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func TestLinesAreHeldBackCountedAndTold(t *testing.T) {
+	var out bytes.Buffer
+	g, now := New(), time.Unix(1000, 0)
+	g.now = func() time.Time { return now }
+	g.Set("json", "info", map[string]string{"clients": "debug", "journal": "error"}, 3, time.Second)
+	l := &logrus.Logger{Out: &out, Formatter: g, Hooks: logrus.LevelHooks{}, Level: g.Least()}
+	in := func(part string) *logrus.Entry { return l.WithField("part", part) }
+	for range 10 {
+		in("clients").Debug("fails")
+		in("journal").Warn("quiet part")
+		in("node").Debug("under the level")
+	}
+	in("node").Info("another message")
+	if got := strings.Count(out.String(), "fails"); got != 3 || strings.Count(out.String(), "\n") != 4 {
+		t.Errorf("%d lines of the message, want 3, in:\n%s", got, &out)
+	}
+	now = now.Add(time.Second)
+	out.Reset()
+	in("clients").Debug("fails")
+	if !strings.Contains(out.String(), `"held_back":7`) {
+		t.Errorf("the next line does not tell of 7: %s", &out)
+	}
+	for range 9 {
+		in("clients").Debug("fails")
+	}
+	now = now.Add(2 * time.Second)
+	out.Reset()
+	g.Tell(l)
+	if !strings.Contains(out.String(), `"held_back":7`) || !strings.Contains(out.String(), `"part":"clients"`) {
+		t.Errorf("nobody told of the last 7: %s", &out)
+	}
+	g.Tell(l)
+	if n := strings.Count(out.String(), "held_back"); n != 1 {
+		t.Errorf("told %d times", n)
+	}
+}
+
+func TestMessagesThatAreAlwaysNewStayBounded(t *testing.T) {
+	var out bytes.Buffer
+	g := New()
+	l := &logrus.Logger{Out: &out, Formatter: g, Hooks: logrus.LevelHooks{}, Level: g.Least()}
+	for i := range 20 * manyKinds {
+		l.Info(fmt.Sprint("message ", i))
+	}
+	if lines := strings.Count(out.String(), "\n"); len(g.kinds) > manyKinds+1 || lines > 2*manyKinds {
+		t.Errorf("%d messages known, %d lines", len(g.kinds), lines)
+	}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -2,14 +2,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"net"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+
+	"jaspersill/logs"
 )
 
 const (
@@ -39,19 +41,21 @@
 // quiet takes fasthttp's lines, one for each connection that fails. Danger: bad clients would fill the log.
 type quiet struct{}
 
-func (quiet) Printf(format string, args ...any) { logrus.Debugf(format, args...) }
+func (quiet) Printf(format string, args ...any) { logs.Part("clients").Debugf(format, args...) }
 
-func openClients(n *Node, listen string, most, keep int) (*clients, error) {
+func openClients(n *Node, listen string, g Guests, most, keep int) (*clients, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
 	c := &clients{node: n, door: newDoorman(l, most, keep),
-		bad: tally{what: "clients: refused what is no event"}}
+		bad: tally{part: "clients", what: "refused what is no event"}}
+	c.door.first, c.door.between = cmp.Or(g.First, firstWithin), cmp.Or(g.Between, clientIdle)
 	c.server = &fasthttp.Server{
 		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
-		ReadTimeout: readWithin, WriteTimeout: writeWithin, IdleTimeout: clientIdle, MaxRequestBodySize: mostBody,
-		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		ReadTimeout: cmp.Or(g.Whole, readWithin), WriteTimeout: writeWithin, IdleTimeout: c.door.between,
+		MaxRequestBodySize: mostBody,
+		ReduceMemoryUsage:  true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		DisablePreParseMultipartForm: true,
 		Concurrency:                  most + 16, Logger: quiet{},
 		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
--- a/node/desk.go
+++ b/node/desk.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"jaspersill/door"
+	"jaspersill/logs"
 	"jaspersill/port"
 )
 
@@ -257,9 +256,9 @@
 
 // Probe is never asked for: the module sends none, and the protocol has no call for it.
 func (d *desk) Probe(ep int32) {
-	logrus.WithField("endpoint", d.eps.ID(ep)).Warn("a probe was asked for: the protocol has none")
+	logs.Part("node").WithField("endpoint", d.eps.ID(ep)).Warn("a probe was asked for: the protocol has none")
 }
 
 func (d *desk) Log(text string, ep int32) {
-	logrus.WithField("endpoint", d.eps.ID(ep)).Info(text)
+	logs.Part("endpoints").WithField("endpoint", d.eps.ID(ep)).Info(text)
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -11,12 +11,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"jaspersill/logs"
 	"jaspersill/port"
 	"jaspersill/start"
 )
@@ -31,7 +32,7 @@
 // directory follows the list of endpoints: a watch while the module wants one, and the whole list when asked.
 type directory struct {
 	address   string
-	silence   time.Duration // without a sign for so long, a call is broken
+	silence   atomic.Int64 // ns; without a sign for so long, a call is broken
 	desk      *desk
 	endpoints *endpoints
 	partners  []string
@@ -140,7 +141,8 @@
 
 // follow makes one call and hands in each line that it brings; of is nil where it is no watch.
 func (d *directory) follow(ctx context.Context, of *watch, address, path string) error {
-	dialer := net.Dialer{Timeout: d.silence, KeepAlive: -1}
+	silence := time.Duration(d.silence.Load())
+	dialer := net.Dialer{Timeout: silence, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -149,7 +151,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 
 	// Danger: a directory that vanished gives no sign. Nothing is waited for longer than a sign of life takes.
-	conn.SetDeadline(time.Now().Add(d.silence))
+	conn.SetDeadline(time.Now().Add(silence))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: directory\r\n\r\n", path); err != nil {
 		return err
 	}
@@ -171,7 +173,7 @@
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, mostListLine)
 	for lines.Scan() && ctx.Err() == nil {
-		conn.SetDeadline(time.Now().Add(d.silence))
+		conn.SetDeadline(time.Now().Add(silence))
 		if err := d.line(of, lines.Bytes()); err != nil {
 			return fmt.Errorf("a line cannot be read: %w", err)
 		}
@@ -218,7 +220,8 @@
 			dest: uint32(h.GetUint64("block")), site: string(h.GetStringBytes("site")),
 			partner: slices.Index(d.partners, start.Name(string(h.GetStringBytes("class"))))}
 		if e.host == "" || !h.Exists("block") { // danger: for the sake of one, no other would be known
-			logrus.Warnf("directory: passed over an entry without a name or a destination: %.200s", h)
+			logs.Part("directory").WithField("entry", fmt.Sprintf("%.200s", h)).
+				Warn("passed over an entry without a name or a destination")
 			continue
 		}
 		if e.partner < 0 {
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -23,6 +23,8 @@
 	most int // connections in all
 	keep int // of them, between requests
 
+	first, between time.Duration // until the first request is whole; between two
+
 	accepts trouble
 	mu      sync.Mutex
 	freed   sync.Cond
@@ -47,8 +49,9 @@
 var longAgo = time.Unix(1, 0)
 
 func newDoorman(l net.Listener, most, keep int) *doorman {
-	d := &doorman{Listener: l, most: most, keep: keep, accepts: trouble{what: "clients: accepting connections"},
-		open: make(map[*guest]struct{})}
+	d := &doorman{Listener: l, most: most, keep: keep, first: firstWithin, between: clientIdle,
+		accepts: trouble{part: "clients", what: "accepting connections"},
+		open:    make(map[*guest]struct{})}
 	d.freed.L = &d.mu
 	return d
 }
@@ -181,9 +184,9 @@
 		return nil
 	}
 	if !g.busy {
-		t = time.Now().Add(clientIdle)
+		t = time.Now().Add(g.door.between)
 	}
-	if first := g.came.Add(firstWithin); !g.asked && t.After(first) {
+	if first := g.came.Add(g.door.first); !g.asked && t.After(first) {
 		t = first // danger: by a byte now and then, or none, a client would keep its connection for good
 	}
 	return g.Conn.SetReadDeadline(t)
--- a/node/journal.go
+++ b/node/journal.go
@@ -10,8 +10,7 @@
 	"strconv"
 	"sync"
 
-	"github.com/sirupsen/logrus"
-
+	"jaspersill/logs"
 	"jaspersill/port"
 )
 
@@ -87,7 +86,7 @@
 func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
 	*journal, []*event, error) {
 	j := &journal{name: filepath.Join(folder, fileName), most: noLimit, sends: sends, next: 1,
-		owed: make(map[string]*entry), disk: trouble{what: "journal: writing a record"}}
+		owed: make(map[string]*entry), disk: trouble{part: "journal", what: "writing a record"}}
 	if limitMB > 0 {
 		j.most = int64(limitMB*1e6) - slackSize
 	}
@@ -98,7 +97,9 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, err
 	}
-	j.replay(text)
+	j.replay(text, func(offset int, reason string) {
+		logs.Part("journal").WithField("offset", offset).Error(reason)
+	})
 	if err := j.sweepBodies(); err != nil {
 		return nil, nil, err
 	}
@@ -109,12 +110,12 @@
 		}
 		typ, customer, ok := find(o.kind, o.owner)
 		if !ok { // danger: an event of a stream type that is no longer known still gets its end
-			logrus.WithField("kind", o.kind).Error("journal: owed event of an unknown stream type is discarded")
+			logs.Event("journal", o.e.id).WithField("kind", o.kind).Error("owed event of an unknown stream type is discarded")
 			o.verdict = discarded
 		}
 		if o.file > 0 {
 			if o.e.body, err = os.ReadFile(j.body(o.file)); err != nil {
-				logrus.WithError(err).Error("journal: owed event without its body is discarded")
+				logs.Event("journal", o.e.id).WithError(err).Error("owed event without its body is discarded")
 				o.verdict = discarded
 			}
 		}
@@ -345,30 +346,35 @@
 	return nil
 }
 
-// replay reads the records of a file. Only a last one that was cut off is dropped without a word.
-func (j *journal) replay(text []byte) {
+// replay reads the records of a file and tells where one is damaged. Only a last one that was cut off is dropped
+// without a word. It returns how many records were read and the bytes at the end that were cut off.
+func (j *journal) replay(text []byte, damaged func(offset int, reason string)) (records, torn int) {
 	for at := 0; at < len(text); {
 		rest := text[at:]
 		if len(rest) < frameSize {
-			return
+			return records, len(rest)
 		}
 		size := int(le.Uint32(rest))
 		end := frameSize + size
-		if size > mostRecord || end > len(rest) {
-			if size > mostRecord {
-				logrus.WithField("offset", at).Error("journal: no record can be read from here on")
-			}
-			return
+		if size > mostRecord {
+			damaged(at, "no record can be read from here on")
+			return records, 0
+		}
+		if end > len(rest) {
+			return records, len(rest)
 		}
 		payload := rest[frameSize:end]
 		if crc32.Checksum(payload, crcTable) != le.Uint32(rest[4:]) || !j.apply(payload) {
 			if at+end == len(text) {
-				return
+				return records, len(rest)
 			}
-			logrus.WithField("offset", at).Error("journal: a damaged record was passed over")
+			damaged(at, "a damaged record was passed over")
+		} else {
+			records++
 		}
 		at += end
 	}
+	return records, 0
 }
 
 // apply takes one record in; false for one that makes no sense.
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -124,7 +124,7 @@
 			}
 		}
 		j, owed := reopen(t, t.TempDir(), 3) // only to read: the folder's long body must stay
-		j.replay(whole[:cut])
+		j.replay(whole[:cut], func(int, string) {})
 		owed = owed[:0]
 		for _, o := range j.owed {
 			owed = append(owed, o.e)
@@ -247,3 +247,45 @@
 		t.Error("an event whose body is gone must be discarded")
 	}
 }
+
+func TestAJournalIsReadWithoutChangingIt(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := reopen(t, folder, 3)
+	fill(t, j)
+	name := filepath.Join(folder, fileName)
+	text, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	look := func(what string, text []byte, owed, torn, faults int) {
+		t.Helper()
+		if err := os.WriteFile(name, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		before := folderSize(t, folder)
+		r, err := ReadJournal(folder)
+		if err != nil || len(r.Owed) != owed || (r.Torn > 0) != (torn > 0) || len(r.Faults) != faults {
+			t.Errorf("%s: %+v, %v", what, r, err)
+		}
+		if after, _ := os.ReadFile(name); !bytes.Equal(after, text) || folderSize(t, folder) != before {
+			t.Errorf("%s: reading changed the folder", what)
+		}
+	}
+	look("as written", text, 3, 0, 0)
+	look("cut off", text[:len(text)-3], 2, 1, 0) // the last record takes an event on
+	broken := bytes.Clone(text)
+	broken[frameSize+3] ^= 1 // in the first record
+	look("damaged", broken, 3, 0, 1)
+	r, err := ReadJournal(folder)
+	if err != nil || !strings.Contains(strings.Join(r.Faults, ""), name+": offset 0: ") {
+		t.Errorf("the fault does not name file and offset: %v, %v", r.Faults, err)
+	}
+	bodies, _ := filepath.Glob(name + bodyName + "*")
+	if len(bodies) != 1 || os.Remove(bodies[0]) != nil {
+		t.Fatalf("bodies: %v", bodies)
+	}
+	look("without a body", text, 3, 0, 1)
+	if _, err := ReadJournal(t.TempDir()); err == nil {
+		t.Error("a folder without a journal passes for a good one")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,13 @@
 	Known                     []byte // the list of endpoints as it was last had
 }
 
+// Guests is how long clients' connections may take; 0 for the usual time.
+type Guests struct {
+	First   time.Duration // from connecting until the first request is whole
+	Whole   time.Duration // from the first byte of each later request
+	Between time.Duration // between two requests
+}
+
 // Limits is what a delivery node may take up.
 type Limits struct {
 	DiskMB  float64
@@ -46,7 +53,7 @@
 	owners    []string
 	types     []port.StreamType
 
-	drain     drainTimes
+	drain     atomic.Pointer[drainTimes]
 	owed      []*event // from before a restart
 	journal   *journal
 	desk      *desk
@@ -58,10 +65,10 @@
 }
 
 // Open opens the journal and the sockets of a delivery node; Run starts it.
-func Open(at Place, most Limits, s start.Start, module port.Decider) (*Node, error) {
+func Open(at Place, most Limits, g Guests, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
-	n := &Node{clock: c, drain: drainTimes{drainDoor, drainChoose, drainEnd}, most: int64(s.Room.Events),
-		types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n.Drain(drainDoor, drainChoose, drainEnd)
 	n.enter(Starting)
 	var err error
 	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
@@ -82,14 +89,15 @@
 	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
 		idleFor: s.IdleFor, mostIdle: idle}
 	n.directory = &directory{address: at.Directory, open: make(map[*watch]struct{}),
-		dests: make(map[uint32]struct{}), silence: silentAfter, desk: n.desk, endpoints: n.endpoints,
+		dests: make(map[uint32]struct{}), desk: n.desk, endpoints: n.endpoints,
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated,
-		answers: trouble{what: "directory: watching the list"}}
+		answers: trouble{part: "directory", what: "watching the list"}}
 	n.outcomes = openOutcomes(at.Directory)
 	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
 		n.journal.close()
 		return nil, err
 	}
+	n.Silence(silentAfter)
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
 	if len(at.Known) > 0 {
 		if err = n.directory.line(nil, at.Known); err != nil {
@@ -97,7 +105,7 @@
 		}
 	}
 	if err == nil {
-		n.clients, err = openClients(n, at.Listen, max(fewClients, sockets-idle-s.Room.Slots), keep)
+		n.clients, err = openClients(n, at.Listen, g, max(fewClients, sockets-idle-s.Room.Slots), keep)
 	}
 	if err != nil {
 		n.peers.close()
@@ -107,6 +115,16 @@
 	return n, nil
 }
 
+// Drain sets how long after SIGTERM connections between requests are closed, nothing more is decided, and the
+// node exits. It holds for a drain that begins later, and may be called at any time, as may Silence and Notices.
+func (n *Node) Drain(door, choose, end time.Duration) { n.drain.Store(&drainTimes{door, choose, end}) }
+
+// Silence sets for how long a call to the directory may show no sign of life.
+func (n *Node) Silence(most time.Duration) { n.directory.silence.Store(int64(most)) }
+
+// Notices sets how long the platform has to answer a notice, and when one that failed is told again.
+func (n *Node) Notices(within, again time.Duration) { n.outcomes.times(within, again) }
+
 // Move tells that the directory, which takes the notices too, is at another address from now on.
 func (n *Node) Move(directory string) {
 	n.directory.move(directory)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -90,7 +90,7 @@
 	s.Directory.Asked = true
 	module := choice.New(1, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	w.Node, err = Open(Place{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), Folder: w.folder,
-		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, s, module)
+		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, Guests{}, s, module)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 	w.stop, w.done = stop, make(chan error, 1)
 	go func() { w.done <- w.Run(ctx) }()
 	w.t.Cleanup(func() {
-		w.drain = drainTimes{}
+		w.Drain(0, 0, 0)
 		stop()
 		<-w.done
 	})
@@ -717,7 +717,8 @@
 	d.endpoints = newEndpoints(t, false, "")
 	d.directory = &directory{address: address, open: make(map[*watch]struct{}),
 		dests: make(map[uint32]struct{}), desk: d, endpoints: d.endpoints, rated: true,
-		partners: []string{"big", "small_one"}, zones: []string{"here", "there"}, silence: 300 * time.Millisecond}
+		partners: []string{"big", "small_one"}, zones: []string{"here", "there"}}
+	d.directory.silence.Store(int64(300 * time.Millisecond))
 	go d.run()
 	t.Cleanup(func() {
 		d.directory.close()
@@ -805,7 +806,7 @@
 	hangs := newPeer(t, silent)
 	after := newPeer(t, say("HTTP/1.1 200 OK\r\n\r\n"+line(5, "b")))
 	d, r := listen(t, before.Addr().String())
-	d.silence = long
+	d.silence.Store(int64(long))
 	w := &world{t: t}
 	d.watch(true)
 	old <- line(4, "a")
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -21,6 +21,8 @@
 	bell chan struct{}
 
 	mu     sync.Mutex
+	within time.Duration // that the platform has to answer
+	again  time.Duration // until one that failed is told again
 	queue  []*event
 	client *fasthttp.HostClient
 	leave  context.CancelFunc // closes the client's connections
@@ -38,16 +40,36 @@
 }
 
 func openOutcomes(address string) *outcomes {
-	o := &outcomes{bell: make(chan struct{}, 1), leave: func() {}}
+	o := &outcomes{bell: make(chan struct{}, 1), leave: func() {}, within: noticeWithin, again: noticeAgain}
 	o.move(address)
 	return o
 }
 
+// times changes how long a notice may take, from the next one on.
+func (o *outcomes) times(within, again time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.within == within && o.again == again {
+		return
+	}
+	o.within, o.again = within, again
+	o.open(o.client.Addr)
+}
+
 // move tells the platform at another address from now on. Danger: a notice that hangs at the old one would
 // hold back all others. It is broken off, and told again.
 func (o *outcomes) move(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.client == nil || o.client.Addr != address {
+		o.open(address)
+	}
+}
+
+// open replaces the client and its connections.
+func (o *outcomes) open(address string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	dialer := net.Dialer{Timeout: noticeWithin, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: o.within, KeepAlive: -1}
 	dial := func(addr string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, "tcp", addr)
 		if err != nil {
@@ -55,16 +77,10 @@
 		}
 		return &leaving{conn, context.AfterFunc(ctx, func() { conn.Close() })}, nil
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.client != nil && o.client.Addr == address {
-		cancel()
-		return
-	}
 	o.leave()
 	o.leave = cancel
-	o.client = &fasthttp.HostClient{Addr: address, Dial: dial, MaxConns: 2, ReadTimeout: noticeWithin,
-		WriteTimeout: noticeWithin, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
+	o.client = &fasthttp.HostClient{Addr: address, Dial: dial, MaxConns: 2, ReadTimeout: o.within,
+		WriteTimeout: o.within, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
 }
 
 // post queues an event's notice; its life hears when the platform has it.
@@ -87,7 +103,7 @@
 
 // run sends notices for as long as the process lasts.
 func (o *outcomes) run(stop <-chan struct{}) {
-	told := trouble{what: "outcomes: telling the platform"}
+	told := trouble{part: "notices", what: "telling the platform"}
 	for {
 		select {
 		case <-stop:
@@ -96,7 +112,7 @@
 		}
 		for {
 			o.mu.Lock()
-			part, client := o.queue[:min(len(o.queue), noticePart)], o.client
+			part, client, again := o.queue[:min(len(o.queue), noticePart)], o.client, o.again
 			o.mu.Unlock()
 			if len(part) == 0 {
 				break
@@ -107,7 +123,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(noticeAgain):
+				case <-time.After(again):
 				}
 				continue
 			}
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,8 +3,7 @@
 import (
 	"net"
 
-	"github.com/sirupsen/logrus"
-
+	"jaspersill/logs"
 	"jaspersill/note"
 	"jaspersill/port"
 )
@@ -71,7 +70,7 @@
 		return
 	}
 	if _, err := p.socket.WriteToUDP(data, p.all); err != nil {
-		logrus.WithError(err).Debug("note to peers not sent")
+		logs.Part("peers").WithError(err).Debug("a note is not sent")
 	}
 }
 
--- a/node/phases.go
+++ b/node/phases.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"jaspersill/logs"
 )
 
 // Phase is where a delivery node stands between its start and its exit.
@@ -39,7 +41,7 @@
 
 func (n *Node) enter(p Phase) {
 	n.phase.Store(int32(p))
-	logrus.WithFields(logrus.Fields{"phase": p.String(), "held": n.held.Load()}).Info("phase")
+	logs.Part("node").WithFields(logrus.Fields{"phase": p.String(), "held": n.held.Load()}).Info("phase")
 }
 
 // Run takes the delivery node through its phases. It drains when ctx ends.
@@ -66,18 +68,18 @@
 	}
 
 	n.enter(Draining)
-	begin := time.Now()
-	n.sleep(begin.Add(n.drain.door), nil)
+	begin, drain := time.Now(), n.drain.Load()
+	n.sleep(begin.Add(drain.door), nil)
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(n.drain.choose), n.unowed)
+	n.sleep(begin.Add(drain.choose), n.unowed)
 	n.deskShut.Store(true)
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(n.drain.choose), n.unowed) // what was admitted just before
+	n.sleep(begin.Add(drain.choose), n.unowed) // what was admitted just before
 	n.desk.close()
-	n.sleep(begin.Add(n.drain.end), n.quiet)
+	n.sleep(begin.Add(drain.end), n.quiet)
 	n.clients.door.Close()
 	n.clients.door.dismiss()
-	n.sleep(begin.Add(n.drain.end+drainLast), n.clients.door.empty)
+	n.sleep(begin.Add(drain.end+drainLast), n.clients.door.empty)
 	n.directory.close()
 	n.enter(Stopped)
 	return nil
--- a/node/sends.go
+++ b/node/sends.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/bytebufferpool"
 
+	"jaspersill/logs"
 	"jaspersill/port"
 )
 
@@ -93,7 +93,7 @@
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
 	if err := writeCall(out, going, longest); err != nil {
-		logrus.WithError(err).Error("endpoints: a call cannot be written as HTTP")
+		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
 		l.Close()
 		c.finish(result{how: port.Unsent})
 		return
--- a/node/trouble.go
+++ b/node/trouble.go
@@ -6,29 +6,31 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"jaspersill/logs"
 )
 
 // trouble logs that something fails when it begins to and when it is over. Danger: while a disk or the
 // directory fails, a line for each event would drown all others.
 type trouble struct {
-	what string
-	now  atomic.Bool
+	part, what string
+	now        atomic.Bool
 }
 
 // note takes how the last try went.
 func (t *trouble) note(err error) {
 	switch {
 	case err != nil && !t.now.Swap(true):
-		logrus.WithError(err).Error(t.what + " fails")
+		logs.Part(t.part).WithError(err).Error(t.what + " fails")
 	case err == nil && t.now.Swap(false):
-		logrus.Info(t.what + " works again")
+		logs.Part(t.part).Info(t.what + " works again")
 	}
 }
 
 // tally logs how often something happened that others can make happen at will, with the last case. Danger: as
 // many lines would fill the disk and take the CPU; none would hide it.
 type tally struct {
-	what string
+	part, what string
 
 	mu    sync.Mutex
 	count int
@@ -43,7 +45,7 @@
 	defer t.mu.Unlock()
 	t.count++
 	if now := time.Now(); now.Sub(t.at) >= tallyEvery {
-		logrus.WithFields(logrus.Fields{"times": t.count, "last": last}).Warn(t.what)
+		logs.Part(t.part).WithFields(logrus.Fields{"times": t.count, "last": last}).Warn(t.what)
 		t.count, t.at = 0, now
 	}
 }
--- a/start/start.go
+++ b/start/start.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -43,9 +44,7 @@
 }
 
 func (e *reader) fail(name, value, want string) {
-	if e.err == nil {
-		e.err = fmt.Errorf("settings: %s: want %s, got %q", name, want, value)
-	}
+	e.err = errors.Join(e.err, fmt.Errorf("settings: %s: want %s, got %q", name, want, value))
 }
 
 func (e *reader) text(name string, words ...string) string {
@@ -176,7 +175,7 @@
 	safeties := map[string]port.Safety{
 		"repeatable": port.Idempotent, "by_key": port.Deduplicated, "once": port.NonIdempotent}
 	types := e.listed("services.count")
-	if types == 0 {
+	if types == 0 && e.err == nil {
 		e.fail("services.count", e.values["services.count"], "1 or more")
 	}
 	for i := range types {
