--- /dev/null
+++ b/lab/run/run_test.go
@@ -0,0 +1,277 @@
+package run
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+
+	"jaspersill/lab/ledger"
+	"jaspersill/lab/policy"
+	"jaspersill/lab/scenario"
+	"jaspersill/lab/scenarios"
+	"jaspersill/lab/stat"
+	"jaspersill/lab/world"
+)
+
+func find(t testing.TB, name string) *scenario.Scenario {
+	t.Helper()
+	day, err := scenarios.Find(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return day
+}
+
+// long tells whether the measurements that docs/lab.md states are made, rather than their short forms.
+func long() bool { return os.Getenv("JASPERSILL_LONG") != "" }
+
+func TestASeedGivesOneTrace(t *testing.T) {
+	for _, name := range []string{"harvest", "ordered", "replaced", "seldom"} {
+		day := find(t, name)
+		day.Length = scenario.Span(30e9)
+		before := runtime.GOMAXPROCS(1)
+		one := TraceOf(day, 7, 3, policy.Module)
+		runtime.GOMAXPROCS(max(2, before))
+		if two := TraceOf(day, 7, 3, policy.Module); one != two {
+			t.Errorf("%s: two traces of one seed: %s and %s", name, one, two)
+		}
+		runtime.GOMAXPROCS(before)
+		if other := TraceOf(day, 7, 4, policy.Module); other == one {
+			t.Errorf("%s: two lucks have one trace", name)
+		}
+	}
+}
+
+func TestEachRuleBrokenOnPurposeIsCaught(t *testing.T) {
+	for _, c := range []struct {
+		weak, scenario string
+		rule           ledger.Rule
+	}{
+		{"lossy", "farm", ledger.OneEnd},
+		{"restless", "farm", ledger.OneEnd},
+		{"careless", "answers-lost", ledger.Once},
+		{"forgetful", "answers-lost", ledger.Once},
+		{"undrained", "replaced", ledger.Drains},
+		{"blind", "cold-return", ledger.Returns},
+		{"disorderly", "ordered", ledger.Order},
+		{"deaf", "refusals", ledger.Waits},
+	} {
+		day := find(t, c.scenario)
+		if c.weak == "forgetful" { // a window so short that repeats past it come often
+			for i := range day.Types {
+				if day.Types[i].Window > 0 {
+					day.Types[i].Window = 2e8
+				}
+			}
+		}
+		launch, err := policy.Find("module+" + c.weak)
+		if err != nil {
+			t.Fatal(err)
+		}
+		caught := false
+		for seed := range uint64(3) {
+			for _, b := range One(day, seed, 0, launch, false, nil).Sum.Breaks {
+				evidence := b.Event > 0 && b.At > 0 && (len(b.Sends) > 0 || c.weak == "lossy" || c.weak == "deaf" ||
+					c.weak == "undrained" || c.weak == "disorderly") || b.Rule == ledger.Returns
+				if b.Rule != c.rule {
+					t.Errorf("%s: %s", c.weak, b)
+				} else if !evidence {
+					t.Errorf("%s: no evidence: %s", c.weak, b)
+				}
+				caught = true
+			}
+			if r := One(day, seed, 0, policy.Module, false, nil); r.Sum.Broken > 0 && c.weak != "forgetful" {
+				t.Errorf("%s: false alarm on the module as it is: %s", c.scenario, r.Sum.Breaks[0])
+			}
+		}
+		if !caught {
+			t.Errorf("%s on %s: not caught", c.weak, c.scenario)
+		}
+	}
+}
+
+func TestNoFalseAlarmOnCalmSeeds(t *testing.T) {
+	day := find(t, "farm")
+	n := 40
+	if long() {
+		n = 200
+	} else {
+		day.Length = scenario.Span(20e9)
+	}
+	sets := []Set{{Name: "module", Day: day, Launch: policy.Module}}
+	results, err := All(context.Background(), sets, Seeds(1, n), false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if broken, first := Broken(results[0]); broken > 0 {
+		t.Errorf("%d alarms over %d calm seeds: %s", broken, n, first)
+	}
+	for i := range results[0] {
+		if s := &results[0][i].Sum; s.Asked == 0 || s.G < 0.99 || s.Effects != s.Acked {
+			t.Errorf("seed %d is not calm: %+v", results[0][i].Seed, s)
+		}
+	}
+}
+
+// A version beside itself: with the same requests and troubles, and chance drawn anew, the interval must hold 0 as
+// often as it says.
+func TestAVersionBesideItself(t *testing.T) {
+	day := find(t, "refusals")
+	comparisons, seeds := 40, 12
+	least, most := 0.85, 1.0
+	if long() {
+		comparisons, seeds, least, most = 400, 30, 0.92, 0.98
+	}
+	day.Length = scenario.Span(20e9)
+	day.Loads[0].At, day.Loads[0].For = scenario.Span(5e9), scenario.Span(8e9)
+	holds := 0
+	for c := range comparisons {
+		sets := []Set{{Day: day, Launch: policy.Module, Luck: uint64(2*c + 1)}, {Day: day, Launch: policy.Module, Luck: uint64(2*c + 2)}}
+		r, err := All(context.Background(), sets, Seeds(uint64(1+c*seeds), seeds), false, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if Compare(r[0], r[1], G).Holds(0) {
+			holds++
+		}
+	}
+	part := float64(holds) / float64(comparisons)
+	t.Logf("the interval held 0 in %d of %d comparisons of %d seeds", holds, comparisons, seeds)
+	if part < least || part > most {
+		t.Errorf("the interval held 0 in %.3f of the comparisons, want %.2f to %.2f", part, least, most)
+	}
+}
+
+func TestADifferenceShows(t *testing.T) {
+	day := find(t, "silence")
+	a, _ := Named("module", day, 0)
+	b, _ := Named("once", day, 0)
+	r, err := All(context.Background(), []Set{a, b}, Seeds(1, 8), false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := Compare(r[0], r[1], G); d.Most >= 0 {
+		t.Errorf("one try for each event is not seen to be worse: %+v", d)
+	}
+}
+
+// The interval's own promise, on values whose mean is known.
+func TestIntervalsHoldTheMeanAsOftenAsTheySay(t *testing.T) {
+	chance := rand.New(rand.NewPCG(5, 5))
+	for name, draw := range map[string]func() float64{
+		"even": chance.Float64, "normal": chance.NormFloat64, "skewed": func() float64 { return math.Sqrt(chance.ExpFloat64()) },
+	} {
+		mean := map[string]float64{"even": 0.5, "normal": 0, "skewed": math.Sqrt(math.Pi) / 2}[name]
+		holds, n := 0, 400
+		for i := range n {
+			values := make([]float64, 30)
+			for k := range values {
+				values[k] = draw()
+			}
+			if stat.Bootstrap(values, uint64(i)).Holds(mean) {
+				holds++
+			}
+		}
+		if part := float64(holds) / float64(n); part < 0.92 || part > 0.985 {
+			t.Errorf("%s: the interval held the mean in %.3f of %d", name, part, n)
+		}
+	}
+}
+
+// What a run holds after its first minute must not grow with its length.
+func TestMemoryStaysFlat(t *testing.T) {
+	day := find(t, "harvest")
+	minutes := 3
+	if long() {
+		minutes = 10
+	}
+	day.Length = scenario.Span(minutes) * 60e9
+	for i := range day.Troubles {
+		day.Troubles[i].For, day.Troubles[i].Every = day.Length, scenario.Span(30e9)
+	}
+	day.Loads[0].For = day.Length
+	var heap []uint64
+	w := world.New(day, 1, 0, policy.Module, nil)
+	w.Sampled(func(w *world.World) {
+		if (w.Now()/1e9)%60 == 59 {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			heap = append(heap, m.HeapAlloc)
+		}
+	})
+	w.Run()
+	t.Logf("heap after each minute, kB: %d", heap)
+	if first, last := heap[0], heap[len(heap)-1]; last > first+first/4+1<<20 {
+		t.Errorf("the heap grew from %d to %d bytes", first, last)
+	}
+}
+
+func TestBadScenariosAreNamed(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"name = \"x\"\nlenght = \"3s\"", "x.toml:2: lenght: no such key"},
+		{"name = \"x\"\nlength = 3", "length: want 1s to"},
+		{"name = \"x\"\nlength = \"3\"", `want a time as "250ms", got "3"`},
+		{"like = \"nowhere\"", "nowhere"},
+		{"like = \"farm\"\nname = \"\"", `x.toml: name: want a name`},
+		{"like = \"farm\"\n[fleet]\nnodes = 900000000", "fleet.nodes: want 1 to 2000, got 900000000"},
+		{"like = \"farm\"\n[[trouble]]\nkind = \"sloww\"\nat = \"1s\"", `trouble 1 (sloww): kind: want a kind`},
+		{"like = \"farm\"\n[[trouble]]\nkind = \"slow\"\nat = \"1s\"", "destinations: want how many, or which"},
+		{"like = \"farm\"\n[[trouble]]\nkind = \"kill\"\nat = \"1s\"\nnode = 9", "node: want 0 to 4, got 9"},
+		{"like = \"farm\"\n[[load]]\nat = \"1s\"\ngreedy = \"nobody\"", "greedy: want the name of a customer"},
+		{"like = \"farm\"\nversion = 2", "version: want 1, got 2"},
+		{"[[type]]\nname = \"x\"\nsafety = \"safe\"", "partner: how many: want 1"},
+	} {
+		name := t.TempDir() + "/x.toml"
+		if err := os.WriteFile(name, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := scenarios.Find(name); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: got %v, want %q", c.text, err, c.want)
+		}
+	}
+	for _, name := range scenarios.Names() { // what is written is read back, and plays the same
+		day := find(t, name)
+		text, err := day.Write()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := scenario.Read(name, text, nil)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		day.Length, again.Length = scenario.Span(6e9), scenario.Span(6e9)
+		if TraceOf(day, 1, 0, policy.Module) != TraceOf(again, 1, 0, policy.Module) {
+			t.Errorf("%s: written and read back it plays another run", name)
+		}
+	}
+}
+
+func BenchmarkWorld(b *testing.B) {
+	for _, size := range []struct {
+		name             string
+		nodes, endpoints int
+	}{{"10-endpoints", 4, 10}, {"100-endpoints", 20, 100}, {"200-endpoints", 50, 200}, {"1000-endpoints", 100, 1000}} {
+		b.Run(size.name, func(b *testing.B) {
+			day := find(b, "farm")
+			day.Fleet.Nodes, day.Length = size.nodes, scenario.Span(30e9)
+			rate := 0.0
+			for i := range day.Types {
+				day.Types[i].Rate *= float64(size.endpoints) / 24
+				rate += day.Types[i].Rate
+			}
+			day.Partners[0].Destinations = max(1, size.endpoints/6)
+			day.Partners[1].Destinations = size.endpoints - 3*day.Partners[0].Destinations
+			events := int64(0)
+			for b.Loop() {
+				events += One(day, 1, 0, policy.Module, false, nil).Sum.Asked
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
--- /dev/null
+++ b/lab/stat/stat.go
@@ -0,0 +1,76 @@
+// Package stat compares runs: means with intervals that say how much of a difference is chance.
+package stat
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+const (
+	resamples = 2000
+	level     = 0.95
+)
+
+// Interval is a mean with a 95% interval round it, over so many pairs or runs.
+type Interval struct {
+	Mean  float64 `json:"mean"`
+	Least float64 `json:"least"`
+	Most  float64 `json:"most"`
+	N     int     `json:"n"`
+}
+
+// Holds tells whether a value lies in the interval.
+func (i Interval) Holds(v float64) bool { return v >= i.Least && v <= i.Most }
+
+// Bootstrap is the mean of some values with its interval, by the studentised bootstrap: the plain one is too narrow
+// for thirty values. Chance is drawn from the seed. One value has an endless interval.
+func Bootstrap(values []float64, seed uint64) Interval {
+	n := len(values)
+	if n == 0 {
+		return Interval{Mean: math.NaN(), Least: math.Inf(-1), Most: math.Inf(1)}
+	}
+	mean, dev := stat.MeanStdDev(values, nil)
+	i := Interval{Mean: mean, N: n}
+	if n == 1 {
+		i.Least, i.Most = math.Inf(-1), math.Inf(1)
+		return i
+	}
+	if dev == 0 {
+		i.Least, i.Most = mean, mean
+		return i
+	}
+	chance := rand.New(rand.NewPCG(seed, 0xb007))
+	ts := make([]float64, 0, resamples)
+	sample := make([]float64, n)
+	for range resamples {
+		for k := range sample {
+			sample[k] = values[chance.IntN(n)]
+		}
+		m, d := stat.MeanStdDev(sample, nil)
+		if d == 0 { // all the same: it says nothing of the spread
+			continue
+		}
+		ts = append(ts, (m-mean)/(d/math.Sqrt(float64(n))))
+	}
+	slices.Sort(ts)
+	if len(ts) == 0 {
+		i.Least, i.Most = mean, mean
+		return i
+	}
+	half := dev / math.Sqrt(float64(n))
+	i.Least = mean - stat.Quantile(1-(1-level)/2, stat.Empirical, ts, nil)*half
+	i.Most = mean - stat.Quantile((1-level)/2, stat.Empirical, ts, nil)*half
+	return i
+}
+
+// Paired is the mean of b - a, pair by pair.
+func Paired(a, b []float64, seed uint64) Interval {
+	differences := make([]float64, min(len(a), len(b)))
+	for i := range differences {
+		differences[i] = b[i] - a[i]
+	}
+	return Bootstrap(differences, seed)
+}
