--- /dev/null
+++ b/cmd/jaspersill-lab/play.go
@@ -0,0 +1,394 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"jaspersill/lab/hunt"
+	"jaspersill/lab/policy"
+	"jaspersill/lab/report"
+	"jaspersill/lab/run"
+	"jaspersill/lab/scenario"
+	"jaspersill/lab/scenarios"
+)
+
+type flag = pflag.Flag
+
+// many is how many runs, and where the result goes.
+type many struct {
+	seeds int
+	first uint64
+	out   string
+}
+
+func (m *many) flags(c *cobra.Command) {
+	c.Flags().IntVar(&m.seeds, "seeds", 10, "runs of each, one a seed")
+	c.Flags().Uint64Var(&m.first, "first", 1, "the first seed")
+	c.Flags().StringVar(&m.out, "out", "", `the folder for the result; "none" keeps none (default one below results)`)
+}
+
+func (m *many) check() error {
+	if m.seeds < 1 || m.seeds > 100000 {
+		return usageError{fmt.Errorf("--seeds: want 1 to 100000, got %d", m.seeds)}
+	}
+	return nil
+}
+
+// set reads what to play: a policy, a policy with changed keys behind commas, or another build of this program.
+func set(spec string, day *scenario.Scenario, luck uint64) (run.Set, error) {
+	parts := strings.Split(spec, ",")
+	for _, change := range parts[1:] {
+		key, value, ok := strings.Cut(change, "=")
+		if !ok {
+			return run.Set{}, usageError{fmt.Errorf("%s: want POLICY,KEY=VALUE, got %q", spec, change)}
+		}
+		var err error
+		if day, err = day.With(key, value); err != nil {
+			return run.Set{}, err
+		}
+	}
+	s, err := run.Named(parts[0], day, luck)
+	s.Name = spec
+	return s, err
+}
+
+// play plays sets and adds them to a file. A set whose name is a path is another build of this program.
+func play(ctx context.Context, f *report.File, specs []string, day *scenario.Scenario, m *many, lucks bool) error {
+	var sets []run.Set
+	var at []int
+	results := make([][]run.Result, len(specs))
+	for i, spec := range specs {
+		if strings.ContainsRune(spec, os.PathSeparator) {
+			r, err := other(ctx, spec, f.Scenario, m, uint64(i))
+			if err != nil {
+				return err
+			}
+			results[i] = r
+			continue
+		}
+		luck := uint64(0)
+		if lucks {
+			luck = uint64(i)
+		}
+		s, err := set(spec, day, luck)
+		if err != nil {
+			return err
+		}
+		sets, at = append(sets, s), append(at, i)
+	}
+	played, err := run.All(ctx, sets, run.Seeds(m.first, m.seeds), true, newProgress().tell)
+	if err != nil {
+		return err
+	}
+	for i, r := range played {
+		results[at[i]] = r
+	}
+	for i, spec := range specs {
+		f.Add(spec, results[i])
+	}
+	f.Placed()
+	return nil
+}
+
+// other has another build of this program play the scenario.
+func other(ctx context.Context, path, text string, m *many, luck uint64) ([]run.Result, error) {
+	file, err := os.CreateTemp("", "scenario-*.toml")
+	if err != nil {
+		return nil, err
+	}
+	defer os.Remove(file.Name())
+	if _, err = file.WriteString(text); err == nil {
+		err = file.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c := exec.CommandContext(ctx, path, "run", file.Name(), "--seeds", strconv.Itoa(m.seeds), "--first",
+		strconv.FormatUint(m.first, 10), "--luck", strconv.FormatUint(luck, 10), "--out", "none", "--json")
+	c.Stderr = os.Stderr
+	out, err := c.Output()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var f report.File
+	if err := json.Unmarshal(out, &f); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if f.Version != report.Version || len(f.Sets) != 1 {
+		return nil, fmt.Errorf("%s: want one set of version %d, got %d of %d", path, report.Version, len(f.Sets), f.Version)
+	}
+	return f.Sets[0].Results, nil
+}
+
+// show prints the sets of a file.
+func show(c *cobra.Command, f *report.File) error {
+	t := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "SET\tG\t95%\tPLACE\tWORST 10 S\tWORST TYPE\tWASTE\tP99 MS\tBROKEN")
+	for _, s := range f.Sets {
+		mean := func(of func(*run.Result) float64) float64 {
+			total := 0.0
+			for i := range s.Results {
+				total += of(&s.Results[i])
+			}
+			return total / float64(max(1, len(s.Results)))
+		}
+		place := "-"
+		if s.Place != 0 {
+			place = fmt.Sprintf("%.2f", s.Place)
+		}
+		fmt.Fprintf(t, "%s\t%.3f\t%.3f to %.3f\t%s\t%.3f\t%.3f\t%.2f\t%.0f\t%d\n", s.Name, s.G.Mean, s.G.Least, s.G.Most,
+			place, mean(func(r *run.Result) float64 { return r.Sum.WorstSpell }),
+			mean(func(r *run.Result) float64 { return r.Sum.WorstType }),
+			mean(func(r *run.Result) float64 { return r.Sum.Waste }),
+			mean(func(r *run.Result) float64 { return r.Latency[2] }), s.Broken)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, d := range f.Differences {
+		if d.Figure == "G" {
+			fmt.Fprintf(c.OutOrStdout(), "%s beside %s: %+.4f in G (%+.4f to %+.4f, %d pairs)\n", d.Name, f.Sets[0].Name,
+				d.By.Mean, d.By.Least, d.By.Most, d.By.N)
+		}
+	}
+	for _, note := range f.Notes {
+		fmt.Fprintln(c.OutOrStdout(), note)
+	}
+	return nil
+}
+
+func runCommand() *cobra.Command {
+	var m many
+	var policies []string
+	var luck uint64
+	var asJSON bool
+	var trace string
+	c := &cobra.Command{Use: "run SCENARIO", Args: exactly(1),
+		Short: "Play a scenario in virtual time, a policy on each seed, and report it",
+		RunE: func(c *cobra.Command, args []string) error {
+			day, err := scenarios.Find(args[0])
+			if err == nil {
+				err = m.check()
+			}
+			if err != nil {
+				return err
+			}
+			f, err := report.New("run", commandLine(c, args), day)
+			if err != nil {
+				return err
+			}
+			if trace != "" {
+				return writeTrace(trace, day, policies[0], m.first, luck)
+			}
+			if luck > 0 { // one set, with chance of its own
+				s, err := set(policies[0], day, luck)
+				if err != nil {
+					return err
+				}
+				r, err := run.All(c.Context(), []run.Set{s}, run.Seeds(m.first, m.seeds), true, newProgress().tell)
+				if err != nil {
+					return err
+				}
+				f.Add(s.Name, r[0])
+			} else if err := play(c.Context(), f, policies, day, &m, false); err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(f)
+			}
+			if err := show(c, f); err != nil {
+				return err
+			}
+			if err := keep(c, f, m.out); err != nil {
+				return err
+			}
+			for _, s := range f.Sets {
+				if strings.HasPrefix(s.Name, "module") && s.Broken > 0 {
+					return fmt.Errorf("%s broke %d rules", s.Name, s.Broken)
+				}
+			}
+			return nil
+		}}
+	m.flags(c)
+	c.Flags().StringSliceVar(&policies, "policy", []string{"module"}, "what decides: "+strings.Join(policy.Names, ", ")+
+		"; several give our place between floor and top")
+	c.Flags().Uint64Var(&luck, "luck", 0, "draw chance anew, with the same destinations, requests and troubles")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	c.Flags().StringVar(&trace, "trace", "", "write the first seed's trace into this file, and nothing else")
+	return c
+}
+
+func writeTrace(name string, day *scenario.Scenario, spec string, seed, luck uint64) error {
+	s, err := set(spec, day, luck)
+	if err != nil {
+		return err
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	run.One(s.Day, seed, luck, s.Launch, false, file)
+	return file.Close()
+}
+
+func compareCommand() *cobra.Command {
+	var m many
+	var name string
+	c := &cobra.Command{Use: "compare A B", Args: exactly(2),
+		Short: "Play two policies, settings or builds on the same seeds, and tell the difference with its interval",
+		Long: "Play two sets on the same seeds, and tell the difference with its 95% interval.\n\n" +
+			"A set is a policy (module), a policy with changed keys of the scenario (module,fleet.slots=12), or the path\n" +
+			"of another build of this program. Destinations, requests and troubles are the same for both; all other\n" +
+			"chance is drawn anew, so that a set compared with itself shows how much is chance.",
+		RunE: func(c *cobra.Command, args []string) error {
+			day, err := scenarios.Find(name)
+			if err == nil {
+				err = m.check()
+			}
+			if err != nil {
+				return err
+			}
+			f, err := report.New("compare", commandLine(c, args), day)
+			if err == nil {
+				err = play(c.Context(), f, args, day, &m, true)
+			}
+			if err != nil {
+				return err
+			}
+			f.Differ()
+			if err := show(c, f); err != nil {
+				return err
+			}
+			return keep(c, f, m.out)
+		}}
+	m.flags(c)
+	c.Flags().StringVar(&name, "scenario", "harvest", "the scenario to play")
+	return c
+}
+
+func sweepCommand() *cobra.Command {
+	var m many
+	var name, what string
+	c := &cobra.Command{Use: "sweep KEY=A,B,C", Args: exactly(1),
+		Short: "Play a scenario with one key of it at several values",
+		RunE: func(c *cobra.Command, args []string) error {
+			key, list, ok := strings.Cut(args[0], "=")
+			if !ok || key == "" || list == "" {
+				return usageError{fmt.Errorf("sweep: want KEY=A,B,C, got %q", args[0])}
+			}
+			day, err := scenarios.Find(name)
+			if err == nil {
+				err = m.check()
+			}
+			if err != nil {
+				return err
+			}
+			f, err := report.New("sweep", commandLine(c, args), day)
+			if err != nil {
+				return err
+			}
+			var specs []string
+			for value := range strings.SplitSeq(list, ",") {
+				specs = append(specs, what+","+key+"="+value)
+			}
+			if err := play(c.Context(), f, specs, day, &m, false); err != nil {
+				return err
+			}
+			f.Differ()
+			if err := show(c, f); err != nil {
+				return err
+			}
+			return keep(c, f, m.out)
+		}}
+	m.flags(c)
+	c.Flags().StringVar(&name, "scenario", "harvest", "the scenario to play")
+	c.Flags().StringVar(&what, "policy", "module", "what decides")
+	return c
+}
+
+func huntCommand() *cobra.Command {
+	var most int
+	var limit time.Duration
+	var seed uint64
+	var what, out string
+	var first bool
+	c := &cobra.Command{Use: "hunt SCENARIO", Args: exactly(1),
+		Short: "Play random mixes of troubles; keep the worst day and any that breaks a rule, made as small as it shows",
+		RunE: func(c *cobra.Command, args []string) error {
+			day, err := scenarios.Find(args[0])
+			if err != nil {
+				return err
+			}
+			if most < 1 || limit <= 0 {
+				return usageError{errors.New("hunt: --runs and --time want more than nothing")}
+			}
+			launch, err := policy.Find(what)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(c.Context(), limit)
+			defer cancel()
+			p := newProgress()
+			worst, broke, played := hunt.Hunt(ctx, day, seed, most, runtime.GOMAXPROCS(0), first, launch,
+				func(played int, _ float64, _ int) { p.tell(played, max(most, played)) })
+			w := c.OutOrStdout()
+			if worst == nil {
+				return errors.New("hunt: no day was played in time")
+			}
+			fmt.Fprintf(w, "%d days played; the worst has G %.3f\n", played, worst.G)
+			shrinking, stop := context.WithTimeout(c.Context(), limit)
+			defer stop()
+			kept := func(f *hunt.Found, name string) error {
+				small := hunt.Shrink(shrinking, *f, launch)
+				small.Day.Name = name
+				text, err := small.Day.Write()
+				if err != nil {
+					return err
+				}
+				if out != "none" {
+					name += ".toml"
+					if out != "" {
+						if err := os.MkdirAll(out, 0o755); err != nil {
+							return err
+						}
+						name = out + "/" + name
+					}
+					if err := os.WriteFile(name, text, 0o644); err != nil {
+						return err
+					}
+					fmt.Fprintf(w, "kept in %s; it shows with --first %d --seeds 1\n", name, small.Seed)
+				}
+				fmt.Fprintf(w, "%d troubles, %v, %d nodes: %s\n", len(small.Day.Troubles), small.Day.Length,
+					small.Day.Fleet.Nodes, small.Day.Hard)
+				return nil
+			}
+			if broke == nil {
+				fmt.Fprintln(w, "no rule was broken")
+				return kept(worst, "hunted-worst")
+			}
+			fmt.Fprintln(w, broke.Rule)
+			if err := kept(broke, "hunted-broken"); err != nil {
+				return err
+			}
+			return errors.New("hunt: a rule is broken")
+		}}
+	c.Flags().IntVar(&most, "runs", 200, "days at most")
+	c.Flags().DurationVar(&limit, "time", 10*time.Minute, "time at most, and as much again for making days small")
+	c.Flags().Uint64Var(&seed, "seed", 1, "draws the mixes")
+	c.Flags().StringVar(&what, "policy", "module", "what decides; module+WEAKNESS proves that the hunt finds it")
+	c.Flags().StringVar(&out, "out", "found", `the folder for the days found; "none" keeps none`)
+	c.Flags().BoolVar(&first, "until-broken", false, "stop at the first broken rule")
+	return c
+}
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -43,6 +43,7 @@
 	Draining   bool
 	Gone       bool
 	Open       int // connections
+	coming     int // calls on their way
 
 	slow, fail, lose, spoil, late, lateBy float64
 	opens                                 int64
@@ -64,6 +65,7 @@
 	count    int
 	phase    int64
 
+	coming               int
 	reported, reportedAt float64
 	down                 bool
 	downSince, upSince   int64
@@ -493,40 +495,65 @@
 	}
 }
 
-// Best is the endpoint of a destination that ends a call soonest as things truly are, -1 for none that would take
-// it. It is what only a policy could know that sees everything.
-func (m *Model) Best(now int64, dest int32, work int64) (ep int32, done int64) {
-	ep, done = -1, never
+// Best is the endpoint of a destination that would end a call soonest, as things truly are and with the calls that are
+// on their way to it; -1 where none would begin one at once. linked tells whether a connection to it stands idle;
+// careful leaves out those that lose answers or fail. It is what only a policy could know that sees everything.
+func (m *Model) Best(now int64, dest int32, work int64, careful bool, linked func(ep int32) bool) int32 {
+	best, done := int32(-1), never
 	for _, i := range m.ByDest[dest] {
 		e := &m.Endpoints[i]
 		l, p := &m.Lanes[e.lane], &m.day.Partners[e.Kind]
-		if e.Gone || e.Draining || e.Mode > Failing || now < l.fallenUntil || (e.Mode == Failing && e.fail > 0.5) {
+		if e.Gone || e.Draining || e.Mode > Failing || now < l.fallenUntil || (e.Mode == Failing && e.fail > 0.5) ||
+			(careful && (e.lose > 0 || e.fail > 0 || e.spoil > 0)) {
 			continue
 		}
-		if p.Limit > 0 && !m.wouldAllow(now, l, p) {
+		if (p.Limit > 0 && !m.wouldAllow(now, l, p)) || !m.wouldBear(now, e.lane) {
 			continue
 		}
-		free := never
-		for _, at := range e.free {
-			free = min(free, at)
+		if p.Connections > 0 && e.Open+e.coming >= p.Connections && !linked(i) {
+			continue
 		}
-		for len(e.starts) > 0 && e.starts[0] <= now {
-			e.starts = e.starts[1:]
+		free := 0
+		for _, at := range e.free {
+			if at <= now {
+				free++
+			}
 		}
-		if len(e.starts) >= p.Queue && free > now {
+		if free <= e.coming {
 			continue
 		}
-		if end := max(now, free) + int64(float64(work)*e.Pace*e.slow/m.speed(now, e.lane)); end < done {
-			ep, done = i, end
+		if end := now + int64(float64(work)*e.Pace*e.slow/m.speed(now, e.lane)); end < done {
+			best, done = i, end
+		}
+	}
+	return best
+}
+
+// Coming notes calls that are on their way to an endpoint, or with -1 one that has come or will not.
+func (m *Model) Coming(ep int32, calls int) {
+	m.Endpoints[ep].coming += calls
+	m.Lanes[m.Endpoints[ep].lane].coming += calls
+}
+
+// wouldBear tells whether a cold lane bears one more call by the rule's figures.
+func (m *Model) wouldBear(now int64, lane int32) bool {
+	l, r := &m.Lanes[lane], &m.day.Rules
+	if l.coldFrom == 0 || now >= l.coldFrom+int64(r.WarmAfter) {
+		return true
+	}
+	offered := l.coming + 1
+	for i := range l.buckets {
+		if b := &l.buckets[i]; b.at > now/bucketTime-int64(len(l.buckets)) && b.at*bucketTime >= l.coldFrom-bucketTime {
+			offered += b.offered
 		}
 	}
-	return ep, done
+	return float64(offered) <= r.FallMultiple*l.Capacity*r.ColdShare*float64(r.FallAfter)/1e9
 }
 
 func (m *Model) wouldAllow(now int64, l *Lane, p *scenario.Partner) bool {
 	if p.Span > 0 {
 		most := max(1, int(math.Round(p.Limit*float64(p.Span)/1e9)))
-		return now-(now+l.phase)%int64(p.Span) != l.spanAt || l.count < most
+		return now-(now+l.phase)%int64(p.Span) != l.spanAt || l.count+l.coming < most
 	}
-	return l.tokens+float64(now-l.tokensAt)/1e9*p.Limit >= 1
+	return l.tokens+float64(now-l.tokensAt)/1e9*p.Limit-float64(l.coming) >= 1
 }
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -186,6 +187,7 @@
 	byDest  [][]int32
 	ready   []bool
 	load    []int32
+	joins   []int   // informed: events that a call of this round still takes, by endpoint
 	until   []int64 // by destination: told to wait
 	fails   []int32 // by destination, in a row
 	budget  float64
@@ -206,6 +208,11 @@
 		out.Watch(true)
 		p.askAt = now + int64(1e9)
 	}
+	if p.name == "informed" { // what loses most by waiting goes first
+		clear(p.joins)
+		p.joins = append(p.joins, make([]int, len(p.ready)-min(len(p.joins), len(p.ready)))...)
+		slices.SortStableFunc(p.waiting, func(a, b int32) int { return cmp.Compare(p.loss(b), p.loss(a)) })
+	}
 	keep := p.waiting[:0]
 	for _, evt := range p.waiting {
 		e := &p.events[evt]
@@ -240,13 +247,7 @@
 	}
 	ep := int32(-1)
 	if p.name == "informed" {
-		best, _ := p.world.Partners().Best(p.now, e.dest, p.world.Work(p.node, evt))
-		if best >= 0 {
-			ep = p.world.EndpointOf(p.node, best)
-		}
-		if ep >= 0 && !p.ready[ep] {
-			ep = -1
-		}
+		ep = p.best(evt)
 	} else {
 		for _, other := range p.byDest[e.dest] {
 			if p.ready[other] && (ep < 0 || p.load[other] < p.load[ep]) {
@@ -270,6 +271,38 @@
 	return true
 }
 
+// best picks an endpoint by the truth: one with a call of this round that has room, or one that begins at once.
+func (p *plain) best(evt int32) int32 {
+	e := &p.events[evt]
+	t := &p.types[e.typ]
+	for _, ep := range p.byDest[e.dest] {
+		if p.joins[ep] > 0 && p.ready[ep] {
+			p.joins[ep]--
+			return ep
+		}
+	}
+	careful := t.Safety == port.NonIdempotent && e.deadline-p.now > t.MaxAge/2
+	best := p.world.Partners().Best(p.now, e.dest, p.world.Work(p.node, evt), careful,
+		func(ep int32) bool { return p.world.Linked(p.node, ep) })
+	if best < 0 {
+		return -1
+	}
+	ep := p.world.EndpointOf(p.node, best)
+	if ep < 0 || !p.ready[ep] {
+		return -1
+	}
+	p.joins[ep] = p.world.Day().Partners[p.world.Partners().Endpoints[best].Kind].PerCall - 1
+	return ep
+}
+
+// loss is what an event loses by waiting two more seconds.
+func (p *plain) loss(evt int32) float64 {
+	e := &p.events[evt]
+	t := &p.world.Day().Types[e.typ]
+	age := p.now + answerSpare - (e.deadline - p.types[e.typ].MaxAge)
+	return t.Utility * (t.Worth(age) - t.Worth(age+int64(2e9)))
+}
+
 func (p *plain) end(evt int32, comeBack int64) {
 	e := &p.events[evt]
 	e.live = false
@@ -354,7 +387,7 @@
 			delay += int64(p.chance.Float64() * 0.5 * float64(delay))
 		}
 	case "informed":
-		delay = max(delay, beat)
+		delay = 0 // told waits hold its destination all the same
 	}
 	if p.name == "breaker" {
 		if p.fails[e.dest] >= tripAfter {
--- a/lab/stat/stat.go
+++ b/lab/stat/stat.go
@@ -7,11 +7,13 @@
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
 )
 
 const (
 	resamples = 2000
 	level     = 0.95
+	fewValues = 10 // below so many the bootstrap has too little to draw from, and Student's t is used
 )
 
 // Interval is a mean with a 95% interval round it, over so many pairs or runs.
@@ -26,7 +28,7 @@
 func (i Interval) Holds(v float64) bool { return v >= i.Least && v <= i.Most }
 
 // Bootstrap is the mean of some values with its interval, by the studentised bootstrap: the plain one is too narrow
-// for thirty values. Chance is drawn from the seed. One value has an endless interval.
+// for thirty values, and for under ten Student's t serves better than either. Chance is drawn from the seed. One value has an endless interval.
 func Bootstrap(values []float64, seed uint64) Interval {
 	n := len(values)
 	if n == 0 {
@@ -42,6 +44,11 @@
 		i.Least, i.Most = mean, mean
 		return i
 	}
+	if n < fewValues {
+		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(1 - (1-level)/2)
+		i.Least, i.Most = mean-t*dev/math.Sqrt(float64(n)), mean+t*dev/math.Sqrt(float64(n))
+		return i
+	}
 	chance := rand.New(rand.NewPCG(seed, 0xb007))
 	ts := make([]float64, 0, resamples)
 	sample := make([]float64, n)
--- a/lab/world/calls.go
+++ b/lab/world/calls.go
@@ -18,6 +18,7 @@
 	c := &w.calls[i]
 	*c = call{node: s.me, nodeLife: s.life, ep: ep, own: own, sends: c.sends[:0], began: w.now, used: true}
 	w.Stats.Calls++
+	w.partners.Coming(ep, 1)
 	return i
 }
 
@@ -55,9 +56,11 @@
 		c.linked, c.epoch = true, p.Epoch
 		w.planCall(w.now+3*delay+int64(w.day.Partners[p.Kind].Handshake), reaches, i)
 	case partner.NotConnected:
+		w.partners.Coming(c.ep, -1)
 		c.fate = partner.Fate{How: port.ConnectFailed}
 		w.planCall(w.now+2*delay, answers, i)
 	case partner.NoSign:
+		w.partners.Coming(c.ep, -1)
 		c.fate = partner.Fate{How: port.ConnectFailed}
 		w.planCall(w.now+connectMost, answers, i)
 	}
@@ -67,6 +70,7 @@
 func (w *World) reach(i int32) {
 	c := &w.calls[i]
 	c.pending--
+	w.partners.Coming(c.ep, -1)
 	if c.over { // it was called off on the way; closed before its last byte came, it did not run
 		w.free(i)
 		return
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -207,6 +207,12 @@
 	return -1
 }
 
+// Linked tells whether a node has an idle connection to an endpoint, by the truth's number.
+func (w *World) Linked(node int, ep int32) bool {
+	own, ok := w.seats[node].eps.Find(ep)
+	return ok && len(w.seats[node].idle[own]) > 0
+}
+
 // Sampled asks that a function is called once a second of the run.
 func (w *World) Sampled(f func(w *World)) { w.sample = f }
 
