--- a/cmd/jaspersill-lab/main.go
+++ b/cmd/jaspersill-lab/main.go
@@ -1,5 +1,5 @@
-// Command jaspersill-lab plays delivery nodes against simulated partners, in virtual time and on loopback, and says
-// what came of it.
+// Command jaspersill-lab plays delivery nodes against simulated partners, in virtual time and on loopback,
+// and says what came of it.
 package main
 
 import (
@@ -51,7 +51,16 @@
 			return usageError{errors.New("a command is needed")}
 		}}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(runCommand(), compareCommand(), sweepCommand(), huntCommand(), reportCommand(), scenarioCommand())
+	root.AddCommand(
+		runCommand(),
+		compareCommand(),
+		sweepCommand(),
+		huntCommand(),
+		reportCommand(),
+		scenarioCommand(),
+		emulateCommand(),
+		loadCommand(),
+	)
 	return root
 }
 
@@ -82,7 +91,10 @@
 		if err != nil {
 			return err
 		}
-		folder = filepath.Join("results", fmt.Sprintf("%s-%s-%s", f.Kind, day.Name, f.At.Format("20060102T150405")))
+		folder = filepath.Join(
+			"results",
+			fmt.Sprintf("%s-%s-%s", f.Kind, day.Name, f.At.Format("20060102T150405")),
+		)
 	}
 	if err := f.Write(folder); err != nil {
 		return err
@@ -139,11 +151,16 @@
 }
 
 func scenarioCommand() *cobra.Command {
-	c := &cobra.Command{Use: "scenario", Short: "The lab's scenarios", SuggestionsMinimumDistance: 2, Args: exactly(0),
+	c := &cobra.Command{
+		Use:                        "scenario",
+		Short:                      "The lab's scenarios",
+		SuggestionsMinimumDistance: 2,
+		Args:                       exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			c.Help()
 			return usageError{errors.New("scenario: a command is needed")}
-		}}
+		},
+	}
 	c.AddCommand(
 		&cobra.Command{Use: "ls", Short: "List them, with what each is hard for", Args: exactly(0),
 			RunE: func(c *cobra.Command, _ []string) error {
--- a/cmd/jaspersill-lab/play.go
+++ b/cmd/jaspersill-lab/play.go
@@ -36,7 +36,8 @@
 func (m *many) flags(c *cobra.Command) {
 	c.Flags().IntVar(&m.seeds, "seeds", 10, "runs of each, one a seed")
 	c.Flags().Uint64Var(&m.first, "first", 1, "the first seed")
-	c.Flags().StringVar(&m.out, "out", "", `the folder for the result; "none" keeps none (default one below results)`)
+	c.Flags().
+		StringVar(&m.out, "out", "", `the folder for the result; "none" keeps none (default one below results)`)
 }
 
 func (m *many) check() error {
@@ -46,7 +47,8 @@
 	return nil
 }
 
-// set reads what to play: a policy, a policy with changed keys behind commas, or another build of this program.
+// set reads what to play: a policy, a policy with changed keys behind commas, or another build of this
+// program.
 func set(spec string, day *scenario.Scenario, luck uint64) (run.Set, error) {
 	parts := strings.Split(spec, ",")
 	for _, change := range parts[1:] {
@@ -79,7 +81,14 @@
 }
 
 // play plays sets and adds them to a file. A set whose name is a path is another build of this program.
-func play(ctx context.Context, f *report.File, specs []string, day *scenario.Scenario, m *many, lucks bool) error {
+func play(
+	ctx context.Context,
+	f *report.File,
+	specs []string,
+	day *scenario.Scenario,
+	m *many,
+	lucks bool,
+) error {
 	var sets []run.Set
 	var at []int
 	results := make([][]run.Result, len(specs))
@@ -141,7 +150,13 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if f.Version != report.Version || len(f.Sets) != 1 {
-		return nil, fmt.Errorf("%s: want one set of version %d, got %d of %d", path, report.Version, len(f.Sets), f.Version)
+		return nil, fmt.Errorf(
+			"%s: want one set of version %d, got %d of %d",
+			path,
+			report.Version,
+			len(f.Sets),
+			f.Version,
+		)
 	}
 	return f.Sets[0].Results, nil
 }
@@ -162,19 +177,36 @@
 		if s.Place != 0 {
 			place = fmt.Sprintf("%.2f", s.Place)
 		}
-		fmt.Fprintf(t, "%s\t%.3f\t%.3f to %.3f\t%s\t%.3f\t%.3f\t%.2f\t%.0f\t%d\n", s.Name, s.G.Mean, s.G.Least, s.G.Most,
-			place, mean(func(r *run.Result) float64 { return r.Sum.WorstSpell }),
+		fmt.Fprintf(
+			t,
+			"%s\t%.3f\t%.3f to %.3f\t%s\t%.3f\t%.3f\t%.2f\t%.0f\t%d\n",
+			s.Name,
+			s.G.Mean,
+			s.G.Least,
+			s.G.Most,
+			place,
+			mean(func(r *run.Result) float64 { return r.Sum.WorstSpell }),
 			mean(func(r *run.Result) float64 { return r.Sum.WorstType }),
 			mean(func(r *run.Result) float64 { return r.Sum.Waste }),
-			mean(func(r *run.Result) float64 { return r.Latency[2] }), s.Broken)
+			mean(func(r *run.Result) float64 { return r.Latency[2] }),
+			s.Broken,
+		)
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
 	for _, d := range f.Differences {
 		if d.Figure == "G" {
-			fmt.Fprintf(c.OutOrStdout(), "%s beside %s: %+.4f in G (%+.4f to %+.4f, %d pairs)\n", d.Name, f.Sets[0].Name,
-				d.By.Mean, d.By.Least, d.By.Most, d.By.N)
+			fmt.Fprintf(
+				c.OutOrStdout(),
+				"%s beside %s: %+.4f in G (%+.4f to %+.4f, %d pairs)\n",
+				d.Name,
+				f.Sets[0].Name,
+				d.By.Mean,
+				d.By.Least,
+				d.By.Most,
+				d.By.N,
+			)
 		}
 	}
 	for _, note := range f.Notes {
@@ -187,10 +219,11 @@
 	var m many
 	var policies []string
 	var luck uint64
-	var asJSON bool
+	var asJSON, sockets bool
+	var real socketRun
 	var trace string
 	c := &cobra.Command{Use: "run SCENARIO", Args: exactly(1),
-		Short: "Play a scenario in virtual time, a policy on each seed, and report it",
+		Short: "Play a scenario, in virtual time or on loopback sockets, a run on each seed, and report it",
 		RunE: func(c *cobra.Command, args []string) error {
 			day, err := scenarios.Find(args[0])
 			if err == nil {
@@ -204,6 +237,15 @@
 				return err
 			}
 			policies = apart(policies)
+			if sockets {
+				if err := real.play(c.Context(), f, day, &m); err != nil {
+					return err
+				}
+				if err := show(c, f); err != nil {
+					return err
+				}
+				return keep(c, f, m.out)
+			}
 			if trace != "" {
 				return writeTrace(trace, day, policies[0], m.first, luck)
 			}
@@ -212,7 +254,13 @@
 				if err != nil {
 					return err
 				}
-				r, err := run.All(c.Context(), []run.Set{s}, run.Seeds(m.first, m.seeds), true, newProgress().tell)
+				r, err := run.All(
+					c.Context(),
+					[]run.Set{s},
+					run.Seeds(m.first, m.seeds),
+					true,
+					newProgress().tell,
+				)
 				if err != nil {
 					return err
 				}
@@ -237,9 +285,13 @@
 			return nil
 		}}
 	m.flags(c)
-	c.Flags().StringArrayVar(&policies, "policy", []string{"module"}, "what decides: "+strings.Join(policy.Names, ", ")+
-		"; several behind commas give our place between floor and top, KEY=VALUE changes the one before")
-	c.Flags().Uint64Var(&luck, "luck", 0, "draw chance anew, with the same destinations, requests and troubles")
+	c.Flags().
+		StringArrayVar(&policies, "policy", []string{"module"}, "what decides: "+strings.Join(policy.Names, ", ")+
+			"; several behind commas give our place between floor and top, KEY=VALUE changes the one before")
+	c.Flags().
+		Uint64Var(&luck, "luck", 0, "draw chance anew, with the same destinations, requests and troubles")
+	c.Flags().BoolVar(&sockets, "sockets", false, "play it in real time on loopback, with real nodes")
+	real.flags(c)
 	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
 	c.Flags().StringVar(&trace, "trace", "", "write the first seed's trace into this file, and nothing else")
 	return c
@@ -264,8 +316,9 @@
 	c := &cobra.Command{Use: "compare A B", Args: exactly(2),
 		Short: "Play two policies, settings or builds on the same seeds, and tell the difference with its interval",
 		Long: "Play two sets on the same seeds, and tell the difference with its 95% interval.\n\n" +
-			"A set is a policy (module), a policy with changed keys of the scenario (module,fleet.slots=12), or the path\n" +
-			"of another build of this program. Destinations, requests and troubles are the same for both; all other\n" +
+			"A set is a policy (module), a policy with changed keys of the scenario (module,fleet.slots=12),\n" +
+			"or the path of another build of this program. Destinations, requests and troubles are the same for\n" +
+			"both; all other " +
 			"chance is drawn anew, so that a set compared with itself shows how much is chance.",
 		RunE: func(c *cobra.Command, args []string) error {
 			day, err := scenarios.Find(name)
@@ -340,7 +393,7 @@
 	var what, out string
 	var first bool
 	c := &cobra.Command{Use: "hunt SCENARIO", Args: exactly(1),
-		Short: "Play random mixes of troubles; keep the worst day and any that breaks a rule, made as small as it shows",
+		Short: "Play random mixes of troubles; keep the worst day and any that breaks a rule, made small",
 		RunE: func(c *cobra.Command, args []string) error {
 			day, err := scenarios.Find(args[0])
 			if err != nil {
@@ -400,9 +453,11 @@
 			return errors.New("hunt: a rule is broken")
 		}}
 	c.Flags().IntVar(&most, "runs", 200, "days at most")
-	c.Flags().DurationVar(&limit, "time", 10*time.Minute, "time at most, and as much again for making days small")
+	c.Flags().
+		DurationVar(&limit, "time", 10*time.Minute, "time at most, and as much again for making days small")
 	c.Flags().Uint64Var(&seed, "seed", 1, "draws the mixes")
-	c.Flags().StringVar(&what, "policy", "module", "what decides; module+WEAKNESS proves that the hunt finds it")
+	c.Flags().
+		StringVar(&what, "policy", "module", "what decides; module+WEAKNESS proves that the hunt finds it")
 	c.Flags().StringVar(&out, "out", "found", `the folder for the days found; "none" keeps none`)
 	c.Flags().BoolVar(&first, "until-broken", false, "stop at the first broken rule")
 	return c
--- a/cmd/jaspersill/check.go
+++ b/cmd/jaspersill/check.go
@@ -14,7 +14,8 @@
 	"jaspersill/node"
 )
 
-// check tells all that is wrong with each file, by its ending: .json is the platform's, .toml the installation's.
+// check tells all that is wrong with each file, by its ending: .json is the platform's, .toml the
+// installation's.
 func check(c *cobra.Command, names []string) error {
 	var bad error
 	for _, name := range names {
@@ -45,7 +46,9 @@
 }
 
 func configCommand(file *string) *cobra.Command {
-	return group("config", "What is in force, and what may be told",
+	return group(
+		"config",
+		"What is in force, and what may be told",
 		&cobra.Command{Use: "show", Short: "Print every value in force, its type and who told it",
 			Args: noneOf("argument"),
 			RunE: func(c *cobra.Command, _ []string) error {
@@ -58,12 +61,19 @@
 				}
 				return b.Show(c.OutOrStdout())
 			}},
-		&cobra.Command{Use: "reference", Short: "Print the table of all keys as Markdown", Args: noneOf("argument"),
-			RunE: func(c *cobra.Command, _ []string) error { return house.Reference(c.OutOrStdout()) }})
+		&cobra.Command{
+			Use:   "reference",
+			Short: "Print the table of all keys as Markdown",
+			Args:  noneOf("argument"),
+			RunE:  func(c *cobra.Command, _ []string) error { return house.Reference(c.OutOrStdout()) },
+		},
+	)
 }
 
 func journalCommand() *cobra.Command {
-	return group("journal", "Look into a node's folder; nothing is changed, and the node may run",
+	return group(
+		"journal",
+		"Look into a node's folder; nothing is changed, and the node may run",
 		&cobra.Command{Use: "ls DIR", Short: "List the events that are owed an end", Args: one("DIR"),
 			RunE: func(c *cobra.Command, args []string) error {
 				r, err := node.ReadJournal(args[0])
@@ -78,8 +88,10 @@
 				}
 				return t.Flush()
 			}},
-		&cobra.Command{Use: "verify DIR", Short: "Tell what is damaged; the exit code is 1 where something is",
-			Args: one("DIR"),
+		&cobra.Command{
+			Use:   "verify DIR",
+			Short: "Tell what is damaged; the exit code is 1 where something is",
+			Args:  one("DIR"),
 			RunE: func(c *cobra.Command, args []string) error {
 				r, err := node.ReadJournal(args[0])
 				if err != nil {
@@ -88,7 +100,11 @@
 				w := c.OutOrStdout()
 				fmt.Fprintf(w, "%d bytes, %d records, %d events owed\n", r.Size, r.Records, len(r.Owed))
 				if r.Torn > 0 {
-					fmt.Fprintf(w, "the last %d bytes were cut off and are dropped, as after a kill\n", r.Torn)
+					fmt.Fprintf(
+						w,
+						"the last %d bytes were cut off and are dropped, as after a kill\n",
+						r.Torn,
+					)
 				}
 				for _, name := range r.Spare {
 					fmt.Fprintf(w, "%s: not needed; the next start removes it\n", name)
@@ -97,5 +113,7 @@
 					return errors.New(strings.Join(r.Faults, "\n"))
 				}
 				return nil
-			}})
+			},
+		},
+	)
 }
--- a/cmd/jaspersill/commands_test.go
+++ b/cmd/jaspersill/commands_test.go
@@ -17,7 +17,13 @@
 		}
 		return name
 	}
-	good, bad := file("good.toml", "[log]\nlevel = \"debug\"\n"), file("bad.toml", "[log]\nlevle = 1\n[drian]\nx = 1\n")
+	good, bad := file(
+		"good.toml",
+		"[log]\nlevel = \"debug\"\n",
+	), file(
+		"bad.toml",
+		"[log]\nlevle = 1\n[drian]\nx = 1\n",
+	)
 	t.Setenv(platformFile, "")
 	for _, c := range []struct {
 		args []string
@@ -34,8 +40,10 @@
 		{[]string{"check", good}, exitGood, "good.toml: good"},
 		{[]string{"check", good, bad}, exitFailed, "bad.toml:4: drian.x"},
 		{[]string{"check", bad}, exitFailed, "bad.toml:2: log.levle: want log.level"},
-		{[]string{"check", "../../example/config.json", "../../deploy/jaspersill.toml"}, exitGood, "config.json: good"},
-		{[]string{"check", file("c.json", `{"settings":{"me":-1,"tick_ms":"x"}}`)}, exitFailed, "settings: me: want"},
+		{[]string{"check", "../../example/config.json", "../../deploy/jaspersill.toml"},
+			exitGood, "config.json: good"},
+		{[]string{"check", file("c.json", `{"settings":{"me":-1,"tick_ms":"x"}}`)},
+			exitFailed, "settings: me: want"},
 		{[]string{"check", "no such.toml"}, exitFailed, "no such.toml"},
 		{[]string{"check", "../../go.mod"}, exitFailed, "ends in .json or .toml"},
 		{[]string{"config", "show", "--file", good}, exitGood, "good.toml:2"},
@@ -47,7 +55,8 @@
 		{[]string{"version"}, exitGood, "jaspersill"},
 	} {
 		var out bytes.Buffer
-		if code := execute(c.args, &out, &out, nil); code != c.code || !strings.Contains(out.String(), c.want) {
+		if code := execute(c.args, &out, &out, nil); code != c.code ||
+			!strings.Contains(out.String(), c.want) {
 			t.Errorf("%v: exit code %d, want %d, and %q in:\n%s", c.args, code, c.code, c.want, &out)
 		}
 	}
--- a/cmd/jaspersill/main.go
+++ b/cmd/jaspersill/main.go
@@ -1,5 +1,6 @@
-// Command jaspersill is a delivery node, with what its operators need around it. `serve` runs the node: it reads
-// what the platform tells from the file that RELAY_CONFIG names, and what the installation tells from a TOML file.
+// Command jaspersill is a delivery node, with what its operators need around it. `serve` runs the node: it
+// reads what the platform tells from the file that RELAY_CONFIG names, and what the installation tells from a
+// TOML file.
 package main
 
 import (
@@ -84,13 +85,20 @@
 		&cobra.Command{Use: "serve", Short: "Run the delivery node until SIGTERM", Args: noneOf("argument"),
 			RunE: func(*cobra.Command, []string) error { return serve(gate, file, replaced) }},
 		&cobra.Command{Use: "check FILE...", Short: "Tell all that is wrong with files of either format",
-			Args: some("FILE"), RunE: func(c *cobra.Command, names []string) error { return check(c, names) }},
-		configCommand(&file), journalCommand(),
-		&cobra.Command{Use: "version", Short: "Print what this program was built from", Args: noneOf("argument"),
+			Args: some(
+				"FILE",
+			), RunE: func(c *cobra.Command, names []string) error { return check(c, names) }},
+		configCommand(&file),
+		journalCommand(),
+		&cobra.Command{
+			Use:   "version",
+			Short: "Print what this program was built from",
+			Args:  noneOf("argument"),
 			RunE: func(c *cobra.Command, _ []string) error {
 				_, err := fmt.Fprintln(c.OutOrStdout(), version())
 				return err
-			}},
+			},
+		},
 	)
 	return root
 }
--- a/cmd/jaspersill/main_test.go
+++ b/cmd/jaspersill/main_test.go
@@ -47,7 +47,12 @@
 	name := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery, extra string) {
 		t.Helper()
-		text := strings.Replace(whole, `"discovery": "127.0.0.1:0"`, `"discovery": "`+discovery+`"`, 1) + extra
+		text := strings.Replace(
+			whole,
+			`"discovery": "127.0.0.1:0"`,
+			`"discovery": "`+discovery+`"`,
+			1,
+		) + extra
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/jaspersill/serve.go
+++ b/cmd/jaspersill/serve.go
@@ -39,11 +39,21 @@
 	}
 	module := choice.New(seed, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	n, err := node.Open(
-		node.Place{Listen: b.Text("node.listen"), Directory: b.Text("node.directory"), Folder: b.Text("node.state"),
-			PeerListen: t.PeerListen, PeersAll: t.PeersAll, Peers: t.Peers, Known: t.Known},
+		node.Place{
+			Listen:     b.Text("node.listen"),
+			Directory:  b.Text("node.directory"),
+			Folder:     b.Text("node.state"),
+			PeerListen: t.PeerListen,
+			PeersAll:   t.PeersAll,
+			Peers:      t.Peers,
+			Known:      t.Known,
+		},
 		node.Limits{DiskMB: float64(b.Bytes("limits.disk")) / 1e6, Sockets: b.Count("limits.descriptors")},
 		node.Guests{First: b.Span("clients.first"), Whole: b.Span("clients.whole"),
-			Between: b.Span("clients.between")}, s, module)
+			Between: b.Span("clients.between")},
+		s,
+		module,
+	)
 	if err != nil {
 		return err
 	}
@@ -84,7 +94,9 @@
 	for range replaced {
 		_, _, next, err := read(platform, own)
 		if err != nil {
-			logs.Part("settings").WithError(err).Error("the new configuration is passed over, the old one stays")
+			logs.Part("settings").
+				WithError(err).
+				Error("the new configuration is passed over, the old one stays")
 			continue
 		}
 		live, restart := now.Changes(next)
--- a/house/book.go
+++ b/house/book.go
@@ -125,7 +125,10 @@
 			table, _ = path(&p, nil, e)
 			if e.Kind == unstable.ArrayTable {
 				name, line := path(&p, nil, e)
-				faults = append(faults, Fault{file, line, strings.Join(name, "."), "a table", "a list of tables"})
+				faults = append(
+					faults,
+					Fault{file, line, strings.Join(name, "."), "a table", "a list of tables"},
+				)
 			}
 		case unstable.KeyValue:
 			faults = b.pair(&p, file, table, e, faults)
--- a/house/house_test.go
+++ b/house/house_test.go
@@ -27,7 +27,8 @@
 listen = "127.0.0.1"
 [[drain]]
 `
-	if _, err := Read("a.toml", []byte(text), nil); err == nil || !strings.Contains(err.Error(), "a.toml:16") {
+	if _, err := Read("a.toml", []byte(text), nil); err == nil ||
+		!strings.Contains(err.Error(), "a.toml:16") {
 		t.Errorf("a table that is also a list: %v", err)
 	}
 	text = strings.Replace(text, "[[drain]]", "", 1)
@@ -64,8 +65,11 @@
 }
 
 func TestSyntaxIsToldWithItsLine(t *testing.T) {
-	for _, text := range []string{"[log]\nlevel = \"info", "[log]\nlevel = \"info\"\nlevel = \"info\"", "\n[log"} {
-		if _, err := Read("a.toml", []byte(text), nil); err == nil || !strings.HasPrefix(err.Error(), "a.toml:") {
+	for _, text := range []string{
+		"[log]\nlevel = \"info", "[log]\nlevel = \"info\"\nlevel = \"info\"", "\n[log",
+	} {
+		if _, err := Read("a.toml", []byte(text), nil); err == nil ||
+			!strings.HasPrefix(err.Error(), "a.toml:") {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
@@ -99,7 +103,8 @@
 	}
 	next, _ := Read("a.toml", []byte("[drain]\nend = \"7s\"\n[limits]\nmemory = \"64MiB\"\n"), nil)
 	live, restart := b.Changes(next)
-	if strings.Join(live, " ") != "drain.end log.parts.clients" || strings.Join(restart, " ") != "limits.descriptors" {
+	if strings.Join(live, " ") != "drain.end log.parts.clients" ||
+		strings.Join(restart, " ") != "limits.descriptors" {
 		t.Errorf("live %v, restart %v", live, restart)
 	}
 	if now := b.With(next); now.Span("drain.end") != 7*time.Second || now.Count("limits.descriptors") != 300 {
--- a/house/keys.go
+++ b/house/keys.go
@@ -1,5 +1,5 @@
-// Package house reads what the operators of an installation tell a delivery node beyond what the platform tells:
-// a TOML file and the environment. Every key stands in one table, Keys. It does no I/O.
+// Package house reads what the operators of an installation tell a delivery node beyond what the platform
+// tells: a TOML file and the environment. Every key stands in one table, Keys. It does no I/O.
 package house
 
 import (
@@ -58,7 +58,11 @@
 		{Name: "node.directory", Kind: Address, Live: true,
 			Meaning: "The partner directory, which takes the notices too."},
 		{Name: "node.state", Kind: Text, Meaning: "The folder that outlasts the process."},
-		{Name: "node.seed", Kind: Text, Meaning: "Up to 16 hex digits from which chance starts; new at each start."},
+		{
+			Name:    "node.seed",
+			Kind:    Text,
+			Meaning: "Up to 16 hex digits from which chance starts; new at each start.",
+		},
 
 		{Name: "limits.cores", Kind: Share, Default: "0", Least: "0", Most: "1024",
 			Meaning: "Cores that the node may use; 0 for all."},
@@ -159,19 +163,20 @@
 // Reference writes the table of all keys as Markdown.
 func Reference(w io.Writer) error {
 	var b bytes.Buffer
-	b.WriteString(`# Configuration
+	b.WriteString(strings.ReplaceAll(`# Configuration
 
-This page is what ` + "`jaspersill config reference`" + ` prints.
+This page is what ~jaspersill config reference~ prints.
 
-The platform tells a node its addresses, limits and settings in the JSON file that RELAY_CONFIG names. All else stands
-in a TOML file that ` + "`--file`" + ` or JASPERSILL_FILE names, as ` + "`deploy/jaspersill.toml`" + `. Where several speak, the platform's file wins over the environment, the environment over the TOML file, and that over the
-default. ` + "`jaspersill check`" + ` tells all that is wrong with a file, and ` + "`jaspersill config show`" + ` what is in
-force and who said so.
+The platform tells a node its addresses, limits and settings in the JSON file that RELAY_CONFIG names. All else
+stands in a TOML file that ~--file~ or JASPERSILL_FILE names, as ~deploy/jaspersill.toml~. Where several speak,
+the platform's file wins over the environment, the environment over the TOML file, and that over the default.
+~jaspersill check~ tells all that is wrong with a file, and ~jaspersill config show~ what is in force and who
+said so.
 
-At SIGHUP both files are read again. A bad file changes nothing. Of a good one the keys marked live are put in force
-at once, all of them or none; the log names those that need a restart. The environment's name for a key is
-JASPERSILL_ with the key in capitals, each dot an underscore: ` + "`" + Variable("drain.end") + "`" + `.
-`)
+At SIGHUP both files are read again. A bad file changes nothing. Of a good one the keys marked live are put in
+force at once, all of them or none; the log names those that need a restart. The environment's name for a key is
+JASPERSILL_ with the key in capitals, each dot an underscore: ~JASPERSILL_DRAIN_END~.
+`, "~", "`"))
 	table := ""
 	for _, k := range Keys {
 		if head, _, _ := strings.Cut(k.Name, "."); head != table {
--- a/lab/arrival/arrival.go
+++ b/lab/arrival/arrival.go
@@ -21,8 +21,8 @@
 // Source hands out askings in the order of their times, and false when there are no more.
 type Source interface{ Next() (Asking, bool) }
 
-// Drawn draws a scenario's askings: an open loop of Poisson arrivals under the scenario's loads, and its clumps. What
-// it draws depends on the seed alone, so that two versions are asked for the same.
+// Drawn draws a scenario's askings: an open loop of Poisson arrivals under the scenario's loads, and its
+// clumps. What it draws depends on the seed alone, so that two versions are asked for the same.
 type Drawn struct {
 	day     *scenario.Scenario
 	chance  *rand.Rand
@@ -140,7 +140,9 @@
 	for i := range d.day.Loads { // of what a greedy customer adds, all is its own
 		l := &d.day.Loads[i]
 		if f := factor(l, d.now); l.Greedy != "" && f > 1 && d.chance.Float64() < 1-1/f {
-			a.Owner = int32(slices.IndexFunc(d.day.Owners, func(o scenario.Customer) bool { return o.Name == l.Greedy }))
+			a.Owner = int32(
+				slices.IndexFunc(d.day.Owners, func(o scenario.Customer) bool { return o.Name == l.Greedy }),
+			)
 		}
 	}
 	if t.Keys > 0 {
--- a/lab/arrival/recording.go
+++ b/lab/arrival/recording.go
@@ -62,8 +62,10 @@
 
 // Write writes what came of an asking; took is ns from its time to its end.
 func (w *Writer) Write(a Asking, end string, took int64) error {
-	return w.e.Encode(Record{At: a.At, Left: a.Deadline - a.At, Work: a.Work, Type: a.Type, Owner: a.Owner, Dest: a.Dest,
-		Key: a.Key, End: end, Took: took})
+	return w.e.Encode(
+		Record{At: a.At, Left: a.Deadline - a.At, Work: a.Work, Type: a.Type, Owner: a.Owner, Dest: a.Dest,
+			Key: a.Key, End: end, Took: took},
+	)
 }
 
 // Close ends the recording; what it writes to stays open.
@@ -89,7 +91,10 @@
 	r.in.Buffer(nil, mostLine)
 	var h header
 	if !r.in.Scan() {
-		return nil, fmt.Errorf("recording: line 1: want a head, got %v", errors.Join(r.in.Err(), io.ErrUnexpectedEOF))
+		return nil, fmt.Errorf(
+			"recording: line 1: want a head, got %v",
+			errors.Join(r.in.Err(), io.ErrUnexpectedEOF),
+		)
 	}
 	if err := json.Unmarshal(r.in.Bytes(), &h); err != nil || h.Kind != magicKind {
 		return nil, fmt.Errorf("recording: line 1: want a head of kind %q, got %.60q", magicKind, r.in.Text())
@@ -125,18 +130,35 @@
 	case at.At < r.last:
 		r.Err = fmt.Errorf("recording: line %d: at: want no less than %d, got %d", r.line, r.last, at.At)
 	case at.Left <= 0 || at.Work < 0:
-		r.Err = fmt.Errorf("recording: line %d: left and work: want times, got %d and %d", r.line, at.Left, at.Work)
+		r.Err = fmt.Errorf(
+			"recording: line %d: left and work: want times, got %d and %d",
+			r.line,
+			at.Left,
+			at.Work,
+		)
 	case at.Type < 0 || int(at.Type) >= len(r.Day.Types) || at.Owner < 0 || int(at.Owner) >= len(r.Day.Owners) ||
 		at.Dest < 0 || int(at.Dest) >= dests:
-		r.Err = fmt.Errorf("recording: line %d: type %d, owner %d, dest %d: want ones of its scenario", r.line, at.Type,
-			at.Owner, at.Dest)
+		r.Err = fmt.Errorf(
+			"recording: line %d: type %d, owner %d, dest %d: want ones of its scenario",
+			r.line,
+			at.Type,
+			at.Owner,
+			at.Dest,
+		)
 	}
 	if r.Err != nil {
 		return Asking{}, false
 	}
 	r.last = at.At
-	return Asking{At: at.At, Deadline: at.At + at.Left, Work: at.Work, Type: at.Type, Owner: at.Owner, Dest: at.Dest,
-		Key: at.Key}, true
+	return Asking{
+		At:       at.At,
+		Deadline: at.At + at.Left,
+		Work:     at.Work,
+		Type:     at.Type,
+		Owner:    at.Owner,
+		Dest:     at.Dest,
+		Key:      at.Key,
+	}, true
 }
 
 // Close lets go of what reading took.
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -1,5 +1,6 @@
-// Package hunt looks for days on which a rule breaks or little is delivered, among random mixes of troubles, and
-// shrinks what it finds to the fewest troubles, the shortest time and the smallest fleet that still show it.
+// Package hunt looks for days on which a rule breaks or little is delivered, among random mixes of troubles,
+// and shrinks what it finds to the fewest troubles, the shortest time and the smallest fleet that still show
+// it.
 package hunt
 
 import (
@@ -66,8 +67,11 @@
 		day.Troubles = append(day.Troubles, t)
 	}
 	if chance.IntN(3) == 0 {
-		day.Loads = append(day.Loads, scenario.Load{At: scenario.Span(length * 0.3), For: scenario.Span(length * 0.3),
-			Times: 1 + 2*chance.Float64()})
+		day.Loads = append(
+			day.Loads,
+			scenario.Load{At: scenario.Span(length * 0.3), For: scenario.Span(length * 0.3),
+				Times: 1 + 2*chance.Float64()},
+		)
 	}
 	day.Name = base.Name + "-hunted"
 	day.Hard = "found by the hunt"
@@ -84,8 +88,9 @@
 	return f
 }
 
-// Hunt draws mixes until ctx ends or so many were played, on as many cores as there are, and returns the worst day
-// and the first that broke a rule, nil for none. With first it stops at a broken rule. told may be nil.
+// Hunt draws mixes until ctx ends or so many were played, on as many cores as there are, and returns the
+// worst day and the first that broke a rule, nil for none. With first it stops at a broken rule. told may be
+// nil.
 func Hunt(ctx context.Context, base *scenario.Scenario, seed uint64, most int, cores int, first bool,
 	launch world.Launch, told func(played int, worst float64, broken int)) (worst, broke *Found, played int) {
 	type one struct {
@@ -155,8 +160,8 @@
 	return Found{}, false
 }
 
-// Shrink makes a found day as small as still shows it: first troubles are left out, then those that stay are made
-// plainer, then the day shorter and the fleet smaller.
+// Shrink makes a found day as small as still shows it: first troubles are left out, then those that stay are
+// made plainer, then the day shorter and the fleet smaller.
 func Shrink(ctx context.Context, f Found, launch world.Launch) Found {
 	for again := true; again; {
 		again = false
@@ -195,7 +200,9 @@
 		add(func(c *scenario.Scenario) bool { c.Troubles[i].Endpoints = 0; return t.Endpoints > 0 })
 		add(func(c *scenario.Scenario) bool { c.Troubles[i].Destinations /= 2; return t.Destinations > 1 })
 		add(func(c *scenario.Scenario) bool { c.Troubles[i].Nodes /= 2; return t.Nodes > 1 })
-		add(func(c *scenario.Scenario) bool { c.Troubles[i].For = t.For / 2; return t.For > scenario.Span(1e9) })
+		add(
+			func(c *scenario.Scenario) bool { c.Troubles[i].For = t.For / 2; return t.For > scenario.Span(1e9) },
+		)
 		add(func(c *scenario.Scenario) bool { c.Troubles[i].At = t.At / 2; return t.At > scenario.Span(4e9) })
 	}
 	add(func(c *scenario.Scenario) bool {
@@ -213,7 +220,9 @@
 		return day.Fleet.Nodes > 1
 	})
 	for i := range day.Types {
-		add(func(c *scenario.Scenario) bool { c.Types = slices.Delete(c.Types, i, i+1); return len(day.Types) > 1 })
+		add(
+			func(c *scenario.Scenario) bool { c.Types = slices.Delete(c.Types, i, i+1); return len(day.Types) > 1 },
+		)
 	}
 	for i := range day.Partners {
 		add(func(c *scenario.Scenario) bool {
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -1,5 +1,5 @@
-// Package ledger judges a run from outside: by what clients, partners and the directory saw, never by what a node
-// says of itself. It holds the six rules and counts what the events were worth.
+// Package ledger judges a run from outside: by what clients, partners and the directory saw, never by what a
+// node says of itself. It holds the six rules and counts what the events were worth.
 package ledger
 
 import (
@@ -22,7 +22,15 @@
 	Waits                   // a told wait is heeded
 )
 
-var ruleNames = [...]string{"", "one end", "no double effect", "drains kept", "cold returns", "order", "waits heeded"}
+var ruleNames = [...]string{
+	"",
+	"one end",
+	"no double effect",
+	"drains kept",
+	"cold returns",
+	"order",
+	"waits heeded",
+}
 
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -50,7 +58,14 @@
 }
 
 func (b Break) String() string {
-	text := fmt.Sprintf("%s broken at %.3f s: event %d at node %d: %s", b.Rule, float64(b.At)/1e9, b.Event, b.Node, b.What)
+	text := fmt.Sprintf(
+		"%s broken at %.3f s: event %d at node %d: %s",
+		b.Rule,
+		float64(b.At)/1e9,
+		b.Event,
+		b.Node,
+		b.What,
+	)
 	for _, s := range b.Sends {
 		text += fmt.Sprintf("; sent at %.3f s to endpoint %d", float64(s.At)/1e9, s.Endpoint)
 		if s.Heard {
@@ -70,8 +85,17 @@
 }
 
 // Outcomes are the names of the outcomes of sends, by port.Outcome.
-var Outcomes = [...]string{"acked", "errored", "declined", "timed out", "connect failed", "reset", "cancelled",
-	"unsent", "spoilt"}
+var Outcomes = [...]string{
+	"acked",
+	"errored",
+	"declined",
+	"timed out",
+	"connect failed",
+	"reset",
+	"cancelled",
+	"unsent",
+	"spoilt",
+}
 
 // OutcomeName names an outcome.
 func OutcomeName(o port.Outcome) string { return Outcomes[o] }
@@ -96,8 +120,8 @@
 	worstSpan  = 10          // bins of the worst spell
 )
 
-// The parts of the figure. Most of it is the whole run; a spell of trouble and a stream type that is left behind
-// count for what an operator hears about first.
+// The parts of the figure. Most of it is the whole run; a spell of trouble and a stream type that is left
+// behind count for what an operator hears about first.
 const (
 	partWhole = 0.6
 	partSpell = 0.3
@@ -168,7 +192,9 @@
 // New begins a ledger for a run of a scenario.
 func New(day *scenario.Scenario) *Ledger {
 	l := &Ledger{day: day, types: day.StreamTypes(), copies: day.Fleet.Copies, lines: make(map[key]*line),
-		drains: make(map[drain]int64), waits: make([][]int64, day.Fleet.Nodes), backAt: make([]int64, day.Fleet.Nodes),
+		drains: make(
+			map[drain]int64,
+		), waits: make([][]int64, day.Fleet.Nodes), backAt: make([]int64, day.Fleet.Nodes),
 		typeWanted: make([]float64, len(day.Types)), typeGot: make([]float64, len(day.Types)),
 		ownerWanted: make([]float64, len(day.Owners)), ownerGot: make([]float64, len(day.Owners))}
 	return l
@@ -200,11 +226,29 @@
 }
 
 // Take notes that a node has an event: from now on it owes the event's end.
-func (l *Ledger) Take(now int64, evt int32, id uint64, node int32, typ int, dest int32, k uint64, asked, deadline int64) {
+func (l *Ledger) Take(
+	now int64,
+	evt int32,
+	id uint64,
+	node int32,
+	typ int,
+	dest int32,
+	k uint64,
+	asked, deadline int64,
+) {
 	l.events = grow(l.events, int(evt))
 	e := &l.events[evt]
-	*e = event{id: id, typ: int32(typ), node: node, dest: dest, key: k, asked: asked, deadline: deadline, used: true,
-		sends: e.sends[:0]}
+	*e = event{
+		id:       id,
+		typ:      int32(typ),
+		node:     node,
+		dest:     dest,
+		key:      k,
+		asked:    asked,
+		deadline: deadline,
+		used:     true,
+		sends:    e.sends[:0],
+	}
 	l.Taken++
 	if l.types[typ].Ordered && k != 0 {
 		at := key{node, int32(typ), k}
@@ -248,11 +292,21 @@
 	}
 	if int(ep) < len(l.drained) && l.drained[ep] {
 		if at, told := l.drains[drain{e.node, ep}]; told && now > at+int64(l.day.Rules.Grace) {
-			l.breaks(Drains, now, e, fmt.Sprintf("a send to endpoint %d, told to drain at %.3f s", ep, float64(at)/1e9))
+			l.breaks(
+				Drains,
+				now,
+				e,
+				fmt.Sprintf("a send to endpoint %d, told to drain at %.3f s", ep, float64(at)/1e9),
+			)
 		}
 	}
 	if w := l.waits[e.node]; int(lane) < len(w) && now < w[lane] {
-		l.breaks(Waits, now, e, fmt.Sprintf("a send to a destination that told to wait until %.3f s", float64(w[lane])/1e9))
+		l.breaks(
+			Waits,
+			now,
+			e,
+			fmt.Sprintf("a send to a destination that told to wait until %.3f s", float64(w[lane])/1e9),
+		)
 	}
 	if t.Ordered && e.key != 0 {
 		l.inTurn(now, evt, e)
@@ -268,7 +322,12 @@
 		return
 	}
 	if now < k.restUntil && len(e.sends) == 0 {
-		l.breaks(Order, now, e, fmt.Sprintf("a send of a key that rests until %.3f s", float64(k.restUntil)/1e9))
+		l.breaks(
+			Order,
+			now,
+			e,
+			fmt.Sprintf("a send of a key that rests until %.3f s", float64(k.restUntil)/1e9),
+		)
 	}
 	for _, before := range k.events {
 		if before == evt {
@@ -302,8 +361,8 @@
 	}
 }
 
-// Reach notes that a call which will take effect has come to its destination. It tells whether the destination
-// knows the event's mark, so that nothing happens again.
+// Reach notes that a call which will take effect has come to its destination. It tells whether the
+// destination knows the event's mark, so that nothing happens again.
 func (l *Ledger) Reach(now int64, evt int32) (known bool) {
 	e := &l.events[evt]
 	t := &l.types[e.typ]
@@ -312,8 +371,8 @@
 	return known
 }
 
-// Run notes the end of the work of a call that came at a time: the event took effect, where it ran and its mark was
-// not known.
+// Run notes the end of the work of a call that came at a time: the event took effect, where it ran and its
+// mark was not known.
 func (l *Ledger) Run(now, came int64, evt int32, ran, known bool) {
 	e := &l.events[evt]
 	t := &l.types[e.typ]
@@ -336,7 +395,12 @@
 		l.breaks(OneEnd, now, e, fmt.Sprintf("%s after it was %s", end, e.end))
 		return
 	case now > e.deadline+endSlack && now > l.backAt[e.node]+backSlack:
-		l.breaks(OneEnd, now, e, fmt.Sprintf("%s %.3f s after its time was up", end, float64(now-e.deadline)/1e9))
+		l.breaks(
+			OneEnd,
+			now,
+			e,
+			fmt.Sprintf("%s %.3f s after its time was up", end, float64(now-e.deadline)/1e9),
+		)
 	case end == Declined && t.Safety == port.NonIdempotent && (e.mayRun || e.out > 0):
 		l.breaks(Once, now, e, "declined though it may have run and must not run twice")
 	}
@@ -365,6 +429,17 @@
 	l.ownerGot[owner] += l.day.Types[e.typ].Worth(now-e.asked) * l.day.Types[e.typ].Utility
 }
 
+// Abandon ends what is judged of an event: its client heard nothing and went elsewhere, so that what is sent
+// for it counts for nothing.
+func (l *Ledger) Abandon(evt int32) {
+	e := &l.events[evt]
+	l.Taken--
+	e.used, e.end = false, Declined
+	if k := l.lines[key{e.node, e.typ, e.key}]; k != nil {
+		k.events = slices.DeleteFunc(k.events, func(other int32) bool { return other == evt })
+	}
+}
+
 // Leave ends what is known of an event: its number may be given out again. An event without an end is lost.
 func (l *Ledger) Leave(now int64, evt int32) {
 	e := &l.events[evt]
@@ -391,7 +466,12 @@
 	for i := range l.events {
 		e := &l.events[i]
 		if e.used && e.end == Open && now > e.deadline+endSlack && now > l.backAt[e.node]+backSlack {
-			l.breaks(OneEnd, now, e, fmt.Sprintf("no end %.3f s after its time was up", float64(now-e.deadline)/1e9))
+			l.breaks(
+				OneEnd,
+				now,
+				e,
+				fmt.Sprintf("no end %.3f s after its time was up", float64(now-e.deadline)/1e9),
+			)
 			e.end = Discarded // told once
 		}
 	}
@@ -449,12 +529,17 @@
 // Back notes that a node serves again.
 func (l *Ledger) Back(now int64, node int32) { l.backAt[node] = now }
 
-// Fell notes that a cold destination was pushed over, by so many calls, of which so many came from nodes that had
-// seen its outage.
+// Fell notes that a cold destination was pushed over, by so many calls, of which so many came from nodes that
+// had seen its outage.
 func (l *Ledger) Fell(now int64, dest int32, offered, informed int, allowed float64) {
 	if 3*informed >= 2*offered {
-		l.breaks(Returns, now, &event{node: -1}, fmt.Sprintf("destination %d pushed over while cold by %d calls where "+
-			"%.1f are borne, %d of them from nodes that had seen its outage", dest, offered, allowed, informed))
+		l.breaks(
+			Returns,
+			now,
+			&event{node: -1},
+			fmt.Sprintf("destination %d pushed over while cold by %d calls where "+
+				"%.1f are borne, %d of them from nodes that had seen its outage", dest, offered, allowed, informed),
+		)
 	}
 }
 
@@ -466,7 +551,7 @@
 	WorstType  float64   `json:"worst_type"`
 	Types      []float64 `json:"types"`
 	Customers  []float64 `json:"customers"`
-	Waste      float64   `json:"waste"` // sends beyond one for each delivered event, as a share of those asked for
+	Waste      float64   `json:"waste"` // sends beyond one for each delivered event, by those asked for
 	Asked      int64     `json:"asked"`
 	Taken      int64     `json:"taken"`
 	Acked      int64     `json:"acked"`
@@ -531,8 +616,8 @@
 	return a / b
 }
 
-// MayHaveRun tells whether a send of an event may have run, for all that its node knows, and when the first such
-// went out.
+// MayHaveRun tells whether a send of an event may have run, for all that its node knows, and when the first
+// such went out.
 func (l *Ledger) MayHaveRun(evt int32) (first int64, ran bool) {
 	e := &l.events[evt]
 	return e.ranAt, e.mayRun
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,275 @@
+// Package load offers events to a running delivery node in an open loop: at the times that a rate says,
+// whatever the node does. Latency counts from the intended time, so that a node that stands still is not
+// spared (no coordinated omission). It speaks to loopback addresses only, and is bounded in count and time.
+package load
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jaspersill/lab/report"
+	"jaspersill/lab/run"
+)
+
+const (
+	spinFor   = 150 * time.Microsecond // before its time a send is waited for without sleep: sleeps end late
+	answerMax = 5 * time.Second
+	mostRate  = 200000
+	mostTime  = time.Hour
+	lagMost   = int64(10e9) // ns
+)
+
+// Request is one event as it is offered: the bytes of its head without the id and the deadline, and its body.
+type Request struct {
+	Kind, Owner string
+	Dest        int
+	Left        time.Duration
+	Marked      bool // it has an Idempotency-Key
+	Body        []byte
+}
+
+// Plan is what is offered.
+type Plan struct {
+	Address string
+	Rate    float64 // events a second at the beginning
+	To      float64 // and at the end, where it ramps; 0 for the same
+	For     time.Duration
+	Conns   int // connections, each with one request at a time
+	Mix     []Request
+	Weights []float64 // of the mix, summed up
+	Seed    uint64
+}
+
+// Check refuses what must not be offered.
+func (p *Plan) Check() error {
+	host, _, err := net.SplitHostPort(p.Address)
+	if err != nil {
+		return fmt.Errorf("address: want HOST:PORT: %w", err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("address: want one of the loopback, as 127.0.0.1:8443, got %q", p.Address)
+	}
+	switch {
+	case p.Rate <= 0 || p.Rate > mostRate || p.To < 0 || p.To > mostRate:
+		return fmt.Errorf("rate: want over 0 and at most %d, got %g to %g", mostRate, p.Rate, p.To)
+	case p.For <= 0 || p.For > mostTime:
+		return fmt.Errorf("time: want over 0 and at most %v, got %v", mostTime, p.For)
+	case p.Conns < 1 || p.Conns > 4096:
+		return fmt.Errorf("connections: want 1 to 4096, got %d", p.Conns)
+	case len(p.Mix) == 0:
+		return errors.New("nothing to offer")
+	}
+	return nil
+}
+
+// at is the intended time of the n-th event, from the beginning.
+func (p *Plan) at(n int) time.Duration {
+	to := p.To
+	if to == 0 {
+		to = p.Rate
+	}
+	if to == p.Rate {
+		return time.Duration(float64(n) / p.Rate * 1e9)
+	}
+	// The integral of a rate that grows evenly: r t + (to - r) t^2 / 2T = n.
+	a, b := (to-p.Rate)/(2*p.For.Seconds()), p.Rate
+	t := (-b + sqrt(b*b+4*a*float64(n))) / (2 * a)
+	return time.Duration(t * 1e9)
+}
+
+// worker is one connection.
+type worker struct {
+	plan                    *Plan
+	conn                    net.Conn
+	in                      *bufio.Reader
+	out                     []byte
+	chance                  *rand.Rand
+	latency                 *hdrhistogram.Histogram
+	lag                     *hdrhistogram.Histogram
+	taken, declined, failed int64
+}
+
+// Run offers a plan and reports it. An event whose turn comes while all connections are busy waits for one,
+// and the wait counts.
+func Run(ctx context.Context, p *Plan) (report.Load, error) {
+	if err := p.Check(); err != nil {
+		return report.Load{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.For+answerMax)
+	defer cancel()
+	workers := make([]*worker, p.Conns)
+	for i := range workers {
+		workers[i] = &worker{plan: p, chance: rand.New(rand.NewPCG(p.Seed, uint64(i))),
+			latency: hdrhistogram.New(1e3, int64(60e9), 3), lag: hdrhistogram.New(1e3, lagMost, 3)}
+	}
+	var next, started atomic.Int64
+	began := time.Now()
+	var wg sync.WaitGroup
+	for _, w := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer w.close()
+			for ctx.Err() == nil {
+				n := int(next.Add(1) - 1)
+				due := p.at(n)
+				if due >= p.For {
+					return
+				}
+				free := time.Since(
+					began,
+				) <= due // it was there before the event's time: what is late is the tool's
+				wait(began, due)
+				if free {
+					w.lag.RecordValue(max(1e3, min(lagMost, int64(time.Since(began)-due))))
+				}
+				started.Add(1)
+				w.offer(began, due)
+			}
+		}()
+	}
+	wg.Wait()
+	took := min(time.Since(began), p.For)
+	all, lag := hdrhistogram.New(1e3, int64(60e9), 3), hdrhistogram.New(1e3, lagMost, 3)
+	l := report.Load{Offered: p.Rate, Sent: float64(started.Load()) / took.Seconds()}
+	if p.To > 0 {
+		l.Offered = (p.Rate + p.To) / 2
+	}
+	for _, w := range workers {
+		all.Merge(w.latency)
+		lag.Merge(w.lag)
+		l.Acked, l.Declined, l.Failed = l.Acked+w.taken, l.Declined+w.declined, l.Failed+w.failed
+	}
+	for _, q := range run.Percentiles {
+		l.Millis = append(l.Millis, float64(all.ValueAtQuantile(q))/1e6)
+	}
+	l.LagMs = float64(lag.ValueAtQuantile(99)) / 1e6
+	return l, ctx.Err()
+}
+
+// wait waits until a time, asleep for most of it.
+func wait(began time.Time, due time.Duration) {
+	for {
+		left := due - time.Since(began)
+		switch {
+		case left <= 0:
+			return
+		case left > 2*spinFor:
+			time.Sleep(left - spinFor)
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
+func (w *worker) close() {
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+}
+
+// offer hands in one event and waits for its answer.
+func (w *worker) offer(began time.Time, due time.Duration) {
+	status, err := w.exchange()
+	if err != nil {
+		w.close()
+		w.failed++
+		return
+	}
+	switch status {
+	case 202, 200:
+		w.taken++
+		w.latency.RecordValue(max(1e3, int64(time.Since(began)-due)))
+	case 503, 429:
+		w.declined++
+		w.latency.RecordValue(max(1e3, int64(time.Since(began)-due)))
+	default:
+		w.failed++
+	}
+}
+
+func (w *worker) exchange() (status int, err error) {
+	if w.conn == nil {
+		if w.conn, err = net.DialTimeout("tcp", w.plan.Address, answerMax); err != nil {
+			w.conn = nil
+			return 0, err
+		}
+		w.in = bufio.NewReaderSize(w.conn, 2048)
+	}
+	r := &w.plan.Mix[0]
+	if len(w.plan.Mix) > 1 {
+		x, i := w.chance.Float64()*w.plan.Weights[len(w.plan.Weights)-1], 0
+		for i < len(w.plan.Weights)-1 && w.plan.Weights[i] <= x {
+			i++
+		}
+		r = &w.plan.Mix[i]
+	}
+	id := w.chance.Uint64()
+	b := append(w.out[:0], "POST /api HTTP/1.1\r\nHost: lab\r\nReq-Id: "...)
+	b = appendID(b, id)
+	b = append(append(append(append(b, "\r\nReq-Kind: "...), r.Kind...), "\r\nReq-Owner: "...), r.Owner...)
+	b = strconv.AppendInt(append(b, "\r\nReq-Deadline-Ms: "...), r.Left.Milliseconds(), 10)
+	b = strconv.AppendInt(append(b, "\r\nX-Envelope: dest="...), int64(r.Dest), 10)
+	if r.Marked {
+		b = appendID(append(b, "\r\nIdempotency-Key: "...), id)
+	}
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(r.Body)), 10)
+	b = append(append(b, "\r\n\r\n"...), r.Body...)
+	w.out = b
+	w.conn.SetDeadline(time.Now().Add(answerMax))
+	if _, err = w.conn.Write(b); err != nil {
+		return 0, err
+	}
+	return readStatus(w.in)
+}
+
+func appendID(b []byte, id uint64) []byte {
+	const digits = "0123456789abcdef"
+	for shift := 60; shift >= 0; shift -= 4 {
+		b = append(b, digits[id>>shift&15])
+	}
+	return b
+}
+
+// readStatus reads an answer: its status, its head and its body.
+func readStatus(in *bufio.Reader) (status int, err error) {
+	line, err := in.ReadSlice('\n')
+	if err != nil {
+		return 0, err
+	}
+	if len(line) < 12 {
+		return 0, fmt.Errorf("no answer: %q", line)
+	}
+	if status, err = strconv.Atoi(string(line[9:12])); err != nil {
+		return 0, err
+	}
+	size := 0
+	for {
+		if line, err = in.ReadSlice('\n'); err != nil {
+			return 0, err
+		}
+		if len(line) <= 2 {
+			break
+		}
+		if len(line) > 15 && strings.EqualFold(string(line[:15]), "Content-Length:") {
+			if size, err = strconv.Atoi(strings.TrimSpace(string(line[15:]))); err != nil {
+				return 0, err
+			}
+		}
+	}
+	_, err = in.Discard(size)
+	return status, err
+}
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -1,6 +1,7 @@
-// Package partner models destinations and their endpoints: how long they work, what they refuse, how they fail and
-// how they come back. It keeps no clock and does no I/O: the caller says what time it is, so that the same model
-// runs in virtual time and behind real sockets. It is not safe for use by several goroutines at once.
+// Package partner models destinations and their endpoints: how long they work, what they refuse, how they
+// fail and how they come back. It keeps no clock and does no I/O: the caller says what time it is, so that
+// the same model runs in virtual time and behind real sockets. It is not safe for use by several goroutines
+// at once.
 package partner
 
 import (
@@ -118,7 +119,9 @@
 		for range p.Destinations {
 			dest := int32(len(m.ByDest))
 			m.ByDest = append(m.ByDest, nil)
-			pace := math.Exp(math.Log(p.PaceLeast) + m.chance.Float64()*(math.Log(p.PaceMost)-math.Log(p.PaceLeast)))
+			pace := math.Exp(
+				math.Log(p.PaceLeast) + m.chance.Float64()*(math.Log(p.PaceMost)-math.Log(p.PaceLeast)),
+			)
 			lane := int32(-1)
 			for range p.Endpoints {
 				if lane < 0 || p.Routes {
@@ -135,7 +138,9 @@
 func (m *Model) addLane(kind, dest int32) int32 {
 	p := &m.day.Partners[kind]
 	l := Lane{Kind: kind, Dest: dest, Limit: p.Limit, tokens: burst(p.Limit),
-		phase: int64(m.chance.Float64() * float64(p.Span)), buckets: make([]bucket, int64(m.day.Rules.FallAfter)/bucketTime+1)}
+		phase: int64(
+			m.chance.Float64() * float64(p.Span),
+		), buckets: make([]bucket, int64(m.day.Rules.FallAfter)/bucketTime+1)}
 	m.Lanes = append(m.Lanes, l)
 	return int32(len(m.Lanes) - 1)
 }
@@ -144,8 +149,11 @@
 func (m *Model) add(kind, dest, lane int32, pace float64) int32 {
 	p := &m.day.Partners[kind]
 	ep := int32(len(m.Endpoints))
-	m.Endpoints = append(m.Endpoints, Endpoint{Dest: dest, Kind: kind, Pace: pace, lane: lane, slow: 1, lateBy: 1,
-		free: make([]int64, p.Workers)})
+	m.Endpoints = append(
+		m.Endpoints,
+		Endpoint{Dest: dest, Kind: kind, Pace: pace, lane: lane, slow: 1, lateBy: 1,
+			free: make([]int64, p.Workers)},
+	)
 	m.ByDest[dest] = append(m.ByDest[dest], ep)
 	m.capacity(lane)
 	return ep
@@ -189,7 +197,8 @@
 	m.capacity(e.lane)
 }
 
-// Trouble is what the troubles of the moment make of an endpoint; the zero value, but for its factors of 1, is none.
+// Trouble is what the troubles of the moment make of an endpoint; the zero value, but for its factors of 1,
+// is none.
 type Trouble struct {
 	Mode                        Mode
 	Slow, Late                  float64 // factors
@@ -204,7 +213,13 @@
 	if e.Gone {
 		return false
 	}
-	e.slow, e.lateBy, e.fail, e.lose, e.spoil, e.late = max(t.Slow, 0.01), max(t.Late, 1), t.Fail, t.Lose, t.Spoil, t.LateMost
+	e.slow, e.lateBy, e.fail, e.lose, e.spoil, e.late = max(
+		t.Slow,
+		0.01,
+	), max(
+		t.Late,
+		1,
+	), t.Fail, t.Lose, t.Spoil, t.LateMost
 	e.opens = t.Opens
 	died = t.Mode == Refusing && e.Mode != Refusing
 	if died {
@@ -226,7 +241,8 @@
 func (m *Model) outage(now int64, lane int32, warm bool) {
 	l, down := &m.Lanes[lane], true
 	for _, ep := range m.ByDest[l.Dest] {
-		if e := &m.Endpoints[ep]; e.lane == lane && !e.Gone && (e.Mode == Up || (e.Mode == Failing && e.fail < 0.5)) {
+		if e := &m.Endpoints[ep]; e.lane == lane && !e.Gone &&
+			(e.Mode == Up || (e.Mode == Failing && e.fail < 0.5)) {
 			down = false
 		}
 	}
@@ -314,8 +330,8 @@
 // Answers tells whether an answer comes at all.
 func (f *Fate) Answers() bool { return f.Done < never }
 
-// Arrive takes a call of some events, with the work of each at a partner of usual pace in ns. informed tells that
-// its node has seen the destination fail during its present or last outage.
+// Arrive takes a call of some events, with the work of each at a partner of usual pace in ns. informed tells
+// that its node has seen the destination fail during its present or last outage.
 func (m *Model) Arrive(now int64, ep int32, informed bool, work int64, events int) Fate {
 	e := &m.Endpoints[ep]
 	l := &m.Lanes[e.lane]
@@ -391,7 +407,8 @@
 	return f
 }
 
-// Finish tells whether a call that an endpoint worked on still counts when it is done: it ran, and its answer leaves.
+// Finish tells whether a call that an endpoint worked on still counts when it is done: it ran, and its answer
+// leaves.
 func (m *Model) Finish(ep int32, epoch uint32) (runs, answers bool) {
 	e := &m.Endpoints[ep]
 	alive := e.Epoch == epoch
@@ -495,15 +512,17 @@
 	}
 }
 
-// Best is the endpoint of a destination that would end a call soonest, as things truly are and with the calls that are
-// on their way to it; -1 where none would begin one at once. linked tells whether a connection to it stands idle;
-// careful leaves out those that lose answers or fail. It is what only a policy could know that sees everything.
+// Best is the endpoint of a destination that would end a call soonest, as things truly are and with the calls
+// that are on their way to it; -1 where none would begin one at once. linked tells whether a connection to it
+// stands idle; careful leaves out those that lose answers or fail. It is what only a policy could know that
+// sees everything.
 func (m *Model) Best(now int64, dest int32, work int64, careful bool, linked func(ep int32) bool) int32 {
 	best, done := int32(-1), never
 	for _, i := range m.ByDest[dest] {
 		e := &m.Endpoints[i]
 		l, p := &m.Lanes[e.lane], &m.day.Partners[e.Kind]
-		if e.Gone || e.Draining || e.Mode > Failing || now < l.fallenUntil || (e.Mode == Failing && e.fail > 0.5) ||
+		if e.Gone || e.Draining || e.Mode > Failing || now < l.fallenUntil ||
+			(e.Mode == Failing && e.fail > 0.5) ||
 			(careful && (e.lose > 0 || e.fail > 0 || e.spoil > 0)) {
 			continue
 		}
@@ -543,7 +562,8 @@
 	}
 	offered := l.coming + 1
 	for i := range l.buckets {
-		if b := &l.buckets[i]; b.at > now/bucketTime-int64(len(l.buckets)) && b.at*bucketTime >= l.coldFrom-bucketTime {
+		if b := &l.buckets[i]; b.at > now/bucketTime-int64(len(l.buckets)) &&
+			b.at*bucketTime >= l.coldFrom-bucketTime {
 			offered += b.offered
 		}
 	}
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -64,7 +64,8 @@
 		types := w.Day().StreamTypes()
 		for i := range types {
 			switch t := &types[i]; {
-			case weak == "forgetful" && t.Safety == port.Deduplicated, weak == "careless" && t.Safety == port.NonIdempotent:
+			case weak == "forgetful" && t.Safety == port.Deduplicated,
+				weak == "careless" && t.Safety == port.NonIdempotent:
 				t.Safety = port.Idempotent
 			case weak == "disorderly":
 				t.Ordered = false
@@ -171,7 +172,8 @@
 	sentAt       int64
 }
 
-// plain is a policy of a few lines: it keeps the rules on repeats and waits, and differs in when it tries again.
+// plain is a policy of a few lines: it keeps the rules on repeats and waits, and differs in when it tries
+// again.
 type plain struct {
 	name    string
 	world   *world.World
@@ -271,7 +273,8 @@
 	return true
 }
 
-// best picks an endpoint by the truth: one with a call of this round that has room, or one that begins at once.
+// best picks an endpoint by the truth: one with a call of this round that has room, or one that begins at
+// once.
 func (p *plain) best(evt int32) int32 {
 	e := &p.events[evt]
 	t := &p.types[e.typ]
--- a/lab/report/page.go
+++ b/lab/report/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	_ "embed" // the page
 	"fmt"
 	"html/template"
 	"image/color"
@@ -55,7 +56,9 @@
 			if t.For == 0 {
 				to = from + end/300
 			}
-			box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: top}, {X: from, Y: top}})
+			box, err := plotter.NewPolygon(
+				plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: top}, {X: from, Y: top}},
+			)
 			if err != nil {
 				return "", err
 			}
@@ -138,7 +141,10 @@
 		add(s.Name+": time from the asking to the delivery", "ms", latency)
 		var outcomes []line
 		for n, name := range ledger.Outcomes {
-			l := line{name: name, points: points(seconds, func(x *run.Second) float64 { return float64(x.Outcomes[n]) })}
+			l := line{
+				name:   name,
+				points: points(seconds, func(x *run.Second) float64 { return float64(x.Outcomes[n]) }),
+			}
 			if has(l.points) {
 				outcomes = append(outcomes, l)
 			}
@@ -189,6 +195,9 @@
 	return false
 }
 
+//go:embed page.html
+var pageHTML string
+
 var pageText = template.Must(template.New("page").Funcs(template.FuncMap{
 	"f3":   func(v float64) string { return fmt.Sprintf("%.3f", v) },
 	"when": func(t time.Time) string { return t.Format("2006-01-02 15:04:05 UTC") },
@@ -219,40 +228,7 @@
 		}
 		return fmt.Sprintf("%.4g", total/float64(max(1, len(results))))
 	},
-}).Parse(`<!doctype html>
-<html lang="en"><head><meta charset="utf-8"><title>jaspersill lab: {{.Title}}</title>
-<style>
-body { font: 15px/1.45 sans-serif; margin: 2em auto; max-width: 62em; color: #222; padding: 0 1em }
-table { border-collapse: collapse; margin: 1em 0 } td, th { padding: .25em .7em; border-bottom: 1px solid #ddd; text-align: right }
-td:first-child, th:first-child { text-align: left } .bad { color: #a00; font-weight: bold }
-pre { background: #f5f5f2; padding: 1em; overflow: auto } svg { max-width: 100%; height: auto; margin: .6em 0 }
-</style></head><body>
-<h1>{{.Title}}</h1>
-<p>{{.Hard}}</p>
-<p><code>{{.File.Command}}</code>, {{when .File.At}}. Simulated partners. G is 0.6 of the whole run's utility, 0.3 of the
-worst 10 s and 0.1 of the worst stream type, as shares of what was asked for; in brackets its 95% interval over the seeds.
-Shaded spans are troubles; charts show the first seed.</p>
-{{range .File.Notes}}<p class="bad">{{.}}</p>{{end}}
-{{if .File.Sets}}<table><tr><th>set</th><th>runs</th><th>G</th><th>place between floor and top</th><th>whole</th>
-<th>worst 10 s</th><th>worst type</th><th>waste</th><th>p50 ms</th><th>p99 ms</th><th>acked</th><th>declined</th>
-<th>discarded</th><th>broken rules</th></tr>
-{{range .File.Sets}}<tr><td>{{.Name}}</td><td>{{len .Results}}</td><td>{{f3 .G.Mean}} ({{f3 .G.Least}} to {{f3 .G.Most}})</td>
-<td>{{if .Place}}{{f3 .Place}}{{else}}-{{end}}</td><td>{{mean .Results "whole"}}</td><td>{{mean .Results "spell"}}</td>
-<td>{{mean .Results "type"}}</td><td>{{mean .Results "waste"}}</td><td>{{mean .Results "p50"}}</td>
-<td>{{mean .Results "p99"}}</td><td>{{mean .Results "acked"}}</td><td>{{mean .Results "declined"}}</td>
-<td>{{mean .Results "discarded"}}</td><td{{if .Broken}} class="bad"{{end}}>{{.Broken}}</td></tr>{{end}}</table>{{end}}
-{{if .File.Differences}}<h2>Difference to {{(index .File.Sets 0).Name}}</h2>
-<table><tr><th>set</th><th>figure</th><th>by</th><th>95% interval</th><th>pairs</th></tr>
-{{range .File.Differences}}<tr><td>{{.Name}}</td><td>{{.Figure}}</td><td>{{f3 .By.Mean}}</td>
-<td>{{f3 .By.Least}} to {{f3 .By.Most}}</td><td>{{.By.N}}</td></tr>{{end}}</table>{{end}}
-{{if .File.Loads}}<h2>Load</h2><table><tr><th>offered /s</th><th>sent /s</th><th>taken on</th><th>declined</th><th>failed</th>
-<th>p50 ms</th><th>p90 ms</th><th>p99 ms</th><th>p99.9 ms</th><th>own lag p99 ms</th></tr>
-{{range .File.Loads}}<tr><td>{{f3 .Offered}}</td><td>{{f3 .Sent}}</td><td>{{.Acked}}</td><td>{{.Declined}}</td><td>{{.Failed}}</td>
-{{range .Millis}}<td>{{f3 .}}</td>{{end}}<td>{{f3 .LagMs}}</td></tr>{{end}}</table>{{end}}
-{{range .Charts}}<div>{{.}}</div>{{end}}
-<h2>Scenario</h2><pre>{{.File.Scenario}}</pre>
-</body></html>
-`))
+}).Parse(pageHTML))
 
 // page is the report as one HTML page that needs nothing else.
 func (f *File) page() ([]byte, error) {
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -1,4 +1,5 @@
-// Package report keeps what a run of the lab gave: result.json, tables as CSV, and one HTML page with its charts.
+// Package report keeps what a run of the lab gave: result.json, tables as CSV, and one HTML page with its
+// charts.
 package report
 
 import (
@@ -64,7 +65,13 @@
 // New begins a file for a scenario.
 func New(kind, command string, day *scenario.Scenario) (*File, error) {
 	text, err := day.Write()
-	return &File{Version: Version, Kind: kind, At: time.Now().UTC(), Command: command, Scenario: string(text)}, err
+	return &File{
+		Version:  Version,
+		Kind:     kind,
+		At:       time.Now().UTC(),
+		Command:  command,
+		Scenario: string(text),
+	}, err
 }
 
 // Add adds a set's results.
@@ -87,8 +94,8 @@
 	return nil
 }
 
-// Placed tells where each set stands between the floor, one try for each event, and the top, the policy that sees
-// everything; where both were played.
+// Placed tells where each set stands between the floor, one try for each event, and the top, the policy that
+// sees everything; where both were played.
 func (f *File) Placed() {
 	floor, top := f.set("once"), f.set("informed")
 	if floor == nil || top == nil || top.G.Mean <= floor.G.Mean {
@@ -201,14 +208,49 @@
 }
 
 func (f *File) runs() []byte {
-	head := []string{"set", "seed", "g", "whole", "worst_10s", "worst_type", "waste", "asked", "acked", "declined",
-		"discarded", "sends", "broken", "falls", "p50_ms", "p90_ms", "p99_ms", "p999_ms"}
+	head := []string{
+		"set",
+		"seed",
+		"g",
+		"whole",
+		"worst_10s",
+		"worst_type",
+		"waste",
+		"asked",
+		"acked",
+		"declined",
+		"discarded",
+		"sends",
+		"broken",
+		"falls",
+		"p50_ms",
+		"p90_ms",
+		"p99_ms",
+		"p999_ms",
+	}
 	return table(head, func(add func(...any)) {
 		for _, s := range f.Sets {
 			for _, r := range s.Results {
-				add(s.Name, r.Seed, r.Sum.G, r.Sum.Whole, r.Sum.WorstSpell, r.Sum.WorstType, r.Sum.Waste, r.Sum.Asked,
-					r.Sum.Acked, r.Sum.Declined, r.Sum.Discarded, r.Sum.Sends, r.Sum.Broken, r.Falls, r.Latency[0],
-					r.Latency[1], r.Latency[2], r.Latency[3])
+				add(
+					s.Name,
+					r.Seed,
+					r.Sum.G,
+					r.Sum.Whole,
+					r.Sum.WorstSpell,
+					r.Sum.WorstType,
+					r.Sum.Waste,
+					r.Sum.Asked,
+					r.Sum.Acked,
+					r.Sum.Declined,
+					r.Sum.Discarded,
+					r.Sum.Sends,
+					r.Sum.Broken,
+					r.Falls,
+					r.Latency[0],
+					r.Latency[1],
+					r.Latency[2],
+					r.Latency[3],
+				)
 			}
 		}
 	})
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -53,7 +53,13 @@
 }
 
 // One plays one run. With detail it keeps each second; trace may be nil.
-func One(day *scenario.Scenario, seed, luck uint64, launch world.Launch, detail bool, trace io.Writer) Result {
+func One(
+	day *scenario.Scenario,
+	seed, luck uint64,
+	launch world.Launch,
+	detail bool,
+	trace io.Writer,
+) Result {
 	w := world.New(day, seed, luck, launch, trace)
 	all := hdrhistogram.New(latencyLeast, latencyMost, latencyDigits)
 	now := hdrhistogram.New(latencyLeast, latencyMost, 2)
@@ -120,9 +126,16 @@
 	return Set{Name: name, Day: day, Launch: launch, Luck: luck}, err
 }
 
-// All plays each set on each seed, on as many cores as there are, and hands the results back in order. Each run is
-// one goroutine's alone, so cores change nothing but the time. progress may be nil; it is called one at a time.
-func All(ctx context.Context, sets []Set, seeds []uint64, detail bool, progress func(done, of int)) ([][]Result, error) {
+// All plays each set on each seed, on as many cores as there are, and hands the results back in order. Each
+// run is one goroutine's alone, so cores change nothing but the time. progress may be nil; it is called one
+// at a time.
+func All(
+	ctx context.Context,
+	sets []Set,
+	seeds []uint64,
+	detail bool,
+	progress func(done, of int),
+) ([][]Result, error) {
 	results := make([][]Result, len(sets))
 	for i := range results {
 		results[i] = make([]Result, len(seeds))
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -76,8 +76,10 @@
 		for seed := range uint64(3) {
 			for _, b := range One(day, seed, 0, launch, false, nil).Sum.Breaks {
 				evidence := b.Event > 0 && b.At > 0 && (len(b.Sends) > 0 || c.weak == "lossy" || c.weak == "deaf" ||
-					c.weak == "undrained" || c.weak == "disorderly") || b.Rule == ledger.Returns
-				if b.Rule != c.rule && (c.weak != "restless" || b.Rule != ledger.Once) { // the one too many runs, too
+					c.weak == "undrained" || c.weak == "disorderly") ||
+					b.Rule == ledger.Returns
+				if b.Rule != c.rule &&
+					(c.weak != "restless" || b.Rule != ledger.Once) { // the one too many runs, too
 					t.Errorf("%s: %s", c.weak, b)
 				} else if !evidence {
 					t.Errorf("%s: no evidence: %s", c.weak, b)
@@ -117,8 +119,8 @@
 	}
 }
 
-// A version beside itself: with the same requests and troubles, and chance drawn anew, the interval must hold 0 as
-// often as it says.
+// A version beside itself: with the same requests and troubles, and chance drawn anew, the interval must hold
+// 0 as often as it says.
 func TestAVersionBesideItself(t *testing.T) {
 	day := find(t, "refusals")
 	comparisons, seeds := 40, 12
@@ -130,7 +132,10 @@
 	day.Loads[0].At, day.Loads[0].For = scenario.Span(5e9), scenario.Span(8e9)
 	holds := 0
 	for c := range comparisons {
-		sets := []Set{{Day: day, Launch: policy.Module, Luck: uint64(2*c + 1)}, {Day: day, Launch: policy.Module, Luck: uint64(2*c + 2)}}
+		sets := []Set{
+			{Day: day, Launch: policy.Module, Luck: uint64(2*c + 1)},
+			{Day: day, Launch: policy.Module, Luck: uint64(2*c + 2)},
+		}
 		r, err := All(context.Background(), sets, Seeds(uint64(1+c*seeds), seeds), false, nil)
 		if err != nil {
 			t.Fatal(err)
@@ -163,7 +168,8 @@
 func TestIntervalsHoldTheMeanAsOftenAsTheySay(t *testing.T) {
 	chance := rand.New(rand.NewPCG(5, 5))
 	for name, draw := range map[string]func() float64{
-		"even": chance.Float64, "normal": chance.NormFloat64, "skewed": func() float64 { return math.Sqrt(chance.ExpFloat64()) },
+		"even": chance.Float64, "normal": chance.NormFloat64,
+		"skewed": func() float64 { return math.Sqrt(chance.ExpFloat64()) },
 	} {
 		mean := map[string]float64{"even": 0.5, "normal": 0, "skewed": math.Sqrt(math.Pi) / 2}[name]
 		holds, n := 0, 400
@@ -256,7 +262,9 @@
 	for _, size := range []struct {
 		name             string
 		nodes, endpoints int
-	}{{"10-endpoints", 4, 10}, {"100-endpoints", 20, 100}, {"200-endpoints", 50, 200}, {"1000-endpoints", 100, 1000}} {
+	}{
+		{"10-endpoints", 4, 10}, {"100-endpoints", 20, 100}, {"200-endpoints", 50, 200}, {"1000-endpoints", 100, 1000},
+	} {
 		b.Run(size.name, func(b *testing.B) {
 			day := find(b, "farm")
 			day.Fleet.Nodes, day.Length = size.nodes, scenario.Span(30e9)
--- a/lab/scenario/change.go
+++ b/lab/scenario/change.go
@@ -8,8 +8,9 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// With returns the scenario with one key changed: a path as it stands in the file, with the number of a list's item
-// from 0, as fleet.slots or partner.0.limit. The value is written as in the file; quotes may be left out.
+// With returns the scenario with one key changed: a path as it stands in the file, with the number of a
+// list's item from 0, as fleet.slots or partner.0.limit. The value is written as in the file; quotes may be
+// left out.
 func (s *Scenario) With(key, value string) (*Scenario, error) {
 	text, err := s.Write()
 	if err != nil {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -1,5 +1,5 @@
-// Package scenario reads the lab's scenarios: TOML files that say how large a fleet is, what its partners are like,
-// what clients bring, and which troubles come when. It does no I/O.
+// Package scenario reads the lab's scenarios: TOML files that say how large a fleet is, what its partners are
+// like, what clients bring, and which troubles come when. It does no I/O.
 package scenario
 
 import (
@@ -102,7 +102,7 @@
 	Window  Span    `toml:"window,omitempty"` // how long a destination knows a repeat
 	Utility float64 `toml:"utility"`
 	Late    float64 `toml:"late_utility,omitempty"` // share of the utility left at max age
-	Keys    int     `toml:"keys,omitempty"`         // events of one of so many keys go one at a time; 0 for no order
+	Keys    int     `toml:"keys,omitempty"`         // events of one of so many keys go singly; 0 for no order
 }
 
 // Customer shares the traffic.
@@ -199,14 +199,16 @@
 			ComeBack: Span(2 * time.Second), Copies: true, Notes: true, Delay: Span(500 * time.Microsecond),
 			Directory: Span(2 * time.Second), Restart: Span(1200 * time.Millisecond)},
 		Rules: Rules{ColdShare: 0.25, WarmAfter: Span(10 * time.Second), FallMultiple: 2,
-			FallAfter: Span(2 * time.Second), FallenFor: Span(20 * time.Second), Grace: Span(500 * time.Millisecond),
+			FallAfter: Span(
+				2 * time.Second,
+			), FallenFor: Span(20 * time.Second), Grace: Span(500 * time.Millisecond),
 			AskWithin: Span(10 * time.Second), OrderPause: Span(2 * time.Second)},
 		Clients: Clients{Again: 2, BackOff: Span(400 * time.Millisecond), Spread: 0.5}}
 }
 
-// Read reads a scenario's text and checks it as a whole. Errors name the file, the line or the place, what was
-// wanted and what was found, and all of them are told. find has the text of the scenario that this one is like;
-// lists that this one has replace the other's as a whole.
+// Read reads a scenario's text and checks it as a whole. Errors name the file, the line or the place, what
+// was wanted and what was found, and all of them are told. find has the text of the scenario that this one is
+// like; lists that this one has replace the other's as a whole.
 func Read(file string, text []byte, find func(name string) ([]byte, error)) (*Scenario, error) {
 	return read(file, text, find, 0)
 }
@@ -247,7 +249,10 @@
 			var all error
 			for _, e := range unknown.Errors {
 				line, _ := e.Position()
-				all = errors.Join(all, fmt.Errorf("%s:%d: %s: no such key", file, line, strings.Join(e.Key(), ".")))
+				all = errors.Join(
+					all,
+					fmt.Errorf("%s:%d: %s: no such key", file, line, strings.Join(e.Key(), ".")),
+				)
 			}
 			return nil, all
 		case errors.As(err, &at):
@@ -264,7 +269,16 @@
 	s.Like = ""
 	for i := range s.Partners {
 		p := &s.Partners[i]
-		p.Endpoints, p.PerCall, p.Destinations = max(p.Endpoints, 1), max(p.PerCall, 1), max(p.Destinations, 1)
+		p.Endpoints, p.PerCall, p.Destinations = max(
+			p.Endpoints,
+			1,
+		), max(
+			p.PerCall,
+			1,
+		), max(
+			p.Destinations,
+			1,
+		)
 		if p.PaceLeast == 0 && p.PaceMost == 0 {
 			p.PaceLeast, p.PaceMost = 1, 1
 		}
@@ -394,7 +408,12 @@
 	endpoints, dests := 0, 0
 	for i, p := range s.Partners {
 		at := fmt.Sprintf("partner %d (%s): ", i+1, p.Name)
-		c.want(p.Name != "" && !strings.ContainsAny(p.Name, " ,"), at+"name", "a name without blanks", strconv.Quote(p.Name))
+		c.want(
+			p.Name != "" && !strings.ContainsAny(p.Name, " ,"),
+			at+"name",
+			"a name without blanks",
+			strconv.Quote(p.Name),
+		)
 		c.count(at+"destinations", p.Destinations, 1, mostEndpoints)
 		c.count(at+"endpoints", p.Endpoints, 1, 64)
 		c.count(at+"workers", p.Workers, 1, 1e4)
@@ -417,14 +436,24 @@
 		at := fmt.Sprintf("load %d: ", i+1)
 		c.number(at+"times", l.Times, 0, 1000)
 		c.count(at+"clump", l.Clump, 0, 1e5)
-		c.want(l.Greedy == "" || slices.ContainsFunc(s.Owners, func(o Customer) bool { return o.Name == l.Greedy }),
-			at+"greedy", "the name of a customer", strconv.Quote(l.Greedy))
+		c.want(
+			l.Greedy == "" ||
+				slices.ContainsFunc(s.Owners, func(o Customer) bool { return o.Name == l.Greedy }),
+			at+"greedy",
+			"the name of a customer",
+			strconv.Quote(l.Greedy),
+		)
 	}
 	for i, t := range s.Troubles {
 		at := fmt.Sprintf("trouble %d (%s): ", i+1, t.Kind)
 		meets, ok := kindOf(t.Kind)
 		c.want(ok, at+"kind", "a kind that `jaspersill-lab scenario reference` names", strconv.Quote(t.Kind))
-		c.want(meets != "destinations" || t.Destinations+t.Destination > 0, at+"destinations", "how many, or which", 0)
+		c.want(
+			meets != "destinations" || t.Destinations+t.Destination > 0,
+			at+"destinations",
+			"how many, or which",
+			0,
+		)
 		c.want(meets != "nodes" || t.Nodes+t.Node > 0, at+"nodes", "how many, or which", 0)
 		c.count(at+"destination", t.Destination, 0, dests)
 		c.count(at+"destinations", t.Destinations, 0, dests)
@@ -444,7 +473,9 @@
 func (s *Scenario) StreamTypes() (types []port.StreamType) {
 	for _, t := range s.Types {
 		types = append(types, port.StreamType{Safety: safeties[t.Safety], Ordered: t.Keys > 0,
-			Window: int64(t.Window), SLO: int64(t.SLO), MaxAge: int64(t.MaxAge), Utility: t.Utility, LateUtility: t.Late})
+			Window: int64(
+				t.Window,
+			), SLO: int64(t.SLO), MaxAge: int64(t.MaxAge), Utility: t.Utility, LateUtility: t.Late})
 	}
 	return types
 }
@@ -459,8 +490,14 @@
 
 // Room is what a node may have at once.
 func (s *Scenario) Room() port.Room {
-	return port.Room{Slots: s.Fleet.Slots, Events: s.Fleet.Events, Sends: s.Fleet.Sends, Copies: s.Fleet.Copies,
-		Cancels: true, ComeBack: int64(s.Fleet.ComeBack)}
+	return port.Room{
+		Slots:    s.Fleet.Slots,
+		Events:   s.Fleet.Events,
+		Sends:    s.Fleet.Sends,
+		Copies:   s.Fleet.Copies,
+		Cancels:  true,
+		ComeBack: int64(s.Fleet.ComeBack),
+	}
 }
 
 // Recovery is how destinations come back.
--- a/lab/stat/stat.go
+++ b/lab/stat/stat.go
@@ -27,8 +27,9 @@
 // Holds tells whether a value lies in the interval.
 func (i Interval) Holds(v float64) bool { return v >= i.Least && v <= i.Most }
 
-// Bootstrap is the mean of some values with its interval, by the studentised bootstrap: the plain one is too narrow
-// for thirty values, and for under ten Student's t serves better than either. Chance is drawn from the seed. One value has an endless interval.
+// Bootstrap is the mean of some values with its interval, by the studentised bootstrap: the plain one is too
+// narrow for thirty values, and for under ten Student's t serves better than either. Chance is drawn from the
+// seed. One value has an endless interval.
 func Bootstrap(values []float64, seed uint64) Interval {
 	n := len(values)
 	if n == 0 {
--- a/lab/world/calls.go
+++ b/lab/world/calls.go
@@ -88,7 +88,13 @@
 	c.came = w.now
 	work += work / 4 * int64(len(c.sends)-1) // several in one call take less than each alone
 	falls := len(w.partners.Falls)
-	fate := w.partners.Arrive(w.now, c.ep, w.seats[c.node].informed(w.partners.LaneOf(c.ep)), work, len(c.sends))
+	fate := w.partners.Arrive(
+		w.now,
+		c.ep,
+		w.seats[c.node].informed(w.partners.LaneOf(c.ep)),
+		work,
+		len(c.sends),
+	)
 	c = &w.calls[i]
 	c.fate, c.ran = fate, fate.Ran
 	if len(w.partners.Falls) > falls {
@@ -202,8 +208,20 @@
 	if s.phase >= closing { // nothing is decided any more
 		return
 	}
-	s.hear(piece{what: newOutcome, how: how, ended: how == port.Acked, evt: o.evt, send: o.number, ep: c.own, wait: wait,
-		took: w.now - c.began, left: left, limit: limit})
+	s.hear(
+		piece{
+			what:  newOutcome,
+			how:   how,
+			ended: how == port.Acked,
+			evt:   o.evt,
+			send:  o.number,
+			ep:    c.own,
+			wait:  wait,
+			took:  w.now - c.began,
+			left:  left,
+			limit: limit,
+		},
+	)
 }
 
 // expire is the end of the time that a node waits for a send.
--- a/lab/world/queue.go
+++ b/lab/world/queue.go
@@ -24,7 +24,8 @@
 	seconds             // once a second
 )
 
-// happening is one thing that happens at a time. Those of one time come in the order in which they were planned.
+// happening is one thing that happens at a time. Those of one time come in the order in which they were
+// planned.
 type happening struct {
 	at    int64
 	order uint64
@@ -33,7 +34,8 @@
 	what  what
 }
 
-// queue is a heap of happenings with four branches: half as deep as one with two, which is what its time goes to.
+// queue is a heap of happenings with four branches: half as deep as one with two, which is what its time goes
+// to.
 type queue struct {
 	heap  []happening
 	order uint64
--- a/lab/world/seat.go
+++ b/lab/world/seat.go
@@ -16,8 +16,8 @@
 	dead
 )
 
-// seat is one delivery node: what it carries out, round its decision module. It does what package node does on
-// sockets, in virtual time.
+// seat is one delivery node: what it carries out, round its decision module. It does what package node does
+// on sockets, in virtual time.
 type seat struct {
 	world  *World
 	me     int32
--- a/lab/world/troubles.go
+++ b/lab/world/troubles.go
@@ -1,7 +1,10 @@
 package world
 
 import (
+	"math/rand/v2"
+
 	"jaspersill/lab/partner"
+	"jaspersill/lab/scenario"
 	"jaspersill/port"
 )
 
@@ -13,38 +16,52 @@
 }
 
 // kindModes are the troubles that are a mode of an endpoint.
-var kindModes = map[string]partner.Mode{"refuse": partner.Refusing, "silent": partner.Silent, "hang": partner.Hung,
-	"shut": partner.Shut, "fail": partner.Failing}
+var kindModes = map[string]partner.Mode{
+	"refuse": partner.Refusing,
+	"silent": partner.Silent,
+	"hang":   partner.Hung,
+	"shut":   partner.Shut,
+	"fail":   partner.Failing,
+}
+
+// Whom is the stream of chance from which is drawn whom troubles meet.
+const Whom = 0x77b1
+
+// Meets draws the endpoints and the nodes that a trouble meets.
+func Meets(t *scenario.Trouble, whom *rand.Rand, byDest [][]int32, nodes int) (eps, met []int32) {
+	var dests []int
+	if t.Destination > 0 {
+		dests = []int{t.Destination - 1}
+	} else if t.Destinations > 0 {
+		dests = whom.Perm(len(byDest))[:min(t.Destinations, len(byDest))]
+	}
+	for _, d := range dests {
+		list := byDest[d]
+		if t.Endpoints > 0 && t.Endpoints < len(list) {
+			for _, at := range whom.Perm(len(list))[:t.Endpoints] {
+				eps = append(eps, list[at])
+			}
+		} else {
+			eps = append(eps, list...)
+		}
+	}
+	switch {
+	case t.Node > 0:
+		met = []int32{int32(t.Node - 1)}
+	case t.Nodes > 0:
+		for _, n := range whom.Perm(nodes)[:min(t.Nodes, nodes)] {
+			met = append(met, int32(n))
+		}
+	}
+	return eps, met
+}
 
 // drawTroubles draws whom each trouble meets and plans its beginning.
 func (w *World) drawTroubles() {
 	for i := range w.day.Troubles {
 		t := &w.day.Troubles[i]
 		var m met
-		var dests []int
-		if t.Destination > 0 {
-			dests = []int{t.Destination - 1}
-		} else if t.Destinations > 0 {
-			dests = w.whom.Perm(len(w.partners.ByDest))[:min(t.Destinations, len(w.partners.ByDest))]
-		}
-		for _, d := range dests {
-			eps := w.partners.ByDest[d]
-			if t.Endpoints > 0 && t.Endpoints < len(eps) {
-				for _, at := range w.whom.Perm(len(eps))[:t.Endpoints] {
-					m.eps = append(m.eps, eps[at])
-				}
-			} else {
-				m.eps = append(m.eps, eps...)
-			}
-		}
-		switch {
-		case t.Node > 0:
-			m.nodes = []int32{int32(t.Node - 1)}
-		case t.Nodes > 0:
-			for _, n := range w.whom.Perm(len(w.seats))[:min(t.Nodes, len(w.seats))] {
-				m.nodes = append(m.nodes, int32(n))
-			}
-		}
+		m.eps, m.nodes = Meets(t, w.whom, w.partners.ByDest, len(w.seats))
 		m.until = int64(t.At) + int64(t.For)
 		w.troubles = append(w.troubles, m)
 		w.queue.plan(int64(t.At), begins, int32(i), 0, 0)
@@ -147,11 +164,11 @@
 	}
 }
 
-// meet puts together what all the troubles in force make of an endpoint.
-func (w *World) meet(ep int32) {
+// Together is what some of a day's troubles, all in force, make of an endpoint.
+func Together(troubles []scenario.Trouble, inForce []int) partner.Trouble {
 	p := partner.Trouble{Slow: 1, Late: 1}
-	for _, i := range w.bySlot[ep] {
-		t := &w.day.Troubles[i]
+	for _, i := range inForce {
+		t := &troubles[i]
 		share, times := t.Share, t.Times
 		if share == 0 {
 			share = 1
@@ -159,12 +176,11 @@
 		if times == 0 {
 			times = 1
 		}
-		mode := kindModes[t.Kind]
-		p.Mode = max(p.Mode, mode)
+		p.Mode = max(p.Mode, kindModes[t.Kind])
 		p.Warm = p.Warm || t.Warm
 		switch t.Kind {
 		case "shut":
-			p.Opens = max(p.Opens, w.troubles[i].until)
+			p.Opens = max(p.Opens, int64(t.At+t.For))
 		case "fail":
 			p.Fail = max(p.Fail, share)
 		case "slow":
@@ -177,7 +193,12 @@
 			p.LateMost, p.Late = max(p.LateMost, share), max(p.Late, times)
 		}
 	}
-	if w.partners.Meet(w.now, ep, p) {
+	return p
+}
+
+// meet puts in force what all the troubles make of an endpoint.
+func (w *World) meet(ep int32) {
+	if w.partners.Meet(w.now, ep, Together(w.day.Troubles, w.bySlot[ep])) {
 		w.reset(func(c *call) bool { return c.ep == ep })
 	}
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -1,6 +1,6 @@
-// Package world runs a scenario in virtual time: clients, the front, delivery nodes with their decision modules,
-// the network between them, the directory and the destinations, in one goroutine. One seed gives one run, to the
-// nanosecond and the byte, on every machine.
+// Package world runs a scenario in virtual time: clients, the front, delivery nodes with their decision
+// modules, the network between them, the directory and the destinations, in one goroutine. One seed gives one
+// run, to the nanosecond and the byte, on every machine.
 package world
 
 import (
@@ -138,12 +138,12 @@
 	Dropped    int64 `json:"dropped"` // askings that found no node
 }
 
-// New prepares a run. The seed draws the destinations, what is asked for and whom troubles meet; luck draws all else:
-// the nodes' own chance, the front's choice, what is lost. Two runs of one seed and two lucks differ by chance alone.
-// trace takes a line for each thing that happens, and may be nil.
+// New prepares a run. The seed draws the destinations, what is asked for and whom troubles meet; luck draws
+// all else: the nodes' own chance, the front's choice, what is lost. Two runs of one seed and two lucks
+// differ by chance alone. trace takes a line for each thing that happens, and may be nil.
 func New(day *scenario.Scenario, seed, luck uint64, launch Launch, trace io.Writer) *World {
 	w := &World{day: day, launch: launch, end: int64(day.Length), partners: partner.New(day, seed, luck),
-		ledger: ledger.New(day), source: arrival.New(day, seed), whom: rand.New(rand.NewPCG(seed, 0x77b1)),
+		ledger: ledger.New(day), source: arrival.New(day, seed), whom: rand.New(rand.NewPCG(seed, Whom)),
 		draws: rand.New(rand.NewPCG(seed, 0xd4a5+luck))}
 	if trace != nil {
 		w.trace = bufio.NewWriterSize(trace, 1<<16)
@@ -450,8 +450,22 @@
 	e := &w.events[evt]
 	w.nextID++
 	w.nextRun++
-	*e = event{id: w.nextID, life: w.nextRun, typ: a.Type, owner: a.Owner, node: s.me, dest: a.Dest, index: -1, call: -1,
-		current: -1, tries: a.tries, key: a.Key, asked: a.At, deadline: a.Deadline, work: a.Work}
+	*e = event{
+		id:       w.nextID,
+		life:     w.nextRun,
+		typ:      a.Type,
+		owner:    a.Owner,
+		node:     s.me,
+		dest:     a.Dest,
+		index:    -1,
+		call:     -1,
+		current:  -1,
+		tries:    a.tries,
+		key:      a.Key,
+		asked:    a.At,
+		deadline: a.Deadline,
+		work:     a.Work,
+	}
 	s.held++
 	w.ledger.Take(w.now, evt, e.id, s.me, int(e.typ), e.dest, e.key, e.asked, e.deadline)
 	w.note("take", s.me, evt, int64(e.dest))
@@ -468,8 +482,8 @@
 	return int32(len(w.events) - 1)
 }
 
-// leave is a node that is done with an event. Its number is given back once no call knows it: a late call must not
-// take effect for another.
+// leave is a node that is done with an event. Its number is given back once no call knows it: a late call
+// must not take effect for another.
 func (w *World) leave(evt int32) {
 	w.events[evt].left = true
 	w.release(evt)
@@ -486,8 +500,11 @@
 // declined is a client that hears that its event was not taken on, or was not delivered and may come again.
 func (w *World) declined(evt int32, comeBack int64) {
 	e := &w.events[evt]
-	w.again(asking{arrival.Asking{At: e.asked, Deadline: e.deadline, Work: e.work, Type: e.typ, Owner: e.owner,
-		Dest: e.dest, Key: e.key}, e.tries}, comeBack)
+	w.again(
+		asking{arrival.Asking{At: e.asked, Deadline: e.deadline, Work: e.work, Type: e.typ, Owner: e.owner,
+			Dest: e.dest, Key: e.key}, e.tries},
+		comeBack,
+	)
 }
 
 func (w *World) again(a asking, comeBack int64) {
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -38,7 +38,8 @@
 	now = now.Add(2 * time.Second)
 	out.Reset()
 	g.Tell(l)
-	if !strings.Contains(out.String(), `"held_back":7`) || !strings.Contains(out.String(), `"part":"clients"`) {
+	if !strings.Contains(out.String(), `"held_back":7`) ||
+		!strings.Contains(out.String(), `"part":"clients"`) {
 		t.Errorf("nobody told of the last 7: %s", &out)
 	}
 	g.Tell(l)
