--- a/cmd/jaspersill-lab/play.go
+++ b/cmd/jaspersill-lab/play.go
@@ -221,7 +221,7 @@
 	var luck uint64
 	var asJSON, sockets bool
 	var real socketRun
-	var trace string
+	var trace, record, replay string
 	c := &cobra.Command{Use: "run SCENARIO", Args: exactly(1),
 		Short: "Play a scenario, in virtual time or on loopback sockets, a run on each seed, and report it",
 		RunE: func(c *cobra.Command, args []string) error {
@@ -246,6 +246,9 @@
 				}
 				return keep(c, f, m.out)
 			}
+			if record != "" || replay != "" {
+				return recording(c, day, f, policies[0], &m, luck, record, replay)
+			}
 			if trace != "" {
 				return writeTrace(trace, day, policies[0], m.first, luck)
 			}
@@ -293,6 +296,8 @@
 	c.Flags().BoolVar(&sockets, "sockets", false, "play it in real time on loopback, with real nodes")
 	real.flags(c)
 	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	c.Flags().StringVar(&record, "record", "", "write the first seed's arrivals, and what came of them, into this file")
+	c.Flags().StringVar(&replay, "replay", "", "play the arrivals of this recording, on the day that it was made on")
 	c.Flags().StringVar(&trace, "trace", "", "write the first seed's trace into this file, and nothing else")
 	return c
 }
@@ -310,6 +315,42 @@
 	return file.Close()
 }
 
+// recording writes a recording of a run, or plays one.
+func recording(
+	c *cobra.Command, day *scenario.Scenario, f *report.File, spec string, m *many, luck uint64, record, replay string,
+) error {
+	s, err := set(spec, day, luck)
+	if err != nil {
+		return err
+	}
+	if record != "" {
+		file, err := os.Create(record)
+		if err != nil {
+			return err
+		}
+		return errors.Join(run.Record(s.Day, m.first, luck, s.Launch, file), file.Close())
+	}
+	file, err := os.Open(replay)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	r, recorded, err := run.Replay(file, m.first, luck, s.Launch, nil)
+	if err != nil {
+		return fmt.Errorf("%s: %w", replay, err)
+	}
+	text, err := recorded.Write()
+	if err != nil {
+		return err
+	}
+	f.Scenario = string(text)
+	f.Add(s.Name, []run.Result{r})
+	if err := show(c, f); err != nil {
+		return err
+	}
+	return keep(c, f, m.out)
+}
+
 func compareCommand() *cobra.Command {
 	var m many
 	var name string
--- a/cmd/jaspersill-lab/real.go
+++ b/cmd/jaspersill-lab/real.go
@@ -184,7 +184,7 @@
 
 func loadCommand() *cobra.Command {
 	var plan load.Plan
-	var name, out, program string
+	var name, out, program, record, replay string
 	var knee, own bool
 	var p99 time.Duration
 	var cores float64
@@ -205,7 +205,21 @@
 			if err != nil {
 				return err
 			}
-			plan.Mix, plan.Weights = mix(day)
+			if replay != "" {
+				if day, err = recorded(&plan, replay); err != nil {
+					return err
+				}
+			} else {
+				plan.Mix, plan.Weights = mix(day)
+			}
+			var heard *listener
+			if record != "" {
+				if knee {
+					return usageError{errors.New("load: --record goes with one step, not with --knee")}
+				}
+				heard = &listener{day: day, plan: &plan}
+				plan.Heard = heard.hear
+			}
 			if own = len(args) == 0; own {
 				s, err := loopback.Open(day, 1, 0, nil)
 				if err != nil {
@@ -271,8 +285,15 @@
 			if err != nil {
 				return err
 			}
+			if heard != nil {
+				if err := heard.write(record); err != nil {
+					return err
+				}
+			}
 			return keep(c, f, out)
 		}}
+	c.Flags().StringVar(&record, "record", "", "write what was offered, and what came of it, into this file")
+	c.Flags().StringVar(&replay, "replay", "", "offer the arrivals of this recording, rather than a rate")
 	c.Flags().
 		StringVar(&name, "scenario", "throughput", "its stream types and destinations are what is offered")
 	c.Flags().Float64Var(&plan.Rate, "rate", 1000, "events a second")
--- a/lab/arrival/arrival.go
+++ b/lab/arrival/arrival.go
@@ -16,6 +16,7 @@
 	At, Deadline, Work int64 // ns of the run; work at a partner of usual pace
 	Type, Owner, Dest  int32
 	Key                uint64
+	Number             int64 // its place among all, from 1; whoever plays a source counts
 }
 
 // Source hands out askings in the order of their times, and false when there are no more.
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -50,6 +50,10 @@
 	Mix     []Request
 	Weights []float64 // of the mix, summed up
 	Seed    uint64
+	Times   []time.Duration // recorded times, in order, rather than a rate
+	Picks   []int           // of the mix, for each of them
+	// Heard hears what came of each; it is called by many at once, and may be nil.
+	Heard func(due, took time.Duration, status, pick int)
 }
 
 // Check refuses what must not be offered.
@@ -68,7 +72,7 @@
 		return fmt.Errorf("time: want over 0 and at most %v, got %v", mostTime, p.For)
 	case p.Conns < 1 || p.Conns > 4096:
 		return fmt.Errorf("connections: want 1 to 4096, got %d", p.Conns)
-	case len(p.Mix) == 0:
+	case len(p.Mix) == 0 || len(p.Picks) != len(p.Times):
 		return errors.New("nothing to offer")
 	}
 	return nil
@@ -76,6 +80,12 @@
 
 // at is the intended time of the n-th event, from the beginning.
 func (p *Plan) at(n int) time.Duration {
+	if p.Times != nil {
+		if n < len(p.Times) {
+			return p.Times[n]
+		}
+		return p.For
+	}
 	to := p.To
 	if to == 0 {
 		to = p.Rate
@@ -136,7 +146,7 @@
 					w.lag.RecordValue(max(1e3, min(lagMost, int64(time.Since(began)-due))))
 				}
 				started.Add(1)
-				w.offer(began, due)
+				w.offer(began, due, n)
 			}
 		}()
 	}
@@ -182,8 +192,12 @@
 }
 
 // offer hands in one event and waits for its answer.
-func (w *worker) offer(began time.Time, due time.Duration) {
-	status, err := w.exchange()
+func (w *worker) offer(began time.Time, due time.Duration, n int) {
+	pick := w.pick(n)
+	status, err := w.exchange(&w.plan.Mix[pick])
+	if w.plan.Heard != nil {
+		w.plan.Heard(due, time.Since(began)-due, status, pick)
+	}
 	if err != nil {
 		w.close()
 		w.failed++
@@ -201,7 +215,19 @@
 	}
 }
 
-func (w *worker) exchange() (status int, err error) {
+// pick is what of the mix the n-th event is.
+func (w *worker) pick(n int) int {
+	if w.plan.Times != nil {
+		return w.plan.Picks[n]
+	}
+	x, i := w.chance.Float64()*w.plan.Weights[len(w.plan.Weights)-1], 0
+	for i < len(w.plan.Weights)-1 && w.plan.Weights[i] <= x {
+		i++
+	}
+	return i
+}
+
+func (w *worker) exchange(r *Request) (status int, err error) {
 	if w.conn == nil {
 		if w.conn, err = net.DialTimeout("tcp", w.plan.Address, answerMax); err != nil {
 			w.conn = nil
@@ -209,14 +235,6 @@
 		}
 		w.in = bufio.NewReaderSize(w.conn, 2048)
 	}
-	r := &w.plan.Mix[0]
-	if len(w.plan.Mix) > 1 {
-		x, i := w.chance.Float64()*w.plan.Weights[len(w.plan.Weights)-1], 0
-		for i < len(w.plan.Weights)-1 && w.plan.Weights[i] <= x {
-			i++
-		}
-		r = &w.plan.Mix[i]
-	}
 	id := w.chance.Uint64()
 	b := append(w.out[:0], "POST /api HTTP/1.1\r\nHost: lab\r\nReq-Id: "...)
 	b = appendID(b, id)
--- /dev/null
+++ b/lab/loopback/loopback_test.go
@@ -0,0 +1,206 @@
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"jaspersill/lab/arrival"
+	"jaspersill/lab/ledger"
+	"jaspersill/lab/scenario"
+	"jaspersill/lab/scenarios"
+)
+
+var program string
+
+// TestMain builds the delivery node that the days are played with.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "lab-")
+	if err == nil {
+		program = filepath.Join(folder, "jaspersill")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, "jaspersill/cmd/jaspersill").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func day(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "day.toml")
+	if err := os.WriteFile(name, []byte("like = \"farm\"\nname = \"day\"\n"+text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d, err := scenarios.Find(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// play plays a day with real nodes.
+func play(t *testing.T, d *scenario.Scenario) ledger.Summary {
+	t.Helper()
+	s, err := Open(d, 3, 0, t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	n, err := Configure(s, t.TempDir(), "", 0, 1)
+	if err == nil {
+		err = n.Start(context.Background(), program)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Stop()
+	return s.Play(context.Background(), n, arrival.New(d, 3), 3)
+}
+
+const brief = `
+length = "7s"
+[fleet]
+nodes = 2
+directory = "500ms"
+restart = "300ms"
+[[type]]
+name = "status"
+safety = "idempotent"
+rate = 40
+work = "30ms"
+slo = "1s"
+max_age = "3s"
+utility = 1
+[[type]]
+name = "charge"
+safety = "non-idempotent"
+rate = 20
+work = "30ms"
+slo = "1s"
+max_age = "3s"
+utility = 2
+late_utility = 0.5
+`
+
+func TestARoughDayOnSocketsKeepsTheRules(t *testing.T) {
+	d := day(t, brief+`
+[[trouble]]
+kind = "kill"
+at = "1500ms"
+node = 1
+[[trouble]]
+kind = "drain"
+at = "3500ms"
+node = 2
+[[trouble]]
+kind = "lose"
+at = "500ms"
+for = "6s"
+destinations = 6
+share = 0.1
+[[trouble]]
+kind = "refuse"
+at = "1s"
+for = "1s"
+destinations = 2
+[[trouble]]
+kind = "silent"
+at = "3s"
+for = "1s"
+destinations = 1
+[[trouble]]
+kind = "replace"
+at = "2s"
+destinations = 3
+[[trouble]]
+kind = "spoil"
+at = "1s"
+for = "5s"
+destinations = 4
+share = 0.1
+`)
+	sum := play(t, d)
+	for _, b := range sum.Breaks {
+		t.Error(b)
+	}
+	if sum.Asked < 200 || sum.Whole < 0.5 || sum.Outcomes[0] == 0 || sum.Outcomes[5]+sum.Outcomes[8] == 0 {
+		t.Errorf("the day was not played: %+v", sum)
+	}
+}
+
+// A node that sends all it gets twice must be caught, on sockets as in virtual time.
+func TestAScriptedNodeThatSendsTwiceIsCaught(t *testing.T) {
+	d := day(t, strings.Replace(brief, "7s", "1s", 1))
+	d.Fleet.Nodes = 1
+	s, err := Open(d, 3, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	node := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		var dest int32
+		fmt.Sscanf(r.Header.Get("X-Envelope"), "dest=%d", &dest)
+		for range 2 {
+			out, _ := http.NewRequest("POST", "http://"+s.doors[s.partners.ByDest[dest][0]].address+"/inbox",
+				strings.NewReader(string(body)))
+			out.Header.Set("Req-Id", r.Header.Get("Req-Id"))
+			if answer, err := http.DefaultClient.Do(out); err == nil {
+				answer.Body.Close()
+			}
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})}
+	address, err := free("tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.Addr = address
+	go node.ListenAndServe()
+	defer node.Close()
+	n := &Nodes{stage: s, list: []*process{{name: "n0", listen: address, up: true}}}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r, err := http.Get("http://" + address + "/up"); err == nil {
+			r.Body.Close()
+			break
+		}
+	}
+	sum := s.Play(context.Background(), n, arrival.New(d, 3), 3)
+	rules := map[ledger.Rule]int{}
+	for _, b := range sum.Breaks {
+		rules[b.Rule]++
+	}
+	if rules[ledger.OneEnd] == 0 || rules[ledger.Once] == 0 {
+		t.Errorf("%d broken, of rules %v: %+v", sum.Broken, rules, sum)
+	}
+}
+
+func TestANodeThatCannotStartIsTold(t *testing.T) {
+	d := day(t, brief)
+	s, err := Open(d, 3, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	n, err := Configure(s, t.TempDir(), "127.0.0.1:1x", 0, 1)
+	if err == nil {
+		err = n.Start(context.Background(), program)
+	}
+	if err == nil || !strings.Contains(err.Error(), "n0 ended at its start") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"jaspersill/lab/arrival"
 	"jaspersill/lab/ledger"
 	"jaspersill/lab/policy"
 	"jaspersill/lab/scenario"
@@ -54,13 +55,20 @@
 
 // One plays one run. With detail it keeps each second; trace may be nil.
 func One(
-	day *scenario.Scenario,
-	seed, luck uint64,
-	launch world.Launch,
-	detail bool,
-	trace io.Writer,
+	day *scenario.Scenario, seed, luck uint64, launch world.Launch, detail bool, trace io.Writer,
+) Result {
+	return one(day, seed, luck, launch, detail, trace, nil)
+}
+
+// one is One with arrivals from a source, or drawn where it is nil.
+func one(
+	day *scenario.Scenario, seed, luck uint64, launch world.Launch, detail bool, trace io.Writer,
+	source arrival.Source,
 ) Result {
 	w := world.New(day, seed, luck, launch, trace)
+	if source != nil {
+		w.Play(source)
+	}
 	all := hdrhistogram.New(latencyLeast, latencyMost, latencyDigits)
 	now := hdrhistogram.New(latencyLeast, latencyMost, 2)
 	l := w.Ledger()
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -1,7 +1,10 @@
 package run
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -9,6 +12,7 @@
 	"strings"
 	"testing"
 
+	"jaspersill/lab/arrival"
 	"jaspersill/lab/ledger"
 	"jaspersill/lab/policy"
 	"jaspersill/lab/scenario"
@@ -283,3 +287,46 @@
 		})
 	}
 }
+
+// What a recording plays again must be the run that it was made of, to the byte.
+func TestARecordingPlaysTheRunAgain(t *testing.T) {
+	day := find(t, "clumps")
+	day.Length = scenario.Span(20e9)
+	var file bytes.Buffer
+	if err := Record(day, 5, 1, policy.Module, &file); err != nil {
+		t.Fatal(err)
+	}
+	text := file.Bytes()
+	h := sha256.New()
+	r, recorded, err := Replay(bytes.NewReader(text), 5, 1, policy.Module, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := hex.EncodeToString(h.Sum(nil)), TraceOf(recorded, 5, 1, policy.Module); got != want {
+		t.Errorf("trace %s, want %s; %d asked for", got, want, r.Sum.Asked)
+	}
+	in, err := arrival.Open(bytes.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	n := int64(0)
+	for _, more := in.Next(); more; _, more = in.Next() {
+		n++
+	}
+	if in.Err != nil || n != r.Sum.Asked {
+		t.Errorf("%d arrivals recorded, %d asked for: %v", n, r.Sum.Asked, in.Err)
+	}
+	for cut := 0; cut < len(text); cut += len(text)/60 + 1 { // a file that was cut off must say so, and not panic
+		in, err := arrival.Open(bytes.NewReader(text[:cut]))
+		if err != nil {
+			continue
+		}
+		for _, more := in.Next(); more; _, more = in.Next() {
+		}
+		if in.Err == nil {
+			t.Errorf("cut off at %d of %d bytes it passes for whole", cut, len(text))
+		}
+		in.Close()
+	}
+}
--- a/lab/world/seat.go
+++ b/lab/world/seat.go
@@ -218,8 +218,11 @@
 	switch end {
 	case ledger.Acked:
 		w.ledger.Owner(w.now, evt, int(e.owner))
+		w.came(w.askingOf(evt), end)
 	case ledger.Declined:
 		w.declined(evt, comeBack)
+	case ledger.Discarded:
+		w.came(w.askingOf(evt), end)
 	}
 	s.settle(evt)
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -33,18 +33,18 @@
 
 // event is one event at one node; a client that hands it in again makes another.
 type event struct {
-	id                  uint64
-	life                int64
-	typ, owner, node    int32
-	dest, index, call   int32
-	sends, current, out int32
-	tries               int32
-	key                 uint64
-	asked, deadline     int64
-	work                int64
-	end                 ledger.End
-	refs                int32 // calls that know it: its number is not given out again before
-	held, leaving, left bool
+	id                     uint64
+	life                   int64
+	typ, owner, node       int32
+	dest, index, call      int32
+	sends, current, out    int32
+	tries                  int32
+	key                    uint64
+	asked, deadline, count int64 // count: its asking's number
+	work                   int64
+	end                    ledger.End
+	refs                   int32 // calls that know it: its number is not given out again before
+	held, leaving, left    bool
 }
 
 // out is one send in a call.
@@ -107,11 +107,12 @@
 	nextID  uint64
 	nextRun int64 // lives of events, calls and nodes
 
-	source arrival.Source // apart, so that two versions are asked for the same
-	coming arrival.Asking
-	whom   *rand.Rand // whom troubles meet
-	draws  *rand.Rand // everything else
-	front  []bool     // nodes that clients believe to be up
+	source  arrival.Source // apart, so that two versions are asked for the same
+	coming  arrival.Asking
+	arrived int64
+	whom    *rand.Rand // whom troubles meet
+	draws   *rand.Rand // everything else
+	front   []bool     // nodes that clients believe to be up
 
 	listed    []port.State // by endpoint, as the directory has it
 	changes   []change
@@ -126,6 +127,7 @@
 	trace  *bufio.Writer
 	line   []byte
 	sample func(w *World)
+	record func(a arrival.Asking, end string, took int64)
 	Stats  Stats
 }
 
@@ -195,13 +197,23 @@
 // Play takes the askings from a source, as a recording, rather than drawing them. It is called before Run.
 func (w *World) Play(source arrival.Source) {
 	w.source = source
-	for i := range w.queue.heap {
-		if w.queue.heap[i].what == arrives {
-			w.coming, _ = source.Next()
-			w.queue.heap[i].what = seconds // it was planned for the first one drawn
-			w.queue.heap[i].n = 1
+	for i := range w.queue.heap { // the first one drawn gives its place to the first of the source
+		if h := &w.queue.heap[i]; h.what == arrives {
+			h.n = 1
 		}
 	}
+	w.nextArrival()
+}
+
+// Recorded asks that a function hears what came of each asking, once: acked, declined, discarded, or nothing where
+// the run ended before; took is ns from the asking.
+func (w *World) Recorded(f func(a arrival.Asking, end string, took int64)) { w.record = f }
+
+// came tells what came of an asking.
+func (w *World) came(a arrival.Asking, end ledger.End) {
+	if w.record != nil {
+		w.record(a, end.String(), w.now-a.At)
+	}
 }
 
 // Sampled asks that a function is called once a second of the run.
@@ -239,7 +251,9 @@
 func (w *World) happen(h *happening) {
 	switch h.what {
 	case arrives:
-		w.arrive()
+		if h.n == 0 {
+			w.arrive()
+		}
 	case hands:
 		w.hand(h.a)
 	case rounds:
@@ -406,6 +420,8 @@
 // arrive is an event that comes to a client.
 func (w *World) arrive() {
 	a := w.coming
+	w.arrived++
+	a.Number = w.arrived
 	w.ledger.Ask(w.now, int(a.Type), int(a.Owner))
 	w.hand(w.keepAsk(asking{Asking: a}))
 	w.nextArrival()
@@ -427,6 +443,7 @@
 	a := w.asks[ask]
 	w.asksOff = append(w.asksOff, ask)
 	if w.now >= a.Deadline {
+		w.came(a.Asking, ledger.Declined)
 		return
 	}
 	s := w.seats[w.draws.IntN(len(w.seats))]
@@ -463,6 +480,7 @@
 		tries:    a.tries,
 		key:      a.Key,
 		asked:    a.At,
+		count:    a.Number,
 		deadline: a.Deadline,
 		work:     a.Work,
 	}
@@ -499,17 +517,20 @@
 
 // declined is a client that hears that its event was not taken on, or was not delivered and may come again.
 func (w *World) declined(evt int32, comeBack int64) {
+	w.again(asking{w.askingOf(evt), w.events[evt].tries}, comeBack)
+}
+
+// askingOf is what an event was asked for as.
+func (w *World) askingOf(evt int32) arrival.Asking {
 	e := &w.events[evt]
-	w.again(
-		asking{arrival.Asking{At: e.asked, Deadline: e.deadline, Work: e.work, Type: e.typ, Owner: e.owner,
-			Dest: e.dest, Key: e.key}, e.tries},
-		comeBack,
-	)
+	return arrival.Asking{At: e.asked, Deadline: e.deadline, Work: e.work, Type: e.typ, Owner: e.owner, Dest: e.dest,
+		Key: e.key, Number: e.count}
 }
 
 func (w *World) again(a asking, comeBack int64) {
 	c := &w.day.Clients
 	if a.tries >= int32(c.Again) {
+		w.came(a.Asking, ledger.Declined)
 		return
 	}
 	a.tries++
@@ -519,6 +540,8 @@
 	comeBack += int64(c.Spread * w.draws.Float64() * float64(comeBack))
 	if w.now+comeBack < a.Deadline {
 		w.queue.plan(w.now+comeBack, hands, w.keepAsk(a), 0, 0)
+	} else {
+		w.came(a.Asking, ledger.Declined)
 	}
 }
 
