--- a/lab/loopback/nodes.go
+++ b/lab/loopback/nodes.go
@@ -43,22 +43,23 @@
 	stopped bool
 }
 
-// free finds an address of the loopback that nobody listens on.
+// free finds an address of the loopback that nobody listens on. Danger: until the node listens there, a connection
+// that goes out from 127.0.0.1 may be given the same port; so another address of the loopback is taken where the
+// system has them all.
 func free(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	ip := net.IPv4(127, byte(1+rand.IntN(250)), byte(rand.IntN(256)), byte(1+rand.IntN(250)))
+	for _, at := range []string{net.JoinHostPort(ip.String(), "0"), "127.0.0.1:0"} {
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp", at); err == nil {
+				defer c.Close()
+				return c.LocalAddr().String(), nil
+			}
+		} else if l, err := net.Listen("tcp", at); err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no address of the loopback is free")
 }
 
 // Configure writes the configuration of each of a scenario's nodes into a folder, and makes their state
--- /dev/null
+++ b/store/record.go
@@ -0,0 +1,245 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"jaspersill/port"
+)
+
+// kind is what a record says.
+type kind byte
+
+const (
+	recState  kind = 1 + iota // all that is known of an event
+	recBegan                  // a send goes out
+	recEnded                  // it ended
+	recDecide                 // the event's end is decided, and its notice owed
+	recOver                   // nothing more is owed; its id may be known until a time
+	recWait                   // a destination told to wait until a time
+	recOutage                 // a destination is out since a time, or back with 0
+)
+
+const (
+	headSize   = 40      // bytes of a segment's head
+	frameSize  = 16      // bytes of a record before its payload: length, checksum, sequence number
+	mostRecord = 1 << 20 // bytes of a payload; a longer one is none
+	magic      = "JSPRSTR1"
+)
+
+var (
+	le       = binary.LittleEndian
+	crcTable = crc32.MakeTable(crc32.Castagnoli)
+	errHead  = errors.New("no head of a segment")
+)
+
+// head begins a segment.
+type head struct {
+	epoch  uint64 // of the store: an old file is never taken for one of a new store
+	number uint64
+	first  uint64 // sequence number of its first record
+}
+
+func (h head) bytes() []byte {
+	b := make([]byte, headSize)
+	copy(b, magic)
+	le.PutUint64(b[8:], h.epoch)
+	le.PutUint64(b[16:], h.number)
+	le.PutUint64(b[24:], h.first)
+	le.PutUint32(b[36:], crc32.Checksum(b[:36], crcTable))
+	return b
+}
+
+func readHead(b []byte) (h head, err error) {
+	if len(b) < headSize || string(b[:8]) != magic || le.Uint32(b[36:]) != crc32.Checksum(b[:36], crcTable) {
+		return h, errHead
+	}
+	return head{le.Uint64(b[8:]), le.Uint64(b[16:]), le.Uint64(b[24:])}, nil
+}
+
+// frame appends a record.
+func frame(to []byte, seq uint64, k kind, fill func([]byte) []byte) []byte {
+	at := len(to)
+	to = append(to, make([]byte, frameSize)...)
+	to = fill(append(to, byte(k)))
+	payload := to[at+frameSize:]
+	le.PutUint32(to[at:], uint32(len(payload)))
+	le.PutUint64(to[at+8:], seq)
+	le.PutUint32(to[at+4:], crc32.Update(crc32.Checksum(to[at+8:at+16], crcTable), crcTable, payload))
+	return to
+}
+
+// next reads the record at the beginning of some bytes. torn tells that they end within it.
+func next(b []byte) (payload []byte, seq uint64, size int, torn bool, err error) {
+	if len(b) < frameSize {
+		return nil, 0, 0, true, nil
+	}
+	n := int(le.Uint32(b))
+	if n < 1 || n > mostRecord {
+		return nil, 0, 0, false, fmt.Errorf("a record of %d bytes: want 1 to %d", n, mostRecord)
+	}
+	if len(b) < frameSize+n {
+		return nil, 0, 0, true, nil
+	}
+	payload = b[frameSize : frameSize+n]
+	if le.Uint32(b[4:]) != crc32.Update(crc32.Checksum(b[8:16], crcTable), crcTable, payload) {
+		return nil, 0, frameSize + n, false, errors.New("a record whose checksum is wrong")
+	}
+	return payload, le.Uint64(b[8:]), frameSize + n, false, nil
+}
+
+func putText(to []byte, text string) []byte {
+	return append(binary.AppendUvarint(to, uint64(len(text))), text...)
+}
+
+// fields reads a payload; past its end, or at what is no value, it turns bad.
+type fields struct {
+	rest []byte
+	bad  bool
+}
+
+func (f *fields) byte() byte {
+	if len(f.rest) == 0 {
+		f.bad = true
+		return 0
+	}
+	b := f.rest[0]
+	f.rest = f.rest[1:]
+	return b
+}
+
+func (f *fields) number() int64 {
+	v, n := binary.Varint(f.rest)
+	if n <= 0 {
+		f.bad = true
+		return 0
+	}
+	f.rest = f.rest[n:]
+	return v
+}
+
+func (f *fields) count() uint64 {
+	v, n := binary.Uvarint(f.rest)
+	if n <= 0 {
+		f.bad = true
+		return 0
+	}
+	f.rest = f.rest[n:]
+	return v
+}
+
+func (f *fields) bytes() []byte {
+	size, n := binary.Uvarint(f.rest)
+	if n <= 0 || size > uint64(len(f.rest)-n) {
+		f.bad = true
+		return nil
+	}
+	b := f.rest[n : n+int(size)]
+	f.rest = f.rest[n+int(size):]
+	return b
+}
+
+func (f *fields) text() string { return string(f.bytes()) }
+
+type outcome = port.Outcome
+
+const unsent = port.Unsent
+
+// Send is one send of an event as the store has it.
+type Send struct {
+	At    int64 // time of day in ns
+	Zone  string
+	Ended bool
+	How   port.Outcome
+}
+
+// MayHaveRun tells whether the send may have taken effect, for all that is known.
+func (s *Send) MayHaveRun() bool { return !s.Ended || s.How.MayHaveRun() }
+
+// Verdict is how an event ends that is not delivered.
+type Verdict uint8
+
+// The verdicts; an event that is Undecided has none yet.
+const (
+	Undecided Verdict = iota
+	Declined
+	Discarded
+)
+
+// Event is an event that is owed its end.
+type Event struct {
+	ID, Kind, Owner, Mark string
+	Dest                  uint32
+	Deadline              int64 // time of day in ns
+	Body                  []byte
+	Sends                 []Send
+	Verdict               Verdict
+	ComeBack              int64  // ns, with Declined
+	came                  uint64 // its place in the order of coming
+}
+
+// MayHaveRun tells whether one of its sends may have taken effect.
+func (e *Event) MayHaveRun() bool {
+	for i := range e.Sends {
+		if e.Sends[i].MayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// begin adds a send. One before it that never began cannot have run.
+func (e *Event) begin(number int, s Send) {
+	for len(e.Sends) < number {
+		e.Sends = append(e.Sends, Send{At: s.At, Zone: s.Zone, Ended: true, How: port.Unsent})
+	}
+	if len(e.Sends) == number {
+		e.Sends = append(e.Sends, s)
+	}
+}
+
+// state is an event's payload; the body stands last, so that it can be found without reading the rest.
+func (e *Event) state(to []byte) []byte {
+	to = putText(putText(putText(putText(to, e.ID), e.Kind), e.Owner), e.Mark)
+	to = binary.AppendVarint(binary.AppendVarint(to, int64(e.Dest)), e.Deadline)
+	to = binary.AppendUvarint(to, e.came)
+	to = binary.AppendVarint(append(to, byte(e.Verdict)), e.ComeBack)
+	to = binary.AppendVarint(to, int64(len(e.Sends)))
+	for i := range e.Sends {
+		s := &e.Sends[i]
+		ended := byte(0)
+		if s.Ended {
+			ended = 1
+		}
+		to = append(putText(binary.AppendVarint(to, s.At), s.Zone), ended, byte(s.How))
+	}
+	return append(binary.AppendUvarint(to, uint64(len(e.Body))), e.Body...)
+}
+
+const mostSends = 256 // that a record may claim
+
+func readState(f *fields) *Event {
+	e := &Event{ID: f.text(), Kind: f.text(), Owner: f.text(), Mark: f.text()}
+	e.Dest, e.Deadline = uint32(f.number()), f.number()
+	e.came = f.count()
+	e.Verdict, e.ComeBack = Verdict(f.byte()), f.number()
+	n := f.number()
+	if f.bad || n < 0 || n > mostSends || e.Verdict > Discarded || e.ID == "" {
+		f.bad = true
+		return nil
+	}
+	for range n {
+		s := Send{At: f.number(), Zone: f.text()}
+		s.Ended, s.How = f.byte() == 1, port.Outcome(f.byte())
+		e.Sends = append(e.Sends, s)
+	}
+	e.Body = f.bytes()
+	if f.bad {
+		return nil
+	}
+	return e
+}
+
+func varint(v int64) []byte { return binary.AppendVarint(nil, v) }
