--- a/store/store_test.go
+++ b/store/store_test.go
@@ -543,3 +543,31 @@
 		t.Error("a folder that is not there is opened")
 	}
 }
+
+// The next start where so many events are held: what docs/store.md states.
+func BenchmarkRecovery(b *testing.B) {
+	for _, held := range []int{10000, 100000} {
+		b.Run(fmt.Sprint(held, "-held"), func(b *testing.B) {
+			folder := Dir(b.TempDir())
+			s, _ := open(b, folder, 1<<30)
+			for i := range 3 * held { // two in three are over by then
+				e := event(i, strings.Repeat("x", 300))
+				if err := take(s, e); err != nil {
+					b.Fatal(err)
+				}
+				if i%3 != 0 {
+					if err := s.Over(e.ID, 0, 0); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			s.Close()
+			for b.Loop() {
+				f, err := Recover(folder)
+				if err != nil || len(f.Events) != held {
+					b.Fatalf("%d events: %v", len(f.Events), err)
+				}
+			}
+		})
+	}
+}
