Test that results are kept, read back, escaped in the page and refused in another version

Need: package report had no test; a page is made from texts that others give.

Change: one test of a result with four sets: charts, escaping, place, differences, another version, a broken file.

--- /dev/null
+++ b/lab/report/report_test.go
@@ -0,0 +1,84 @@
+package report
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"jaspersill/lab/run"
+	"jaspersill/lab/scenario"
+	"jaspersill/lab/scenarios"
+)
+
+func TestAResultIsKeptReadAndRefused(t *testing.T) {
+	day, err := scenarios.Find("silence")
+	if err != nil {
+		t.Fatal(err)
+	}
+	day.Length = scenario.Span(20e9)
+	var sets []run.Set
+	for _, name := range []string{"once", "module", "informed", "module+deaf"} {
+		s, err := run.Named(name, day, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sets = append(sets, s)
+	}
+	results, err := run.All(context.Background(), sets, run.Seeds(1, 2), true, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := New("compare", "a command <script>", day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, s := range sets {
+		f.Add(s.Name, results[i])
+	}
+	f.Sets[0].Broken, f.Notes = 1, append(f.Notes, "once: 1 broken rules; the first: <b>")
+	f.Placed()
+	f.Differ()
+	folder := filepath.Join(t.TempDir(), "result")
+	if err := f.Write(folder); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join(folder, reportName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bytes.Contains(page, []byte("<script>")) || bytes.Contains(page, []byte("the first: <b>")) {
+		t.Error("what was given stands in the page as it is")
+	}
+	if n := bytes.Count(page, []byte("<svg")); n < 8 || !bytes.Contains(page, []byte(`class="bad"`)) {
+		t.Errorf("%d charts", n)
+	}
+	again, err := Read(folder)
+	if err != nil || len(again.Sets) != 4 || again.Sets[2].Place != 1 || len(again.Differences) != 3*len(figures) {
+		t.Fatalf("read back as %+v, %v", again, err)
+	}
+	if err := Rewrite(folder); err != nil {
+		t.Fatal(err)
+	}
+	if list, err := List(filepath.Dir(folder)); err != nil || len(list) != 1 {
+		t.Errorf("%v, %v", list, err)
+	}
+	name := filepath.Join(folder, resultName)
+	text, _ := os.ReadFile(name)
+	for _, c := range []struct{ old, new, want string }{
+		{`"version": 1`, `"version": 2`, "version: want 1, got 2"},
+		{"{", "[", resultName},
+	} {
+		if err := os.WriteFile(name, bytes.Replace(text, []byte(c.old), []byte(c.new), 1), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(folder); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := List(t.TempDir()); err == nil {
+		t.Error("a folder without a result passes for one")
+	}
+}
