--- a/cmd/jaspersill-lab/play.go
+++ b/cmd/jaspersill-lab/play.go
@@ -296,8 +296,10 @@
 	c.Flags().BoolVar(&sockets, "sockets", false, "play it in real time on loopback, with real nodes")
 	real.flags(c)
 	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
-	c.Flags().StringVar(&record, "record", "", "write the first seed's arrivals, and what came of them, into this file")
-	c.Flags().StringVar(&replay, "replay", "", "play the arrivals of this recording, on the day that it was made on")
+	c.Flags().
+		StringVar(&record, "record", "", "write the first seed's arrivals, and what came of them, into this file")
+	c.Flags().
+		StringVar(&replay, "replay", "", "play the arrivals of this recording, on the day that it was made on")
 	c.Flags().StringVar(&trace, "trace", "", "write the first seed's trace into this file, and nothing else")
 	return c
 }
@@ -317,7 +319,13 @@
 
 // recording writes a recording of a run, or plays one.
 func recording(
-	c *cobra.Command, day *scenario.Scenario, f *report.File, spec string, m *many, luck uint64, record, replay string,
+	c *cobra.Command,
+	day *scenario.Scenario,
+	f *report.File,
+	spec string,
+	m *many,
+	luck uint64,
+	record, replay string,
 ) error {
 	s, err := set(spec, day, luck)
 	if err != nil {
@@ -459,7 +467,13 @@
 			if worst == nil {
 				return errors.New("hunt: no day was played in time")
 			}
-			fmt.Fprintf(w, "%d days played, %d of them with a broken rule; the worst has G %.3f\n", played, brokenDays, worst.G)
+			fmt.Fprintf(
+				w,
+				"%d days played, %d of them with a broken rule; the worst has G %.3f\n",
+				played,
+				brokenDays,
+				worst.G,
+			)
 			shrinking, stop := context.WithTimeout(c.Context(), limit)
 			defer stop()
 			kept := func(f *hunt.Found, name string) error {
--- a/cmd/jaspersill-lab/real.go
+++ b/cmd/jaspersill-lab/real.go
@@ -190,7 +190,8 @@
 	var cores float64
 	c := &cobra.Command{Use: "load [ADDRESS]",
 		Short: "Offer events to a node on loopback in an open loop, and tell the latencies from the intended times",
-		Long: "Offer events to a node on loopback in an open loop, and tell the latencies from the intended times.\n\n" +
+		Long: "Offer events to a node on loopback in an open loop, and tell the latencies from the intended\n" +
+			"times.\n\n" +
 			"With an address the node there is loaded, as one beside `emulate`. Without one a node of --cores\n" +
 			"cores is started, " +
 			"cores, with the scenario's partners beside it, and ended again.",
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -61,7 +61,8 @@
 func TestOnlyTheLoopbackIsLoaded(t *testing.T) {
 	for address, want := range map[string]string{"10.0.0.1:80": "loopback", "localhost:80": "loopback",
 		"[2001:db8::1]:80": "loopback", "127.0.0.1": "HOST:PORT"} {
-		if _, err := Run(context.Background(), plan(address, 1)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := Run(context.Background(), plan(address, 1)); err == nil ||
+			!strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", address, err)
 		}
 	}
--- a/lab/loopback/loopback_test.go
+++ b/lab/loopback/loopback_test.go
@@ -26,7 +26,8 @@
 	if err == nil {
 		program = filepath.Join(folder, "jaspersill")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "jaspersill/cmd/jaspersill").CombinedOutput(); err != nil {
+		build := exec.Command("go", "build", "-o", program, "jaspersill/cmd/jaspersill")
+		if out, err = build.CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
--- a/lab/loopback/node_bench_test.go
+++ b/lab/loopback/node_bench_test.go
@@ -13,9 +13,9 @@
 	"jaspersill/start"
 )
 
-// BenchmarkNodeUnderLoad has a node in this process, so that its profiles show where its time and its memory go:
-// go test ./lab/loopback -run XXX -bench Node -cpuprofile cpu.out -memprofile mem.out, then pprof with a focus on
-// jaspersill/node, choice and fasthttp's server.
+// BenchmarkNodeUnderLoad has a node in this process, so that its profiles show where its time and its memory
+// go: go test ./lab/loopback -run XXX -bench Node -cpuprofile cpu.out -memprofile mem.out, then pprof with a
+// focus on jaspersill/node, choice and fasthttp's server.
 func BenchmarkNodeUnderLoad(b *testing.B) {
 	day, err := scenarios.Find("throughput")
 	if err != nil {
@@ -40,7 +40,16 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	module := choice.New(1, told.Types, told.Partners, told.Room, told.Recovery, told.Directory, told.Fleet, 0)
+	module := choice.New(
+		1,
+		told.Types,
+		told.Partners,
+		told.Room,
+		told.Recovery,
+		told.Directory,
+		told.Fleet,
+		0,
+	)
 	n, err := node.Open(node.Place{Listen: listen, Directory: s.Directory(0), Folder: b.TempDir()},
 		node.Limits{DiskMB: 64, Sockets: 4096}, node.Guests{}, told, module)
 	if err != nil {
@@ -55,15 +64,25 @@
 	var weights []float64
 	for i, t := range day.Types {
 		for dest := range day.Partners[0].Destinations {
-			mix = append(mix, load.Request{Kind: t.Name, Owner: "all", Dest: dest, Left: time.Duration(t.MaxAge),
-				Marked: t.Safety == "deduplicated", Body: make([]byte, 300)})
+			mix = append(
+				mix,
+				load.Request{Kind: t.Name, Owner: "all", Dest: dest, Left: time.Duration(t.MaxAge),
+					Marked: t.Safety == "deduplicated", Body: make([]byte, 300)},
+			)
 			weights = append(weights, float64(len(weights)+1+i))
 		}
 	}
 	const rate = 3000
 	b.ResetTimer()
-	plan := &load.Plan{Address: listen, Rate: rate, For: time.Duration(float64(b.N) / rate * 1e9), Conns: 64, Mix: mix,
-		Weights: weights, Seed: 7}
+	plan := &load.Plan{
+		Address: listen,
+		Rate:    rate,
+		For:     time.Duration(float64(b.N) / rate * 1e9),
+		Conns:   64,
+		Mix:     mix,
+		Weights: weights,
+		Seed:    7,
+	}
 	l, err := load.Run(context.Background(), plan)
 	b.StopTimer()
 	if err != nil {
--- a/lab/loopback/nodes.go
+++ b/lab/loopback/nodes.go
@@ -43,9 +43,9 @@
 	stopped bool
 }
 
-// free finds an address of the loopback that nobody listens on. Danger: until the node listens there, a connection
-// that goes out from 127.0.0.1 may be given the same port; so another address of the loopback is taken where the
-// system has them all.
+// free finds an address of the loopback that nobody listens on. Danger: until the node listens there, a
+// connection that goes out from 127.0.0.1 may be given the same port; so another address of the loopback is
+// taken where the system has them all.
 func free(network string) (string, error) {
 	ip := net.IPv4(127, byte(1+rand.IntN(250)), byte(rand.IntN(256)), byte(1+rand.IntN(250)))
 	for _, at := range []string{net.JoinHostPort(ip.String(), "0"), "127.0.0.1:0"} {
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -56,7 +56,8 @@
 		t.Errorf("%d charts", n)
 	}
 	again, err := Read(folder)
-	if err != nil || len(again.Sets) != 4 || again.Sets[2].Place != 1 || len(again.Differences) != 3*len(figures) {
+	if err != nil || len(again.Sets) != 4 || again.Sets[2].Place != 1 ||
+		len(again.Differences) != 3*len(figures) {
 		t.Fatalf("read back as %+v, %v", again, err)
 	}
 	if err := Rewrite(folder); err != nil {
--- a/lab/run/record.go
+++ b/lab/run/record.go
@@ -19,7 +19,9 @@
 	}
 	var records []record
 	w := world.New(day, seed, luck, launch, nil)
-	w.Recorded(func(a arrival.Asking, end string, took int64) { records = append(records, record{a, end, took}) })
+	w.Recorded(
+		func(a arrival.Asking, end string, took int64) { records = append(records, record{a, end, took}) },
+	)
 	w.Run()
 	slices.SortStableFunc(records, func(a, b record) int { return cmp.Compare(a.a.Number, b.a.Number) })
 	out, err := arrival.NewWriter(to, day)
@@ -35,7 +37,12 @@
 }
 
 // Replay plays a recording's arrivals again on its own day.
-func Replay(from io.Reader, seed, luck uint64, launch world.Launch, trace io.Writer) (Result, *scenario.Scenario, error) {
+func Replay(
+	from io.Reader,
+	seed, luck uint64,
+	launch world.Launch,
+	trace io.Writer,
+) (Result, *scenario.Scenario, error) {
 	r, err := arrival.Open(from)
 	if err != nil {
 		return Result{}, nil, err
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -79,8 +79,9 @@
 		caught := false
 		for seed := range uint64(3) {
 			for _, b := range One(day, seed, 0, launch, false, nil).Sum.Breaks {
-				evidence := b.Event > 0 && b.At > 0 && (len(b.Sends) > 0 || c.weak == "lossy" || c.weak == "deaf" ||
-					c.weak == "undrained" || c.weak == "disorderly") ||
+				evidence := b.Event > 0 && b.At > 0 &&
+					(len(b.Sends) > 0 || c.weak == "lossy" || c.weak == "deaf" ||
+						c.weak == "undrained" || c.weak == "disorderly") ||
 					b.Rule == ledger.Returns
 				if b.Rule != c.rule &&
 					(c.weak != "restless" || b.Rule != ledger.Once) { // the one too many runs, too
@@ -267,7 +268,8 @@
 		name             string
 		nodes, endpoints int
 	}{
-		{"10-endpoints", 4, 10}, {"100-endpoints", 20, 100}, {"200-endpoints", 50, 200}, {"1000-endpoints", 100, 1000},
+		{"10-endpoints", 4, 10}, {"100-endpoints", 20, 100},
+		{"200-endpoints", 50, 200}, {"1000-endpoints", 100, 1000},
 	} {
 		b.Run(size.name, func(b *testing.B) {
 			day := find(b, "farm")
@@ -317,7 +319,7 @@
 	if in.Err != nil || n != r.Sum.Asked {
 		t.Errorf("%d arrivals recorded, %d asked for: %v", n, r.Sum.Asked, in.Err)
 	}
-	for cut := 0; cut < len(text); cut += len(text)/60 + 1 { // a file that was cut off must say so, and not panic
+	for cut := 0; cut < len(text); cut += len(text)/60 + 1 { // it must say so, and not panic
 		in, err := arrival.Open(bytes.NewReader(text[:cut]))
 		if err != nil {
 			continue
--- a/lab/world/queue.go
+++ b/lab/world/queue.go
@@ -51,8 +51,8 @@
 	farSlots = 256 // widths: a minute
 )
 
-// planFar plans what seldom happens, as the end of the time that a send is waited for: most of it means nothing any
-// more when its time is near, and is dropped without a place in the heap.
+// planFar plans what seldom happens, as the end of the time that a send is waited for: most of it means
+// nothing any more when its time is near, and is dropped without a place in the heap.
 func (q *queue) planFar(at int64, w what, a, b int32, n int64) {
 	slot := at >> farWidth
 	if slot <= q.base || slot >= q.base+farSlots {
@@ -60,7 +60,10 @@
 		return
 	}
 	q.order++
-	q.far[slot%farSlots] = append(q.far[slot%farSlots], happening{at: at, order: q.order<<8 | uint64(w), n: n, a: a, b: b})
+	q.far[slot%farSlots] = append(
+		q.far[slot%farSlots],
+		happening{at: at, order: q.order<<8 | uint64(w), n: n, a: a, b: b},
+	)
 	q.count++
 }
 
--- a/lab/world/seat.go
+++ b/lab/world/seat.go
@@ -329,11 +329,12 @@
 	return int(lane) < len(s.seen) && from > 0 && s.seen[lane] == from
 }
 
-// saw notes that a node saw a call fail while the lane was out. One that ends later, as by a time-out, tells its node
-// only then: it could not have known before.
+// saw notes that a node saw a call fail while the lane was out. One that ends later, as by a time-out, tells
+// its node only then: it could not have known before.
 func (s *seat) saw(lane int32, began int64, how port.Outcome) {
 	from, to := s.world.partners.Outage(lane)
-	if how == port.Acked || how == port.Unsent || from == 0 || began >= to || s.world.now < from || s.world.now >= to {
+	if how == port.Acked || how == port.Unsent || from == 0 || began >= to || s.world.now < from ||
+		s.world.now >= to {
 		return
 	}
 	for int(lane) >= len(s.seen) {
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -209,8 +209,8 @@
 	w.nextArrival()
 }
 
-// Recorded asks that a function hears what came of each asking, once: acked, declined, discarded, or nothing where
-// the run ended before; took is ns from the asking.
+// Recorded asks that a function hears what came of each asking, once: acked, declined, discarded, or nothing
+// where the run ended before; took is ns from the asking.
 func (w *World) Recorded(f func(a arrival.Asking, end string, took int64)) { w.record = f }
 
 // came tells what came of an asking.
@@ -531,8 +531,16 @@
 // askingOf is what an event was asked for as.
 func (w *World) askingOf(evt int32) arrival.Asking {
 	e := &w.events[evt]
-	return arrival.Asking{At: e.asked, Deadline: e.deadline, Work: e.work, Type: e.typ, Owner: e.owner, Dest: e.dest,
-		Key: e.key, Number: e.count}
+	return arrival.Asking{
+		At:       e.asked,
+		Deadline: e.deadline,
+		Work:     e.work,
+		Type:     e.typ,
+		Owner:    e.owner,
+		Dest:     e.dest,
+		Key:      e.key,
+		Number:   e.count,
+	}
 }
 
 func (w *World) again(a asking, comeBack int64) {
--- a/node/inspect.go
+++ b/node/inspect.go
@@ -32,8 +32,8 @@
 
 func (v verdict) String() string { return [...]string{"open", "declined", "discarded"}[v] }
 
-// ReadJournal reads what a folder holds, of a node that runs or not, in the form of this version or the one before.
-// Damage is told in the report; the error is for a folder that cannot be read or holds nothing.
+// ReadJournal reads what a folder holds, of a node that runs or not, in the form of this version or the one
+// before. Damage is told in the report; the error is for a folder that cannot be read or holds nothing.
 func ReadJournal(folder string) (*Report, error) {
 	if !hasJournal(folder) {
 		return nil, fmt.Errorf("%s: nothing that a node owes: %w", folder, fs.ErrNotExist)
@@ -47,7 +47,10 @@
 		r.Faults = append(r.Faults, filepath.Join(folder, fault))
 	}
 	damaged := func(offset int, reason string) {
-		r.Faults = append(r.Faults, fmt.Sprintf("%s: offset %d: %s", filepath.Join(folder, oldName), offset, reason))
+		r.Faults = append(
+			r.Faults,
+			fmt.Sprintf("%s: offset %d: %s", filepath.Join(folder, oldName), offset, reason),
+		)
 	}
 	list := found.Events
 	old, err := readOld(folder, damaged)
--- a/node/journal.go
+++ b/node/journal.go
@@ -31,18 +31,25 @@
 	errKnown = store.ErrKnown
 )
 
-// openJournal opens the folder's store and returns the events that it still owes, in the order of their coming. What
-// an older version kept is carried over. find maps the names of a stream type and a customer to their indices.
+// openJournal opens the folder's store and returns the events that it still owes, in the order of their
+// coming. What an older version kept is carried over. find maps the names of a stream type and a customer to
+// their indices.
 func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
 	*journal, []*event, error) {
 	s, found, err := store.Open(store.Dir(folder), int64(limitMB*1e6), sends, store.Never, wall)
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &journal{store: s, disk: trouble{part: "journal", what: "writing a record"}, stop: make(chan struct{}),
-		done: make(chan struct{})}
+	j := &journal{
+		store: s,
+		disk:  trouble{part: "journal", what: "writing a record"},
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
+	}
 	for _, fault := range found.Faults {
-		logs.Part("journal").WithField("fault", fault).Error("the store is damaged; the next lines say what is owed")
+		logs.Part("journal").
+			WithField("fault", fault).
+			Error("the store is damaged; the next lines say what is owed")
 	}
 	if found.Size > 0 {
 		logs.Part("journal").WithField("records", found.Records).WithField("owed", len(found.Events)).
@@ -61,9 +68,12 @@
 				Error("owed event of an unknown stream type is discarded")
 			o.Verdict = store.Discarded
 		}
-		events = append(events, &event{id: o.ID, came: o.Came, mark: o.Mark, typ: typ, customer: customer, dest: o.Dest,
-			deadline: o.Deadline, body: o.Body, past: o.Sends, sends: len(o.Sends), verdict: verdict(o.Verdict),
-			comeBack: o.ComeBack, steps: make(chan step, maxSteps)})
+		events = append(
+			events,
+			&event{id: o.ID, came: o.Came, mark: o.Mark, typ: typ, customer: customer, dest: o.Dest,
+				deadline: o.Deadline, body: o.Body, past: o.Sends, sends: len(o.Sends), verdict: verdict(o.Verdict),
+				comeBack: o.ComeBack, steps: make(chan step, maxSteps)},
+		)
 	}
 	go j.compact()
 	return j, events, nil
@@ -143,8 +153,8 @@
 // over writes that nothing more is owed for an event.
 func (j *journal) over(e *event) { j.must(j.store.Over(e.id, e.came, 0)) }
 
-// must: danger: an end that was not written is told twice after a restart; stopping would lose more. A late answer may
-// speak of an event that is over: it changes nothing.
+// must: danger: an end that was not written is told twice after a restart; stopping would lose more. A late
+// answer may speak of an event that is over: it changes nothing.
 func (j *journal) must(err error) {
 	if !errors.Is(err, errOver) {
 		j.disk.note(err)
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -135,7 +135,13 @@
 		var live []*event
 		full := 0
 		for i := range 1500 {
-			e := &event{id: fmt.Sprintf("%016x", i), mark: "m", dest: 7, deadline: 1 << 60, body: make([]byte, size)}
+			e := &event{
+				id:       fmt.Sprintf("%016x", i),
+				mark:     "m",
+				dest:     7,
+				deadline: 1 << 60,
+				body:     make([]byte, size),
+			}
 			switch err := j.take(e, "alert", "acme"); {
 			case err == nil:
 				live = append(live, e)
@@ -233,21 +239,37 @@
 		}
 	}
 	b := binary.LittleEndian.AppendUint32(nil, uint32(len(p)))
-	return append(binary.LittleEndian.AppendUint32(b, crc32.Checksum(p, crc32.MakeTable(crc32.Castagnoli))), p...)
+	return append(
+		binary.LittleEndian.AppendUint32(b, crc32.Checksum(p, crc32.MakeTable(crc32.Castagnoli))),
+		p...)
 }
 
 func TestAnOldJournalIsCarriedOver(t *testing.T) {
 	folder := t.TempDir()
 	long := strings.Repeat("long", 16<<10)
 	old := slices.Concat(
-		oldRec(oldTake, "e0", "alert", "acme", 7, 1<<60, "m", "over"), oldRec(oldOver, "e0"),
+		oldRec(oldTake, "e0", "alert", "acme", 7, 1<<60, "m", "over"),
+		oldRec(oldOver, "e0"),
 		oldRec(oldTake, "e1", "alert", "acme", 7, 1<<60, "m", "a\r\n\x00b"),
-		oldRec(oldBegan, "e1", byte(0), 50, "zone"), oldRec(oldEnded, "e1", byte(0), byte(port.Declined)),
-		oldRec(oldBegan, "e1", byte(1), 60, "zone"), oldRec(oldEnded, "e1", byte(1), byte(port.Reset)),
+		oldRec(oldBegan, "e1", byte(0), 50, "zone"),
+		oldRec(oldEnded, "e1", byte(0), byte(port.Declined)),
+		oldRec(oldBegan, "e1", byte(1), 60, "zone"),
+		oldRec(oldEnded, "e1", byte(1), byte(port.Reset)),
 		oldRec(oldBegan, "e1", byte(2), 70, "zone"),
-		oldRec(oldTake, "e2", "alert", "acme", 7, 1<<60, "m", ""), oldRec(oldDecide, "e2", byte(declined), 500),
+		oldRec(
+			oldTake,
+			"e2",
+			"alert",
+			"acme",
+			7,
+			1<<60,
+			"m",
+			"",
+		),
+		oldRec(oldDecide, "e2", byte(declined), 500),
 		oldRec(oldTakeLong, "e3", "alert", "acme", 7, 1<<60, "m", 1, len(long)),
-		oldRec(oldTake, "e4", "alert", "acme", 7, 1<<60, "m", "cut off")[:20])
+		oldRec(oldTake, "e4", "alert", "acme", 7, 1<<60, "m", "cut off")[:20],
+	)
 	write := func(folder string) {
 		t.Helper()
 		if errors.Join(os.WriteFile(filepath.Join(folder, oldName), old, 0o600),
@@ -299,7 +321,8 @@
 		}
 		before := folderSize(t, folder)
 		r, err := ReadJournal(folder)
-		if err != nil || len(r.Owed) != owed || (r.Torn > 0) != torn || r.Lost != lost || (len(r.Faults) > 0) != faults {
+		if err != nil || len(r.Owed) != owed || (r.Torn > 0) != torn || r.Lost != lost ||
+			(len(r.Faults) > 0) != faults {
 			t.Errorf("%s: %+v, %v", what, r, err)
 		}
 		if after, _ := os.ReadFile(name); !bytes.Equal(after, text) || folderSize(t, folder) != before {
--- a/node/oldjournal.go
+++ b/node/oldjournal.go
@@ -13,9 +13,9 @@
 	"jaspersill/store"
 )
 
-// oldJournal reads the one file in which nodes kept what they owed before there was a store: a row of records, each its
-// payload's length and checksum, then the payload. Long bodies have files of their own. It is read once, and removed
-// when all that it owed stands in the store.
+// oldJournal reads the one file in which nodes kept what they owed before there was a store: a row of
+// records, each its payload's length and checksum, then the payload. Long bodies have files of their own. It
+// is read once, and removed when all that it owed stands in the store.
 type oldJournal struct {
 	name  string
 	owed  map[string]*oldEntry
@@ -65,8 +65,8 @@
 	return j, nil
 }
 
-// events are those that are owed, in the order of their coming. One whose body is gone is discarded: nothing is
-// guessed.
+// events are those that are owed, in the order of their coming. One whose body is gone is discarded: nothing
+// is guessed.
 func (j *oldJournal) events(damaged func(offset int, reason string)) (list []store.Event) {
 	for _, o := range j.order {
 		if o.over {
@@ -88,7 +88,8 @@
 	return j.name + oldBody + strconv.FormatInt(number, 10)
 }
 
-// remove removes the old file, and then those of long bodies. Danger: without its file an event would be discarded.
+// remove removes the old file, and then those of long bodies. Danger: without its file an event would be
+// discarded.
 func (j *oldJournal) remove() error {
 	err := os.Remove(j.name)
 	names, bad := filepath.Glob(j.name + ".*")
@@ -98,8 +99,8 @@
 	return errors.Join(err, bad)
 }
 
-// replay reads the records of a file and tells where one is damaged. Only a last one that was cut off is dropped
-// without a word. It returns how many records were read and the bytes at the end that were cut off.
+// replay reads the records of a file and tells where one is damaged. Only a last one that was cut off is
+// dropped without a word. It returns how many records were read and the bytes at the end that were cut off.
 func (j *oldJournal) replay(text []byte, damaged func(offset int, reason string)) (records, torn int) {
 	for at := 0; at < len(text); {
 		rest := text[at:]
--- a/store/faulty_test.go
+++ b/store/faulty_test.go
@@ -54,7 +54,8 @@
 	return n
 }
 
-// act counts a call that changes something, and fails it when it is its turn. do does all of it, part half of it.
+// act counts a call that changes something, and fails it when it is its turn. do does all of it, part half of
+// it.
 func (m *memory) act(do, part func()) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/store/folder.go
+++ b/store/folder.go
@@ -1,10 +1,12 @@
-// Package store keeps what a delivery node must remember across a crash: events that are owed an end, with their sends;
-// waits in force and outages; ids whose repeat would do harm. It is a log of segments with an index in memory.
+// Package store keeps what a delivery node must remember across a crash: events that are owed an end, with
+// their sends; waits in force and outages; ids whose repeat would do harm. It is a log of segments with an
+// index in memory.
 //
-// A segment is a head and a row of records; a record is framed by its length, a checksum and its sequence number, so
-// that a cut, a gap and an old file all show. The newest whole record of an item, its state, stands for all before it;
-// the oldest segment is emptied by writing the states that still stand in it anew at the end, and then removed. Nothing
-// else is ever moved, so a crash at any moment leaves each state at least once.
+// A segment is a head and a row of records; a record is framed by its length, a checksum and its sequence
+// number, so that a cut, a gap and an old file all show. The newest whole record of an item, its state,
+// stands for all before it; the oldest segment is emptied by writing the states that still stand in it anew
+// at the end, and then removed. Nothing else is ever moved, so a crash at any moment leaves each state at
+// least once.
 package store
 
 import (
--- a/store/recover.go
+++ b/store/recover.go
@@ -25,13 +25,16 @@
 	mirror             int // whole bytes of the mirror
 }
 
-// longAgo is when a send went out of which nothing but that it may have is known: no window of repeats reaches so far.
+// longAgo is when a send went out of which nothing but that it may have is known: no window of repeats
+// reaches so far.
 const longAgo = 1
 
-// Recover reads a folder without changing it. The error is for one that cannot be read; damage is told in Faults.
+// Recover reads a folder without changing it. The error is for one that cannot be read; damage is told in
+// Faults.
 //
-// Danger: where records are missing, one of them may have said that a charge went out, or that a destination told to
-// wait. So every event whose state stands before a gap counts as one that may have run, and waits stand in two files.
+// Danger: where records are missing, one of them may have said that a charge went out, or that a destination
+// told to wait. So every event whose state stands before a gap counts as one that may have run, and waits
+// stand in two files.
 func Recover(folder Folder) (*Found, error) {
 	names, err := folder.Names()
 	if err != nil {
@@ -259,8 +262,8 @@
 	}
 }
 
-// mirror takes in the second copy of waits and outages: it makes up for what the log lost, and has no say where the log
-// is whole.
+// mirror takes in the second copy of waits and outages: it makes up for what the log lost, and has no say
+// where the log is whole.
 func (l *loader) mirror(r *read) {
 	f := l.found
 	outages := map[string]int64{}
@@ -300,7 +303,8 @@
 // finish puts the events in order, and doubts those before a gap.
 func (l *loader) finish() {
 	for _, o := range l.events {
-		if e := o.event; o.seq < l.gap && e.Verdict == Undecided && !e.MayHaveRun() && len(e.Sends) < mostSends {
+		if e := o.event; o.seq < l.gap && e.Verdict == Undecided && !e.MayHaveRun() &&
+			len(e.Sends) < mostSends {
 			e.Sends = append(e.Sends, Send{At: longAgo})
 		}
 		l.found.Events = append(l.found.Events, o.event)
@@ -308,8 +312,9 @@
 	slices.SortFunc(l.found.Events, func(a, b *Event) int { return cmp.Compare(a.Came, b.Came) })
 }
 
-// Open opens a folder's store, or begins one, and returns what it holds. most is how many bytes its files may take, 0
-// for 256 MiB; sends how many an event may have; clock tells the time of day in ns. Only one process may have it open.
+// Open opens a folder's store, or begins one, and returns what it holds. most is how many bytes its files may
+// take, 0 for 256 MiB; sends how many an event may have; clock tells the time of day in ns. Only one process
+// may have it open.
 func Open(folder Folder, most int64, sends int, sync Sync, clock func() int64) (*Store, *Found, error) {
 	release, err := folder.Lock()
 	if err != nil {
@@ -327,7 +332,8 @@
 	s := &Store{folder: folder, release: release, most: most, sync: sync, sends: sends, clock: clock,
 		segSize: min(max(most/segments, leastSeg), mostSeg),
 		from:    most / compactFrom, epoch: found.epoch, seq: found.seq, cur: newBatch(),
-		events: map[string]*item{}, past: map[string]*item{}, waits: map[string]*item{}, outages: map[string]*item{}}
+		events: map[string]*item{}, past: map[string]*item{}, waits: map[string]*item{},
+		outages: map[string]*item{}}
 	if s.epoch == 0 {
 		s.epoch = newEpoch()
 	}
@@ -341,10 +347,11 @@
 	return s, found, nil
 }
 
-// begin writes all that is kept anew into new segments, and removes the old ones. A crash on the way leaves both.
+// begin writes all that is kept anew into new segments, and removes the old ones. A crash on the way leaves
+// both.
 //
-// Danger: what is appended behind a torn record would be lost with it, and a doubt that is not written down would be
-// forgotten by the next start.
+// Danger: what is appended behind a torn record would be lost with it, and a doubt that is not written down
+// would be forgotten by the next start.
 func (s *Store) begin(found *Found) error {
 	names, err := s.folder.Names()
 	if err != nil {
@@ -376,9 +383,19 @@
 			if table.kind != recOutage && value <= now {
 				continue
 			}
-			it := &item{name: name, until: value, kind: table.kind, need: int32(2 * (frameSize + 24 + len(name)))}
+			it := &item{
+				name:  name,
+				until: value,
+				kind:  table.kind,
+				need:  int32(2 * (frameSize + 24 + len(name))),
+			}
 			s.keep(it)
-			s.put(it, table.kind, 0, func(to []byte) []byte { return append(putText(to, name), varint(value)...) })
+			s.put(
+				it,
+				table.kind,
+				0,
+				func(to []byte) []byte { return append(putText(to, name), varint(value)...) },
+			)
 		}
 	}
 	if err := s.drain(true); err != nil {
@@ -392,7 +409,9 @@
 		own[g.name()] = true
 	}
 	for _, name := range names {
-		if foreign := found.hasFault(name) && found.foreign(name); strings.HasPrefix(name, "seg-") && !own[name] && !foreign {
+		if foreign := found.hasFault(name) && found.foreign(name); strings.HasPrefix(name, "seg-") &&
+			!own[name] &&
+			!foreign {
 			err = errors.Join(err, s.folder.Remove(name))
 		}
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -9,7 +9,8 @@
 	"unsafe"
 )
 
-// Sync says when what was written is made to outlast a loss of power. A killed process loses nothing in any case.
+// Sync says when what was written is made to outlast a loss of power. A killed process loses nothing in any
+// case.
 type Sync uint8
 
 const (
@@ -222,14 +223,20 @@
 
 func (o *op) seq() uint64 { return le.Uint64(o.rec[8:]) }
 
-// renumber gives the sequence numbers of a batch that was not written to those that come after it; the lock is held.
+// renumber gives the sequence numbers of a batch that was not written to those that come after it; the lock
+// is held.
 func (s *Store) renumber(lost *batch) {
 	s.seq = lost.ops[0].seq() - 1
 	for i := range s.cur.ops {
 		o := &s.cur.ops[i]
 		s.seq++
 		payload := append([]byte(nil), o.rec[frameSize:]...)
-		o.rec = frame(o.rec[:0], s.seq, kind(payload[0]), func(b []byte) []byte { return append(b, payload[1:]...) })
+		o.rec = frame(
+			o.rec[:0],
+			s.seq,
+			kind(payload[0]),
+			func(b []byte) []byte { return append(b, payload[1:]...) },
+		)
 	}
 }
 
@@ -325,10 +332,11 @@
 	s.live += int64(it.need)
 }
 
-// Take writes that an event was taken on. Its body is not kept in memory. The error is ErrKnown for one that is owed
-// already and ErrFull where there is no room for all that may be written of it.
+// Take writes that an event was taken on. Its body is not kept in memory. The error is ErrKnown for one that
+// is owed already and ErrFull where there is no room for all that may be written of it.
 //
-// What it returns tells this event from another of the same id, in the calls about it: 0 stands for whichever is owed.
+// What it returns tells this event from another of the same id, in the calls about it: 0 stands for whichever
+// is owed.
 func (s *Store) Take(e Event) (came uint64, err error) {
 	need := s.need(&e)
 	s.squeeze(need)
@@ -362,10 +370,11 @@
 	return e.Came, nil
 }
 
-// squeeze makes room for a record where dead ones fill the folder faster than Compact is called. Danger: over its
-// limit, even for a moment, the node counts as crashed. What is owed takes no more than its part, so there is room.
+// squeeze makes room for a record where dead ones fill the folder faster than Compact is called. Danger: over
+// its limit, even for a moment, the node counts as crashed. What is owed takes no more than its part, so
+// there is room.
 func (s *Store) squeeze(size int64) {
-	for range 2 * segments { // danger: where what is owed does not fit, as under a limit made smaller, it would go on
+	for range 2 * segments { // danger: where what is owed does not fit, it would go on for ever
 		s.mu.Lock()
 		enough := s.used()+size <= s.most-s.segSize
 		s.mu.Unlock()
@@ -418,7 +427,8 @@
 		func(to []byte) []byte { return putText(binary.AppendVarint(append(to, byte(number)), at), zone) })
 	if err != nil && !errors.Is(err, ErrOver) {
 		s.mu.Lock()
-		if it := s.owed(id, came); it != nil && number < len(it.event.Sends) { // it did not go, and must not pass for out
+		if it := s.owed(id, came); it != nil &&
+			number < len(it.event.Sends) { // it did not go, and must not pass for out
 			it.event.Sends[number].Ended, it.event.Sends[number].How = true, unsent
 		}
 		s.mu.Unlock()
@@ -441,7 +451,8 @@
 		func(to []byte) []byte { return binary.AppendVarint(append(to, byte(v)), comeBack) })
 }
 
-// Over writes that nothing more is owed for an event. Its id is known as over until a time of day, 0 for not at all.
+// Over writes that nothing more is owed for an event. Its id is known as over until a time of day, 0 for not
+// at all.
 func (s *Store) Over(id string, came uint64, until int64) error {
 	s.squeeze(sendSize)
 	s.mu.Lock()
@@ -456,7 +467,12 @@
 		past = &item{name: id, until: until, kind: recOver, need: int32(frameSize + 24 + len(id))}
 		s.keep(past)
 	}
-	b := s.put(past, recOver, 0, func(to []byte) []byte { return binary.AppendVarint(putText(to, id), until) })
+	b := s.put(
+		past,
+		recOver,
+		0,
+		func(to []byte) []byte { return binary.AppendVarint(putText(to, id), until) },
+	)
 	s.mu.Unlock()
 	return s.wait(b)
 }
@@ -469,7 +485,8 @@
 	return it != nil && it.until > s.clock()
 }
 
-// Wait writes that a destination, or a route of it, told to wait until a time of day. It never makes a wait shorter.
+// Wait writes that a destination, or a route of it, told to wait until a time of day. It never makes a wait
+// shorter.
 func (s *Store) Wait(name string, until int64) error {
 	s.mu.Lock()
 	if old := s.waits[name]; old != nil && old.until >= until {
@@ -537,7 +554,12 @@
 	for _, k := range []kind{recWait, recOutage} {
 		for _, it := range s.of(k) {
 			if k == recOutage || it.until > now {
-				text = frame(text, s.seq, k, func(to []byte) []byte { return binary.AppendVarint(putText(to, it.name), it.until) })
+				text = frame(
+					text,
+					s.seq,
+					k,
+					func(to []byte) []byte { return binary.AppendVarint(putText(to, it.name), it.until) },
+				)
 			}
 		}
 	}
@@ -566,8 +588,9 @@
 	return nil
 }
 
-// Compact goes on with emptying the oldest segment, by so many bytes at most, where the folder is full enough. It
-// tells whether there is more to do. It is meant for a goroutine of its own; others go on meanwhile.
+// Compact goes on with emptying the oldest segment, by so many bytes at most, where the folder is full
+// enough. It tells whether there is more to do. It is meant for a goroutine of its own; others go on
+// meanwhile.
 func (s *Store) Compact(most int) (more bool, err error) {
 	s.sweep.Lock()
 	defer s.sweep.Unlock()
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -32,8 +32,15 @@
 }
 
 func event(i int, body string) Event {
-	return Event{ID: fmt.Sprintf("e%d", i), Kind: "charge", Owner: "acme", Mark: "m", Dest: uint32(i), Deadline: now + 1e9,
-		Body: []byte(body)}
+	return Event{
+		ID:       fmt.Sprintf("e%d", i),
+		Kind:     "charge",
+		Owner:    "acme",
+		Mark:     "m",
+		Dest:     uint32(i),
+		Deadline: now + 1e9,
+		Body:     []byte(body),
+	}
 }
 
 func take(s *Store, e Event) error {
@@ -51,11 +58,17 @@
 }
 
 func newModel() *model {
-	return &model{map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]int64{}, map[string]bool{}}
+	return &model{
+		map[string]bool{},
+		map[string]bool{},
+		map[string]bool{},
+		map[string]int64{},
+		map[string]bool{},
+	}
 }
 
-// step is one call of the store, noted in the model once it was answered for. A call that fails at a crash may or may
-// not have been written: the model then knows nothing of it.
+// step is one call of the store, noted in the model once it was answered for. A call that fails at a crash
+// may or may not have been written: the model then knows nothing of it.
 func (m *model) step(s *Store, what, i int) error {
 	id, err := fmt.Sprintf("e%d", i), error(nil)
 	switch what {
@@ -95,7 +108,8 @@
 	return err
 }
 
-// check holds a recovery to the model. whole tells that no record was lost, so that nothing may be missing at all.
+// check holds a recovery to the model. whole tells that no record was lost, so that nothing may be missing at
+// all.
 func (m *model) check(t interface{ Errorf(string, ...any) }, what string, f *Found, whole bool) {
 	seen := map[string]bool{}
 	for _, e := range f.Events {
@@ -200,13 +214,20 @@
 			at.wait = m.wait // the mirror has them
 		}
 		at.check(t, what, f, false)
-		if text != nil && len(text) < len(files[name].text) && name != mirrorName && name != last && len(f.Faults) == 0 {
+		if text != nil && len(text) < len(files[name].text) && name != mirrorName && name != last &&
+			len(f.Faults) == 0 {
 			t.Errorf("%s: nobody was told", what)
 		}
 		s.Close()
 		again, err := Recover(cut)
 		if err != nil || len(again.Events) != len(f.Events) {
-			t.Errorf("%s: the next start finds %d events, not %d: %v", what, len(again.Events), len(f.Events), err)
+			t.Errorf(
+				"%s: the next start finds %d events, not %d: %v",
+				what,
+				len(again.Events),
+				len(f.Events),
+				err,
+			)
 		}
 		at.check(t, what+", next start", again, false)
 	}
@@ -368,12 +389,14 @@
 	if got, err := s.Body("e1"); err != nil || string(got) != body {
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
-	if _, _, err := Open(folder, 0, 6, Never, clock); err == nil || !strings.Contains(err.Error(), fmt.Sprint(os.Getpid())) {
+	if _, _, err := Open(folder, 0, 6, Never, clock); err == nil ||
+		!strings.Contains(err.Error(), fmt.Sprint(os.Getpid())) {
 		t.Errorf("a second process: %v", err)
 	}
 	s.Close()
 	s, f := open(t, folder, 0)
-	if len(f.Events) != 1 || string(f.Events[0].Body) != body || f.Events[0].Mark != "m" || f.Events[0].Dest != 1 {
+	if len(f.Events) != 1 || string(f.Events[0].Body) != body || f.Events[0].Mark != "m" ||
+		f.Events[0].Dest != 1 {
 		t.Errorf("came back as %+v", f.Events)
 	}
 	s.Close()
@@ -398,7 +421,8 @@
 	}
 	s, f := open(t, b, 0)
 	defer s.Close()
-	if len(f.Events) != 1 || f.Events[0].ID != "e2" || len(f.Faults) != 1 || b.files["seg-00000000000000ff"] == nil {
+	if len(f.Events) != 1 || f.Events[0].ID != "e2" || len(f.Faults) != 1 ||
+		b.files["seg-00000000000000ff"] == nil {
 		t.Errorf("%+v, %v", f.Events, f.Faults)
 	}
 }
@@ -414,7 +438,8 @@
 			defer wg.Done()
 			for i := range each {
 				e := event(w*each+i, "body")
-				if err := errors.Join(take(s, e), s.Began(e.ID, 0, 0, now, "z"), s.Ended(e.ID, 0, 0, port.Acked)); err != nil {
+				err := errors.Join(take(s, e), s.Began(e.ID, 0, 0, now, "z"), s.Ended(e.ID, 0, 0, port.Acked))
+				if err != nil {
 					t.Error(err)
 				}
 				if i%2 == 0 {
@@ -506,8 +531,9 @@
 	before := heap()
 	const n = 20000
 	for i := range n {
-		if _, err := s.Take(Event{ID: fmt.Sprintf("%016x", i), Kind: "charge", Owner: "acme", Dest: 7, Deadline: now,
-			Body: make([]byte, 300)}); err != nil {
+		e := Event{ID: fmt.Sprintf("%016x", i), Kind: "charge", Owner: "acme", Dest: 7, Deadline: now,
+			Body: make([]byte, 300)}
+		if err := take(s, e); err != nil {
 			t.Fatal(err)
 		}
 	}
