--- a/house/keys.go
+++ b/house/keys.go
@@ -167,15 +167,15 @@
 
 This page is what ~jaspersill config reference~ prints.
 
-The platform tells a node its addresses, limits and settings in the JSON file that RELAY_CONFIG names. All else
-stands in a TOML file that ~--file~ or JASPERSILL_FILE names, as ~deploy/jaspersill.toml~. Where several speak,
-the platform's file wins over the environment, the environment over the TOML file, and that over the default.
-~jaspersill check~ tells all that is wrong with a file, and ~jaspersill config show~ what is in force and who
-said so.
-
-At SIGHUP both files are read again. A bad file changes nothing. Of a good one the keys marked live are put in
-force at once, all of them or none; the log names those that need a restart. The environment's name for a key is
-JASPERSILL_ with the key in capitals, each dot an underscore: ~JASPERSILL_DRAIN_END~.
+The platform tells a node its addresses, limits and settings in the JSON file that RELAY_CONFIG names.
+All else stands in a TOML file that ~--file~ or JASPERSILL_FILE names, as ~deploy/jaspersill.toml~.
+Where several speak, the platform's file wins over the environment, the environment over the TOML file,
+and that over the default. ~jaspersill check~ tells all that is wrong with a file, and ~jaspersill
+config show~ what is in force and who said so.
+
+At SIGHUP both files are read again. A bad file changes nothing. Of a good one the keys marked live are
+put in force at once, all of them or none; the log names those that need a restart. The environment's
+name for a key is JASPERSILL_ with the key in capitals, each dot an underscore: ~JASPERSILL_DRAIN_END~.
 `, "~", "`"))
 	table := ""
 	for _, k := range Keys {
