Read old journals with the store's reader of fields rather than a second one

Need: a last reading of the change found the reader of payloads written twice, in node/oldjournal.go and package store.

Change: the store's is exported, the other is gone; one line is wrapped. No behaviour changes.

--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,8 @@
 // Open opens the journal and the sockets of a delivery node; Run starts it.
 func Open(at Place, most Limits, g Guests, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
-	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames, owners: s.CustomerNames}
+	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames,
+		owners: s.CustomerNames}
 	n.Drain(drainDoor, drainChoose, drainEnd)
 	n.enter(Starting)
 	var err error
--- a/node/oldjournal.go
+++ b/node/oldjournal.go
@@ -132,41 +132,41 @@
 
 // apply takes one record in; false for one that makes no sense.
 func (j *oldJournal) apply(payload []byte) bool {
-	f := fields{rest: payload}
-	what, id := f.byte(), f.text()
+	f := store.Read(payload)
+	what, id := f.Byte(), f.Text()
 	o := j.owed[id]
 	switch what {
 	case oldTake, oldTakeLong:
-		fresh := &oldEntry{Event: store.Event{ID: id, Kind: f.text(), Owner: f.text()}}
-		fresh.Dest, fresh.Deadline, fresh.Mark = uint32(f.number()), f.number(), f.text()
+		fresh := &oldEntry{Event: store.Event{ID: id, Kind: f.Text(), Owner: f.Text()}}
+		fresh.Dest, fresh.Deadline, fresh.Mark = uint32(f.Number()), f.Number(), f.Text()
 		if what == oldTake {
-			fresh.Body = []byte(f.text())
+			fresh.Body = []byte(f.Text())
 		} else {
-			fresh.file, _ = f.number(), f.number()
+			fresh.file, _ = f.Number(), f.Number()
 		}
-		if f.bad || o != nil {
+		if f.Bad() || o != nil {
 			return false
 		}
 		j.owed[id], j.order = fresh, append(j.order, fresh)
 	case oldBegan:
-		number, s := int(f.byte()), store.Send{At: f.number(), Zone: f.text()}
-		if f.bad {
+		number, s := int(f.Byte()), store.Send{At: f.Number(), Zone: f.Text()}
+		if f.Bad() {
 			return false
 		}
 		if o != nil {
 			o.Begin(number, s)
 		}
 	case oldEnded:
-		number, how := int(f.byte()), port.Outcome(f.byte())
-		if f.bad {
+		number, how := int(f.Byte()), port.Outcome(f.Byte())
+		if f.Bad() {
 			return false
 		}
 		if o != nil && number < len(o.Sends) {
 			o.Sends[number].Ended, o.Sends[number].How = true, how
 		}
 	case oldDecide:
-		v, comeBack := store.Verdict(f.byte()), f.number()
-		if f.bad || v > store.Discarded {
+		v, comeBack := store.Verdict(f.Byte()), f.Number()
+		if f.Bad() || v > store.Discarded {
 			return false
 		}
 		if o != nil {
@@ -180,42 +180,5 @@
 	default:
 		return false
 	}
-	return !f.bad
-}
-
-// fields reads a payload; past its end, or at what is no value, it turns bad.
-type fields struct {
-	rest []byte
-	bad  bool
-}
-
-func (f *fields) byte() byte {
-	if len(f.rest) == 0 {
-		f.bad = true
-		return 0
-	}
-	b := f.rest[0]
-	f.rest = f.rest[1:]
-	return b
-}
-
-func (f *fields) number() int64 {
-	v, n := binary.Varint(f.rest)
-	if n <= 0 {
-		f.bad = true
-		return 0
-	}
-	f.rest = f.rest[n:]
-	return v
-}
-
-func (f *fields) text() string {
-	size, n := binary.Uvarint(f.rest)
-	if n <= 0 || size > uint64(len(f.rest)-n) {
-		f.bad = true
-		return ""
-	}
-	text := string(f.rest[n : n+int(size)])
-	f.rest = f.rest[n+int(size):]
-	return text
+	return !f.Bad()
 }
--- a/store/record.go
+++ b/store/record.go
@@ -94,13 +94,13 @@
 	return append(binary.AppendUvarint(to, uint64(len(text))), text...)
 }
 
-// fields reads a payload; past its end, or at what is no value, it turns bad.
-type fields struct {
+// Fields reads a payload; past its end, or at what is no value, it turns bad.
+type Fields struct {
 	rest []byte
 	bad  bool
 }
 
-func (f *fields) byte() byte {
+func (f *Fields) byte() byte {
 	if len(f.rest) == 0 {
 		f.bad = true
 		return 0
@@ -110,7 +110,7 @@
 	return b
 }
 
-func (f *fields) number() int64 {
+func (f *Fields) number() int64 {
 	v, n := binary.Varint(f.rest)
 	if n <= 0 {
 		f.bad = true
@@ -120,7 +120,7 @@
 	return v
 }
 
-func (f *fields) count() uint64 {
+func (f *Fields) count() uint64 {
 	v, n := binary.Uvarint(f.rest)
 	if n <= 0 {
 		f.bad = true
@@ -130,7 +130,7 @@
 	return v
 }
 
-func (f *fields) bytes() []byte {
+func (f *Fields) bytes() []byte {
 	size, n := binary.Uvarint(f.rest)
 	if n <= 0 || size > uint64(len(f.rest)-n) {
 		f.bad = true
@@ -141,7 +141,22 @@
 	return b
 }
 
-func (f *fields) text() string { return string(f.bytes()) }
+func (f *Fields) text() string { return string(f.bytes()) }
+
+// Read begins to read a payload.
+func Read(payload []byte) *Fields { return &Fields{rest: payload} }
+
+// Byte reads one byte, as the methods below read theirs.
+func (f *Fields) Byte() byte { return f.byte() }
+
+// Number reads a number with a sign.
+func (f *Fields) Number() int64 { return f.number() }
+
+// Text reads a text with its length before it.
+func (f *Fields) Text() string { return f.text() }
+
+// Bad tells whether something was read that is not there.
+func (f *Fields) Bad() bool { return f.bad }
 
 type outcome = port.Outcome
 
@@ -220,7 +235,7 @@
 
 const mostSends = 256 // that a record may claim
 
-func readState(f *fields) *Event {
+func readState(f *Fields) *Event {
 	e := &Event{ID: f.text(), Kind: f.text(), Owner: f.text(), Mark: f.text()}
 	e.Dest, e.Deadline = uint32(f.number()), f.number()
 	e.Came = f.count()
--- a/store/recover.go
+++ b/store/recover.go
@@ -190,7 +190,7 @@
 
 // apply takes one record in; false for one that makes no sense.
 func (l *loader) apply(payload []byte, seq uint64) bool {
-	f := fields{rest: payload}
+	f := Fields{rest: payload}
 	k := kind(f.byte())
 	if k == recState {
 		e := readState(&f)
@@ -278,7 +278,7 @@
 			at += size
 			continue
 		}
-		d := fields{rest: payload}
+		d := Fields{rest: payload}
 		k, name, value := kind(d.byte()), d.text(), d.number()
 		if d.bad || (k != recWait && k != recOutage) {
 			f.fault(r.name, at, "a record that makes no sense")
