Give up a call as a whole, and recall what still connects when a wait or the list forbids it

Ruled out: a cut answer (115 of 115 bytes, five whole lines), the drain (two were on nodes that were not told to end), a second copy. Lines at fault: call.giveUp let one send go and waited on for the others, though a call can only be given up by closing. A send was chosen, its connection took up to 1.5 s, and the answer of another call told the wait meanwhile; nothing looked again before writing. Change: a call ends once, for all its sends, at the least patient time-out, and non-idempotent events share no call with others; the states 'given up in part' and 'late' are gone. The module recalls (port.Writer.Recall) what has not left yet at an endpoint whose lane was told to wait or that is no longer ready. The scenario on endpoints that are gone sees the recalls too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -89,7 +89,7 @@
 	slo                                      int64   // SLO time, stretched by its work where the type says so
 	value, loss                              float64 // utility in time; what it loses by waiting on
 	ranZone                                  int
-	mayRun, live, calledOff                  bool
+	mayRun, live, calledOff, recalled        bool
 }
 
 type call struct {
@@ -355,10 +355,18 @@
 		if e.live && (n.now >= e.deadline || (e.call < 0 && n.now >= n.lastSend(e))) {
 			n.giveUp(int32(i), 0)
 		}
-		if !e.live || e.call < 0 || e.calledOff || !n.room.Cancels {
+		if !e.live || e.call < 0 {
 			continue
 		}
 		c := &n.calls[e.call]
+		// Danger: a send waits for its connection; a wait, or the list, may forbid it by the time that it leaves.
+		if !e.recalled && (n.now < n.lanes.waitUntil[n.eps.lane[c.endpoint]] || !n.eps.ready[c.endpoint]) {
+			n.out.Recall(int32(i), e.sends-1)
+			e.recalled = true
+		}
+		if e.calledOff || !n.room.Cancels {
+			continue
+		}
 		late := n.now-c.at >= n.eps.timeout(c.endpoint)
 		dead := n.stale.dead(c.idle, n.now) && n.types[e.typ].Safety != port.NonIdempotent
 		if (late && (dead || scarce)) || (!n.eps.ready[c.endpoint] && n.eps.suspect(c.endpoint, n.now)) {
@@ -436,7 +444,7 @@
 		switch {
 		case !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane]:
 		case e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone: // danger: it does not know the mark
-		case n.joinable(ep) >= 0:
+		case n.joinable(ep, t) >= 0:
 			return ep
 		case !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes):
 		case n.eps.suspect(ep, n.now):
@@ -457,7 +465,8 @@
 
 func (n *Node) send(evt, ep int32) {
 	e, l, lane := &n.events[evt], &n.lanes, n.eps.lane[ep]
-	if e.call = n.joinable(ep); e.call < 0 {
+	t := &n.types[e.typ]
+	if e.call = n.joinable(ep, t); e.call < 0 {
 		// Danger: a destination that answers late or never fills the slots. Each leaves half of those it finds.
 		if l.out[lane] >= n.room.Slots-n.slots || !l.may(lane, n.now) {
 			return
@@ -471,14 +480,14 @@
 		n.calls = put(n.calls, e.call, call{endpoint: ep, at: n.now, round: n.round, idle: idle})
 		n.slots, n.eps.out[ep], l.out[lane] = n.slots+1, n.eps.out[ep]+1, l.out[lane]+1
 		n.eps.credit[ep] = max(0, n.eps.credit[ep]-1)
-		l.last[lane] = e.call
+		l.last[lane][patient(t)] = e.call
 		l.lastSecond(lane, n.now)
 		l.recent[lane] = append(l.recent[lane], n.now)
 	}
 	n.calls[e.call].events++
-	e.sends, e.sentAt, e.calledOff = e.sends+1, n.now, false
+	e.sends, e.sentAt, e.calledOff, e.recalled = e.sends+1, n.now, false, false
 	timeout, short := e.deadline-n.now, n.eps.timeout(ep)
-	switch t := &n.types[e.typ]; t.Safety { // for non-idempotent ones it would be the end
+	switch t.Safety { // for non-idempotent ones it would be the end
 	case port.Idempotent:
 		timeout = min(timeout, patience*short)
 	case port.Deduplicated: // danger: past its window no repeat is allowed, and the event is lost
@@ -487,9 +496,10 @@
 	n.out.Send(evt, ep, timeout)
 }
 
-// joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none.
-func (n *Node) joinable(ep int32) int32 {
-	last := n.lanes.last[n.eps.lane[ep]]
+// joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none. Danger: a
+// call ends as a whole, so events that must wait for their answer share none with those that are soon repeated.
+func (n *Node) joinable(ep int32, t *port.StreamType) int32 {
+	last := n.lanes.last[n.eps.lane[ep]][patient(t)]
 	if last >= 0 && n.calls[last].round == n.round && n.calls[last].endpoint == ep &&
 		n.calls[last].events < n.lanes.perCall[n.eps.lane[ep]] {
 		return last
@@ -497,6 +507,13 @@
 	return -1
 }
 
+func patient(t *port.StreamType) int {
+	if t.Safety == port.NonIdempotent {
+		return 1
+	}
+	return 0
+}
+
 type endpoints struct {
 	back port.Recovery
 
@@ -624,8 +641,8 @@
 	limit, ends                         []float64 // calls a second that the destination told; endpoints
 	pace, credit                        []float64 // calls a second, 0 for unpaced; calls that may go now
 	waitUntil, creditAt, cutAt, climbAt []int64
-	recent                              [][]int64 // sends of the last second
-	last                                []int32   // the call opened last
+	recent                              [][]int64  // sends of the last second
+	last                                [][2]int32 // the call opened last, and the last that is patient
 }
 
 func (l *lanes) add(perCall int, credit float64) int32 { // by chance: many nodes refused at once spread out
@@ -633,7 +650,8 @@
 	l.perCall, l.out, l.ends = put(l.perCall, i, perCall), put(l.out, i, 0), put(l.ends, i, 0)
 	l.waitUntil, l.limit, l.recent = put(l.waitUntil, i, 0), put(l.limit, i, 0), put(l.recent, i, nil)
 	l.pace, l.credit, l.creditAt = put(l.pace, i, 0), put(l.credit, i, credit), put(l.creditAt, i, 0)
-	l.cutAt, l.climbAt, l.last = put(l.cutAt, i, -paceCutEvery), put(l.climbAt, i, 0), put(l.last, i, -1)
+	l.cutAt, l.climbAt = put(l.cutAt, i, -paceCutEvery), put(l.climbAt, i, 0)
+	l.last = put(l.last, i, [2]int32{-1, -1})
 	return i
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -363,6 +363,7 @@
 	}
 }
 
+func (p *player) Recall(evt int32, send int)        { p.note("recall " + p.evts[evt]) }
 func (p *player) Decline(evt int32, comeBack int64) { p.end(evt, "decline") }
 func (p *player) Discard(evt int32)                 { p.end(evt, "discard") }
 func (p *player) Wake(int64)                        {}
--- a/lab/world/seat.go
+++ b/lab/world/seat.go
@@ -275,6 +275,9 @@
 	}
 }
 
+// Recall does nothing: in virtual time a send leaves as soon as it is chosen.
+func (s *seat) Recall(int32, int) {}
+
 func (s *seat) Wake(after int64) {
 	s.wakeAt = s.world.now + max(after, 1)
 }
--- a/node/desk.go
+++ b/node/desk.go
@@ -163,21 +163,13 @@
 	to.Resumed(e.index, len(e.past), mayRun, ranAgo, zone)
 }
 
-// tell hands in how a send ended. One reported before as given up can only show that the event is over.
+// tell hands in how a send ended.
 func (d *desk) tell(e *event, s *send, r result) {
 	over := r.how == port.Acked || r.over
 	d.hear(func(to port.Intake) {
-		switch {
-		case !r.late:
-			if d.current[e.index] == s {
-				d.current[e.index] = nil
-			}
-			d.ended[e.index] = d.ended[e.index] || over
-			to.Outcome(e.index, s.number, s.endpoint, r.how, r.wait, r.took, over, r.left, r.limit)
-		case over && !d.ended[e.index]:
-			d.ended[e.index] = true
-			to.Withdrawn(e.index)
-		}
+		d.current[e.index] = nil
+		d.ended[e.index] = d.ended[e.index] || over
+		to.Outcome(e.index, s.number, s.endpoint, r.how, r.wait, r.took, over, r.left, r.limit)
 	})
 }
 
@@ -220,11 +212,11 @@
 	most := d.perCall[min(d.partner[ep], len(d.perCall)-1)]
 	for _, c := range d.calls {
 		if c.endpoint == ep && len(c.sends) < most && c.size+bulkSize(e) <= mostBody {
-			s.call, c.sends, c.left, c.size = c, append(c.sends, s), c.left+1, c.size+bulkSize(e)
+			s.call, c.sends, c.size = c, append(c.sends, s), c.size+bulkSize(e)
 			return
 		}
 	}
-	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}, left: 1, size: bulkSize(e)}
+	s.call = &call{of: d.endpoints, endpoint: ep, sends: []*send{s}, size: bulkSize(e)}
 	d.calls = append(d.calls, s.call)
 }
 
@@ -243,7 +235,13 @@
 
 func (d *desk) Cancel(evt int32, number int) {
 	if s := d.current[evt]; s != nil && s.number == number {
-		s.call.giveUp(s, port.Cancelled)
+		s.call.giveUp(port.Cancelled)
+	}
+}
+
+func (d *desk) Recall(evt int32, number int) {
+	if s := d.current[evt]; s != nil && s.number == number {
+		s.call.recall()
 	}
 }
 
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -18,12 +18,11 @@
 
 // endpoints keeps the connections to endpoints. A connection carries one call at a time.
 type endpoints struct {
-	clock         clock
-	journal       *journal
-	copies        bool  // an event may have two sends out at once
-	connectWithin int64 // ns, 0 for no limit but the send's own
-	idleFor       int64 // ns after which an endpoint closes an idle connection
-	mostIdle      int   // idle connections in all
+	clock    clock
+	journal  *journal
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	idleFor  int64 // ns after which an endpoint closes an idle connection
+	mostIdle int   // idle connections in all
 
 	out atomic.Int32 // calls
 
@@ -175,13 +174,18 @@
 }
 
 // connect opens a connection, for as long as ctx lasts.
-func (p *endpoints) connect(ctx context.Context, dial string) (*link, error) {
-	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(p.connectWithin)}
-	conn, err := d.DialContext(ctx, "tcp", dial)
+func (p *endpoints) connect(ctx context.Context, address string) (*link, error) {
+	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &link{Conn: conn, in: newReplyReader(conn), dial: dial}, nil
+	return &link{Conn: conn, in: newReplyReader(conn), dial: address}, nil
+}
+
+// dialer connects for so long, 0 for no limit but the call's own.
+func dialer(within int64) func(context.Context, string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(within)}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
 // sweep closes idle connections in time, until stop.
--- a/node/event.go
+++ b/node/event.go
@@ -66,5 +66,4 @@
 	wait, took  int64
 	over        bool    // the endpoint's side says that the event is over
 	left, limit float64 // what the answer told of the limit
-	late        bool    // it was given up and reported before
 }
--- a/node/life.go
+++ b/node/life.go
@@ -77,9 +77,7 @@
 		case stepBegun:
 			out++
 		case stepOutcome:
-			if !s.result.late {
-				out--
-			}
+			out--
 			n.journal.ended(e, s.send.number, s.result.how)
 			if s.result.how == port.Acked || s.result.over {
 				if !over {
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 		perCall = append(perCall, p.PerCall)
 	}
 	n.desk = newDesk(c, module, s.Tick, append(perCall, 1))
-	n.endpoints = &endpoints{clock: c, journal: n.journal, copies: s.Room.Copies, connectWithin: s.ConnectWithin,
+	n.endpoints = &endpoints{clock: c, journal: n.journal, dial: dialer(s.ConnectWithin),
 		idleFor: s.IdleFor, mostIdle: idle}
 	n.directory = &directory{address: at.Directory, open: make(map[*watch]struct{}),
 		dests: make(map[uint32]struct{}), desk: n.desk, endpoints: n.endpoints,
--- a/node/sends.go
+++ b/node/sends.go
@@ -12,7 +12,7 @@
 	"jaspersill/port"
 )
 
-// send is one send of one event. call and number do not change; the rest is the call's.
+// send is one send of one event.
 type send struct {
 	event    *event
 	number   int
@@ -20,25 +20,22 @@
 	began    int64
 	timeout  int64
 	call     *call
-
-	went         bool // it was in what was written
-	gaveUp, told bool
-	how          port.Outcome // when given up
 }
 
-// call is one exchange with an endpoint, of one send or of several.
+// call is one exchange with an endpoint, of one send or of several. It ends once, for all of them.
 type call struct {
 	of       *endpoints
 	endpoint int32
 	sends    []*send
 	size     int // bytes of its body, if it has several
 
-	mu    sync.Mutex
-	abort context.CancelFunc // while connecting
-	link  *link
-	bytes progress
-	ended bool
-	left  int // sends not given up
+	mu     sync.Mutex
+	abort  context.CancelFunc // while connecting
+	link   *link
+	bytes  progress
+	ended  bool
+	gaveUp bool         // while being written: the writer ends it
+	how    port.Outcome // when given up
 }
 
 // progress is how much of a call has gone out.
@@ -50,31 +47,26 @@
 	all                  // its last byte has gone, or may have
 )
 
+// timeout is how long a call may take: as long as the least patient of its sends.
+func (c *call) timeout() int64 {
+	least := c.sends[0].timeout
+	for _, s := range c.sends {
+		least = min(least, s.timeout)
+	}
+	return least
+}
+
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
 	defer p.end(c.endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c.mu.Lock()
-	c.abort = cancel
-	over := c.ended
-	c.mu.Unlock()
-	if over { // given up before it began
+	if !c.begin(cancel) { // given up before it began
 		return
 	}
-	for _, s := range c.sends {
-		timer := time.AfterFunc(time.Duration(s.began+s.timeout-p.clock.now()), func() {
-			c.giveUp(s, port.TimedOut)
-		})
-		defer timer.Stop()
-		// Danger: the process may end while the send is out. The journal has it before its bytes go.
-		if err := p.journal.began(s.event, s.number, wall(), p.site(c.endpoint)); err != nil {
-			if !errors.Is(err, errOver) { // danger: a late answer may have ended the event: nothing may follow
-				p.journal.disk.note(err)
-			}
-			c.giveUp(s, port.Unsent)
-		}
-	}
+	left := c.sends[0].began + c.timeout() - p.clock.now()
+	timer := time.AfterFunc(time.Duration(left), func() { c.giveUp(port.TimedOut) })
+	defer timer.Stop()
 
 	l, dial := p.kept(c.endpoint)
 	if l == nil {
@@ -84,21 +76,21 @@
 			return
 		}
 	}
-	going, longest := c.leave(l)
-	if len(going) == 0 {
+	if !c.leave(l) {
 		l.Close()
 		return
 	}
 
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
-	if err := writeCall(out, going, longest); err != nil {
+	if err := writeCall(out, c.sends, c.timeout()); err != nil {
 		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
 		l.Close()
 		c.finish(result{how: port.Unsent})
 		return
 	}
-	if size, err := l.Write(out.B); !c.wrote(size == out.Len()) || err != nil {
+	size, err := l.Write(out.B)
+	if gaveUp := c.wrote(size == out.Len()); gaveUp || err != nil {
 		l.Close()
 		if size < out.Len() { // the call's last byte was not written: it never ran
 			c.finish(result{how: port.ConnectFailed})
@@ -107,7 +99,7 @@
 		}
 		return
 	}
-	reply, err := l.in.read(going)
+	reply, err := l.in.read(c.sends)
 	if err != nil {
 		l.Close()
 		if errors.Is(err, errSpoilt) {
@@ -117,121 +109,117 @@
 		}
 		return
 	}
-	if c.answered(going, reply) && !reply.close {
+	if c.finish(reply.results...) && !reply.close {
 		p.keep(c.endpoint, l)
 	} else {
 		l.Close()
 	}
 }
 
-// leave marks a call as written and tells which sends go, as not given up while connecting, and how long.
-func (c *call) leave(l *link) (going []*send, longest int64) {
+// begin notes what ends the call while it is connecting; it tells false if the call was given up before.
+func (c *call) begin(abort context.CancelFunc) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abort = abort
+	return !c.ended
+}
+
+// leave writes down that the sends of a call go out, just before their bytes do; it tells false if nothing may go.
+// Danger: the process may end while a send is out, and one that a restart finds connecting has not run. Written
+// while no one can give the call up, the beginning of a send stands before its end.
+func (c *call) leave(l *link) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	var err error
 	for _, s := range c.sends {
-		if !s.gaveUp {
-			s.went = true
-			going, longest = append(going, s), max(longest, s.timeout)
-		}
+		err = errors.Join(err, c.of.journal.began(s.event, s.number, wall(), c.of.site(c.endpoint)))
 	}
-	if c.link = l; len(going) > 0 {
-		c.bytes = some
+	if err != nil {
+		if !errors.Is(err, errOver) {
+			c.of.journal.disk.note(err)
+		}
+		c.end([]result{{how: port.Unsent}})
+		return false
 	}
-	return going, longest
+	c.link, c.bytes = l, some
+	return true
 }
 
-// wrote notes whether a call was written to its last byte; it tells false if it was given up meanwhile.
+// wrote notes whether a call was written to its last byte, and tells whether it was given up meanwhile.
 func (c *call) wrote(whole bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bytes = none; whole {
 		c.bytes = all
 	}
-	return c.left > 0
+	return c.gaveUp
 }
 
-// giveUp stops waiting for one send. Danger: where an event may not have two sends out, or when it is the
-// last of its call, it is over only once the connection is closed.
-func (c *call) giveUp(s *send, how port.Outcome) {
+// giveUp stops waiting for a call, by closing its connection: the protocol has no other way. Danger: a call of
+// which one send is given up and another waited for ends as the endpoint's side likes. So it ends as a whole.
+func (c *call) giveUp(how port.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || s.gaveUp || s.told {
+	if c.ended || c.gaveUp {
 		return
 	}
-	s.gaveUp, s.how = true, how
-	c.left--
-	switch {
-	case c.left == 0 && c.bytes == some: // danger: told now, it might be called unsent with its last byte gone
+	c.gaveUp, c.how = true, how
+	if c.abort != nil {
+		c.abort()
+	}
+	if c.link != nil {
 		c.link.Close()
-	case c.left == 0:
-		c.ended = true
-		if c.abort != nil {
-			c.abort()
-		}
-		if c.link != nil {
-			c.link.Close()
-		}
-		for _, s := range c.sends {
-			c.settle(s)
-		}
-	case c.of.copies:
-		c.settle(s)
+	}
+	if c.bytes != some { // danger: told now, it might be called unsent with its last byte gone
+		c.end(nil)
 	}
 }
 
-// finish ends a call in which all its sends fared the same.
-func (c *call) finish(r result) {
+// recall gives up a call of which no byte has gone yet.
+func (c *call) recall() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || c.bytes != none {
 		return
 	}
-	c.ended = true
-	for _, s := range c.sends {
-		if s.gaveUp {
-			c.settle(s)
-		} else {
-			c.report(s, r)
-		}
+	if c.abort != nil {
+		c.abort()
 	}
+	c.end([]result{{how: port.Unsent}})
 }
 
-// settle reports a send that was given up, unless that was done at once. If it was not written, or its call
-// not to the last byte when the connection was closed, it never ran.
-func (c *call) settle(s *send) {
-	how, never := s.how, !s.went || c.bytes == none
-	switch {
-	case s.told:
-		return
-	case never && how == port.TimedOut:
-		how = port.ConnectFailed
-	case never:
-		how = port.Unsent
-	}
-	c.report(s, result{how: how})
-}
-
-// answered hands each send that went its part of an answer; it tells false where all were given up before.
-func (c *call) answered(going []*send, reply reply) bool {
+// finish ends a call in which each send fared as told, or all the same; it tells false if it had ended.
+func (c *call) finish(results ...result) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
-	c.ended = true
-	for i, s := range going {
-		c.report(s, reply.results[i])
-	}
-	for _, s := range c.sends {
-		c.settle(s)
-	}
+	c.end(results)
 	return true
 }
 
-// report tells a send's life how it ended, once, and once more if a late answer shows its event over.
-func (c *call) report(s *send, r result) {
-	r.took = c.of.clock.now() - s.began
-	r.late = s.told
-	s.told = true
-	s.event.steps <- step{what: stepOutcome, send: s, result: r}
+// end tells each send's life how it ended, once. Of a call that was given up, what came since does not count; if
+// its last byte was not written when its connection was closed, it never ran.
+func (c *call) end(results []result) {
+	c.ended = true
+	how := c.how
+	switch {
+	case c.bytes != none:
+	case how == port.TimedOut:
+		how = port.ConnectFailed
+	default:
+		how = port.Unsent
+	}
+	for i, s := range c.sends {
+		r := result{how: how}
+		if !c.gaveUp {
+			r = results[min(i, len(results)-1)]
+		}
+		r.took = c.of.clock.now() - s.began
+		s.event.steps <- step{what: stepOutcome, send: s, result: r}
+	}
 }
--- a/port/port.go
+++ b/port/port.go
@@ -67,7 +67,7 @@
 // Room is what a delivery node may have at once and may do.
 type Room struct {
 	Slots, Events, Sends int
-	Copies, Cancels      bool
+	Cancels              bool
 	ComeBack             int64 // longest come-back time a client honours; 0 when it can't be told
 }
 
@@ -93,12 +93,14 @@
 	Probes    bool
 }
 
-// Writer takes the decisions of one round, in order.
+// Writer takes the decisions of one round, in order. Sends of one round to one endpoint may share a call, which
+// ends as a whole: when the least patient of them times out, or one is cancelled or recalled.
 type Writer interface {
 	Send(evt, endpoint int32, timeout int64)
 	Decline(evt int32, comeBack int64)
 	Discard(evt int32)
 	Cancel(evt int32, send int)
+	Recall(evt int32, send int) // ends as unsent what still waits for its connection; else it does nothing
 	Wake(after int64)
 	Watch(on bool)
 	FetchList()
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -498,6 +498,9 @@
 
 func (w *writer) Cancel(evt int32, send int) { le.PutUint16(w.about(acRevoke, evt)[9:], uint16(send)) }
 
+// Recall has no action of its own: the simulator's sends leave at once.
+func (w *writer) Recall(evt int32, send int) {}
+
 func (w *writer) Wake(after int64) {
 	le.PutUint64(w.record(acRemind)[1:], math.Float64bits(min(millis(after), maxDelayMS)))
 }
--- a/start/start.go
+++ b/start/start.go
@@ -230,7 +230,6 @@
 		Slots:   e.count("family_info.slots", true),
 		Events:  e.count("ceilings.max_open", true),
 		Sends:   e.count("ceilings.max_attempts", true),
-		Copies:  e.flag("ceilings.may_duplicate"),
 		Cancels: e.flag("ceilings.cancel"),
 	}
 	if e.flag("ceilings.retry_after") {
