Read lists however they are indented, and ask the directory again before what it has is told

Cause, found by reading and by the new tests: (1) a list over several lines was read line by line and ended the watch. (2) A watch was called silent after 3.5 s, a connect could hang for another 3.5 s and the delay between them was up to half of the asking time and half of that again: 7 s and more, while what is missed counts as told after 6. (3) While one watch follows another, a change could come again behind a later one, and the version went back. (4) Where lists are pushed, a new process sent by the list kept from before, though what came since counts as told at its first moment. Ruled out: a list cut in half (its version was not taken before either; now tested), a line of a replaced watch (it is ended with the first word of the new one). Change: lists are decoded as JSON values, bounded in size; any byte is a sign of life; silence is 2.5 s (directory.silence), connects take 1 s at most; delays grow to 1.5 s; sends wait up to 1 s for the first list where lists are pushed, and not at all once the directory cannot be reached. A call is not asked again before it can have failed. FetchList and AskWithin, which nothing used any more, are gone from the interface.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,14 +47,17 @@
 	answerBefore = second / 50  // final answers go out this long before max age: a few rounds' time
 	beat         = second / 100 // next look: a fraction of any answer time
 
-	windowMargin = second / 10 // a repeat leaves this long before its mark is forgotten: covers the way there
-	windowTries  = 2           // a send takes at most this part of its window: the rest is for a repeat
-	askFirst     = second / 2  // first delay before the directory is asked again, doubling
-	coldRoom     = 0.95        // part of the budget that is used: the told limit is under what they can do
-	coldMet      = 2.0         // calls an endpoint is sent in an outage, in parts of its limit: repeats too
-	coldChance   = 1.5         // deviations of chance that many nodes leave free in the budget
-	coldLeast    = 0.2         // part of it that is used all the same: an endpoint never tried never comes back
-	guessLimit   = 2.0         // calls a second taken where no limit is told: about the least there is
+	windowMargin = second / 10    // a repeat leaves this long before its mark is forgotten: covers the way there
+	windowTries  = 2              // a send takes at most this part of its window: the rest is for a repeat
+	askFirst     = second / 2     // first delay before the directory is asked again, doubling
+	askMost      = 3 * second / 2 // longest such delay: what it has counts as told 6 s after it can be reached
+	askOut       = 4 * second     // a call that told nothing for so long is asked again: the socket side gives up sooner
+	askHold      = 1 * second     // a new process holds its sends so long for the first list, where lists are pushed
+	coldRoom     = 0.95           // part of the budget that is used: the told limit is under what they can do
+	coldMet      = 2.0            // calls an endpoint is sent in an outage, in parts of its limit: repeats too
+	coldChance   = 1.5            // deviations of chance that many nodes leave free in the budget
+	coldLeast    = 0.2            // part of it that is used all the same: an endpoint never tried never comes back
+	guessLimit   = 2.0            // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
 	asideResets = 4              // resets do so: a network breaks connections too, and one that is down refuses
@@ -126,7 +129,7 @@
 func New(seed uint64, types []port.StreamType, kinds []port.Partner, room port.Room, back port.Recovery,
 	dir port.Directory, fleet port.Fleet, orderPause int64) *Node {
 	return &Node{chance: pcg(seed), types: types, kinds: append(kinds, port.Partner{PerCall: 1}), room: room,
-		dir: directory{asked: dir.Asked, within: dir.AskWithin}, keys: turns{}, pause: orderPause,
+		dir: directory{asked: dir.Asked, pushed: dir.Pushed}, keys: turns{}, pause: orderPause,
 		notes: fleet.Notes, eps: endpoints{back: back}, lanes: lanes{nodes: float64(max(1, fleet.Nodes))}}
 }
 
@@ -272,7 +275,10 @@
 	n.eps.ready[ep] = state == port.Ready
 }
 
-func (n *Node) ListEnds() { n.dir.watched, n.dir.delay = n.dir.at > 0, 0 }
+func (n *Node) ListEnds() {
+	n.dir.watched, n.dir.delay = n.dir.at > 0, 0
+	n.dir.heard = n.dir.watched
+}
 
 func (n *Node) Withdrawn(evt int32)                                         { n.close(evt) }
 func (n *Node) ListFailed()                                                 { n.dir.failed(n.now, &n.chance) }
@@ -402,6 +408,9 @@
 }
 
 func (n *Node) dispatch() {
+	if n.dir.holds(n.now) {
+		return
+	}
 	for _, evt := range n.waiting {
 		e, t := &n.events[evt], &n.types[n.events[evt].typ]
 		e.loss = e.value * (worth(t, e.slo, n.now-e.came) - worth(t, e.slo, n.now-e.came+waitAhead))
@@ -747,21 +756,26 @@
 }
 
 type directory struct {
-	asked, watched    bool // changes must be asked for; a watch was confirmed
-	within, at, delay int64
+	asked, pushed       bool // changes must be asked for; they count as told although nobody asked
+	watched, heard      bool // a watch was confirmed; the first call has ended, for good or bad
+	at, delay, firstAsk int64
 }
 
 // ask asks for changes until a watch stands: what is not asked for counts as told all the same.
 func (d *directory) ask(now int64, out port.Writer) {
 	if d.asked && !d.watched && now >= d.at {
 		out.Watch(true)
-		d.at = now + max(askFirst, d.within/2)
+		d.at, d.firstAsk = now+askOut, cmp.Or(d.firstAsk, now)
 	}
 }
 
+// holds: danger: the list kept from before a restart is old, and where lists are pushed, what came since counts
+// from the first moment. One that cannot be reached must not hold back what is owed.
+func (d *directory) holds(now int64) bool { return d.pushed && !d.heard && now < d.firstAsk+askHold }
+
 // failed plans the next call: the notice does not say whether a watch still stands.
 func (d *directory) failed(now int64, chance *pcg) {
-	d.watched, d.delay = false, min(max(askFirst, 2*d.delay), max(askFirst, d.within/2))
+	d.watched, d.heard, d.delay = false, true, min(max(askFirst, 2*d.delay), askMost)
 	d.at = now + d.delay + int64(chance.float()*jitterPart*float64(d.delay))
 }
 
--- a/house/keys.go
+++ b/house/keys.go
@@ -82,7 +82,7 @@
 		{Name: "clients.between", Kind: Span, Default: "5s", Least: "100ms", Most: "1h",
 			Meaning: "Longest time between two requests on a connection."},
 
-		{Name: "directory.silence", Kind: Span, Default: "3.5s", Least: "100ms", Most: "5m", Live: true,
+		{Name: "directory.silence", Kind: Span, Default: "2.5s", Least: "100ms", Most: "5m", Live: true,
 			Meaning: "A watch without a sign of life for so long is broken. The directory shows one every 2 s."},
 		{Name: "notices.within", Kind: Span, Default: "250ms", Least: "10ms", Most: "30s", Live: true,
 			Meaning: "Time that the platform has to answer a notice."},
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -83,7 +83,7 @@
 func module(w *world.World, node int, seed uint64, types []port.StreamType) port.Decider {
 	day := w.Day()
 	return choice.New(seed, types, day.PartnerKinds(), day.Room(), day.Recovery(),
-		port.Directory{Asked: true, AskWithin: int64(day.Rules.AskWithin), Grace: int64(day.Rules.Grace)},
+		port.Directory{Asked: true, Grace: int64(day.Rules.Grace)},
 		port.Fleet{Me: node, Nodes: day.Fleet.Nodes, Notes: day.Fleet.Notes}, int64(day.Rules.OrderPause))
 }
 
--- a/lab/world/seat.go
+++ b/lab/world/seat.go
@@ -289,8 +289,6 @@
 	}
 }
 
-func (s *seat) FetchList() { s.hear(piece{what: newList}) }
-
 func (s *seat) Probe(int32) {}
 
 func (s *seat) CloseIdle(own int32) {
--- a/node/desk.go
+++ b/node/desk.go
@@ -247,7 +247,6 @@
 
 func (d *desk) Wake(after int64)   { d.wakeAt = d.clock.now() + max(after, 1) }
 func (d *desk) Watch(on bool)      { d.directory.watch(on) }
-func (d *desk) FetchList()         { d.directory.fetch() }
 func (d *desk) CloseIdle(ep int32) { d.endpoints.closeIdle(ep) }
 func (d *desk) Forget(ep int32)    { d.left = append(d.left, ep) }
 func (d *desk) TellGood(ep int32)  { d.peers.tellGood(d.eps.ID(ep)) }
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -23,10 +25,14 @@
 )
 
 const (
-	lineEvery    = 2 * time.Second                   // a watch shows a sign of life so often: the protocol's
-	silentAfter  = lineEvery + 1500*time.Millisecond // one that shows none for longer is broken
-	listPath     = "/discovery/hosts"
-	mostListLine = 16 << 20 // bytes of a line of the list: far above the largest fleet
+	lineEvery   = 2 * time.Second                  // a watch shows a sign of life so often: the protocol's
+	silentAfter = lineEvery + 500*time.Millisecond // one that shows none for longer is broken: the way here, twice
+	listPath    = "/discovery/hosts"
+	mostList    = 16 << 20 // bytes of one list: far above the largest fleet
+
+	// connectTo is how long a connection to the directory may take to come up. What is missed counts as told 6 s
+	// after a watch fell silent: silence, two delays and two connects that never come up fit in, and an answer.
+	connectTo = time.Second
 )
 
 // directory follows the list of endpoints: a watch while the module wants one, and the whole list when asked.
@@ -89,9 +95,10 @@
 	d.newest = w
 	d.open[w] = struct{}{}
 	address, path := d.address, listPath+"?watch=1&from="+strconv.FormatUint(d.seq, 10)
+	silence := time.Duration(d.silence.Load())
 	go func() {
 		defer cancel()
-		err := d.follow(ctx, w, address, path)
+		err := d.follow(ctx, w, address, path, silence)
 		d.mu.Lock()
 		delete(d.open, w)
 		failed := d.newest == w
@@ -112,18 +119,6 @@
 	}
 }
 
-// fetch asks for the whole list once.
-func (d *directory) fetch() {
-	d.mu.Lock()
-	address := d.address
-	d.mu.Unlock()
-	go func() {
-		if err := d.follow(context.Background(), nil, address, listPath); err != nil {
-			d.failed(err)
-		}
-	}()
-}
-
 // knows tells whether a destination was ever listed; before there is a list, all may be. Danger: an event for
 // one that does not exist would be held for all its time.
 func (d *directory) knows(dest uint32) bool {
@@ -139,10 +134,9 @@
 	d.desk.hear(func(to port.Intake) { to.ListFailed() })
 }
 
-// follow makes one call and hands in each line that it brings; of is nil where it is no watch.
-func (d *directory) follow(ctx context.Context, of *watch, address, path string) error {
-	silence := time.Duration(d.silence.Load())
-	dialer := net.Dialer{Timeout: silence, KeepAlive: -1}
+// follow makes one call and hands in each list that it brings, until it ends.
+func (d *directory) follow(ctx context.Context, w *watch, address, path string, silence time.Duration) error {
+	dialer := net.Dialer{Timeout: min(connectTo, silence), KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -170,33 +164,55 @@
 	case size >= 0:
 		body = io.LimitReader(in, int64(size))
 	}
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, mostListLine)
-	for lines.Scan() && ctx.Err() == nil {
+	signs := &signs{body: body, left: mostList, sign: func(alone bool) {
 		conn.SetDeadline(time.Now().Add(silence))
-		if err := d.line(of, lines.Bytes()); err != nil {
-			return fmt.Errorf("a line cannot be read: %w", err)
+		if alone {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.stands(w)
+		}
+	}}
+	// Danger: lists may be indented, over many lines, and may be cut anywhere. Each is taken once it is whole.
+	lists := json.NewDecoder(signs)
+	for ctx.Err() == nil {
+		var list json.RawMessage
+		if err := lists.Decode(&list); err == io.EOF {
+			return errors.New("the watch ended")
+		} else if err != nil {
+			return fmt.Errorf("a list cannot be read: %w", err)
 		}
+		if err := d.list(w, list); err != nil {
+			return fmt.Errorf("a list cannot be read: %w", err)
+		}
+		signs.left = mostList
 		d.answers.note(nil)
 	}
-	if err := lines.Err(); err != nil {
-		return err
+	return ctx.Err()
+}
+
+// signs tells of the signs of life on a watch, and of those with nothing but an empty line. Danger: a list that
+// never ends would fill the memory, so there is an end to what is read of one.
+type signs struct {
+	body io.Reader
+	left int
+	sign func(alone bool)
+}
+
+func (s *signs) Read(b []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, errors.New("it does not end")
 	}
-	if of != nil {
-		return errors.New("the watch ended")
+	n, err := s.body.Read(b[:min(len(b), s.left)])
+	s.left -= n
+	if n > 0 {
+		s.sign(len(bytes.TrimSpace(b[:n])) == 0)
 	}
-	return nil
+	return n, err
 }
 
-// line reads one version of the list, or what changed since the last, and hands it in. An empty one is a
-// sign of life.
-func (d *directory) line(of *watch, text []byte) error {
-	if len(text) == 0 {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.stands(of)
-		return nil
-	}
+// list reads one version of the list, or what changed since the last, and hands it in; of is nil for the list that
+// is known at the start.
+func (d *directory) list(of *watch, text []byte) error {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return err
@@ -245,7 +261,12 @@
 	if !d.stands(of) { // danger: what a watch says that was replaced may be older than what the new one said
 		return nil
 	}
-	d.seq = v.GetUint64("seq")
+	seq := v.GetUint64("seq")
+	if seq < d.seq && !whole { // danger: while one watch follows another, a change may come again behind a later one
+		list = nil
+	} else {
+		d.seq = seq
+	}
 	for _, e := range list {
 		d.dests[e.dest] = struct{}{}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 	n.Silence(silentAfter)
 	n.desk.endpoints, n.desk.directory, n.desk.peers = n.endpoints, n.directory, n.peers
 	if len(at.Known) > 0 {
-		if err = n.directory.line(nil, at.Known); err != nil {
+		if err = n.directory.list(nil, at.Known); err != nil {
 			err = fmt.Errorf("known: %w", err)
 		}
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -762,6 +762,31 @@
 	}
 }
 
+func TestListsMayBeIndentedAndAreTakenOnlyWhole(t *testing.T) {
+	const first = "{\n  \"seq\": 7,\n  \"whole\": true,\n  \"hosts\": [\n    {\n\n      \"host\": \"a\",\n      \"block\": 3,\n" +
+		"      \"health\": \"Ready\"\n    }\n  ]\n}\n"
+	const older = `{"seq":6,"whole":false,"hosts":[{"host":"a","block":3,"health":"Gone"}]}` + "\n"
+	const half = `{"seq":9,"whole":false,"hosts":[{"host":"a","block":3,"health":"Gone"}`
+	at := newPeer(t, func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for line := range strings.Lines(first + older + half) {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
+		}
+		return false
+	})
+	d, r := listen(t, at.Addr().String())
+	d.watch(true)
+	(&world{t: t}).until("it is cut off", func() bool { return strings.HasSuffix(r.all(), "failed") })
+	if got, want := r.all(), "whole=true 0/0/2/2/2/0 ; whole=false ; failed"; got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.seq != 7 {
+		t.Errorf("it would ask from %d: half a list is none, and an older change is known", d.seq)
+	}
+}
+
 func TestDirectoryCallsThatFail(t *testing.T) {
 	for name, act := range map[string]func(net.Conn, string) bool{
 		"503":      say(answerOf("503 Down", "", "")),
@@ -778,8 +803,10 @@
 	at := newPeer(t, say(answerOf("200 OK", "", `{"seq":1,"whole":true,"hosts":[{"block":1},{"host":"x"},`+
 		`{"host":"a","block":1,"class":"small one","health":"Ready"}]}`)))
 	d, r := listen(t, at.Addr().String())
-	d.fetch()
-	(&world{t: t}).until("the whole list comes", func() bool { return r.all() == "whole=true 0/0/1/2/2/0 ;" })
+	d.watch(true)
+	(&world{t: t}).until("the whole list comes", func() bool {
+		return r.all() == "whole=true 0/0/1/2/2/0 ; failed" // it is no watch, and ended
+	})
 }
 
 func TestDirectoryMovesWhileTheOldOneStands(t *testing.T) {
@@ -890,7 +917,7 @@
 	}
 	defer p.close()
 	go p.hear()
-	_ = d.line(nil, []byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
+	_ = d.list(nil, []byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
 	p.tellGood("b")
 	buf := make([]byte, 300)
 	n, from, err := sockets[1].ReadFromUDP(buf)
--- a/port/port.go
+++ b/port/port.go
@@ -81,9 +81,9 @@
 
 // Directory tells how the list of endpoints is kept.
 type Directory struct {
-	Asked     bool  // changes come only when asked for
-	AskWithin int64 // asked at least this often, where no watch stands
-	Grace     int64 // time to stop sending to a draining or gone endpoint
+	Asked  bool  // changes come only when asked for
+	Pushed bool  // they count as told from the first moment, asked for or not
+	Grace  int64 // time to stop sending to a draining or gone endpoint
 }
 
 // Fleet is the place of this delivery node among its peers.
@@ -103,7 +103,6 @@
 	Recall(evt int32, send int) // ends as unsent what still waits for its connection; else it does nothing
 	Wake(after int64)
 	Watch(on bool)
-	FetchList()
 	Probe(endpoint int32)
 	CloseIdle(endpoint int32)
 	Forget(endpoint int32)           // its index stands for nothing any more, and may be given out again
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -511,7 +511,6 @@
 	}
 }
 
-func (w *writer) FetchList()         { w.record(acGetList) }
 func (w *writer) Probe(ep int32)     { le.PutUint32(w.record(acSample)[1:], w.node.eps.ID(ep)) }
 func (w *writer) Forget(ep int32)    { w.node.eps.Release(ep) }
 func (w *writer) CloseIdle(ep int32) { le.PutUint32(w.record(acFreeLinks)[1:], w.node.eps.ID(ep)) }
--- a/start/start.go
+++ b/start/start.go
@@ -242,9 +242,8 @@
 		FallAfter:    e.time("rules.tip_after_ms", true),
 	}
 	s.Directory = port.Directory{
-		Asked:     e.text("discovery", "automatic", "subscribe") == "subscribe",
-		AskWithin: e.time("rules.ask_within_ms", false),
-		Grace:     e.time("rules.drain_grace_ms", true),
+		Asked: e.text("discovery", "automatic", "subscribe") == "subscribe",
+		Grace: e.time("rules.drain_grace_ms", true),
 	}
 	s.Fleet = port.Fleet{
 		Me:     e.count("me", true),
