Recall sends whose window or time ends while their connection comes up

Change: the module recalls a send that still connects when its window ends, and one whose event it gives up. A recall takes one send out of its call; the others go on. Tests: the scenarios on windows and on answers in time name the recall; a send recalled out of a call of two, and a whole one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -330,15 +330,24 @@
 	switch t := &n.types[e.typ]; {
 	case e.sends >= n.room.Sends || (e.mayRun && t.Safety == port.NonIdempotent):
 		return min(n.now, e.deadline)
-	case e.mayRun && t.Safety == port.Deduplicated:
-		return min(e.deadline, e.ranAt+t.Window-windowMargin)
 	}
-	return e.deadline
+	return min(e.deadline, n.windowEnd(e))
+}
+
+// windowEnd is the end of the time in which a repeat is known by its mark.
+func (n *Node) windowEnd(e *event) int64 {
+	if t := &n.types[e.typ]; e.mayRun && t.Safety == port.Deduplicated {
+		return e.ranAt + t.Window - windowMargin
+	}
+	return math.MaxInt64
 }
 
 // giveUp ends an event at once: declined, with the time to come back, where nothing can have run.
 func (n *Node) giveUp(evt int32, comeBack int64) {
 	if e := &n.events[evt]; e.mayRun || e.call >= 0 {
+		if e.call >= 0 { // danger: what still connects must not go out after the end was told
+			n.out.Recall(evt, e.sends-1)
+		}
 		n.out.Discard(evt)
 	} else {
 		n.out.Decline(evt, min(comeBack, n.room.ComeBack))
@@ -365,8 +374,9 @@
 			continue
 		}
 		c := &n.calls[e.call]
-		// Danger: a send waits for its connection; a wait, or the list, may forbid it by the time that it leaves.
-		if !e.recalled && (n.now < n.lanes.waitUntil[n.eps.lane[c.endpoint]] || !n.eps.ready[c.endpoint]) {
+		// Danger: a send waits for its connection; a wait, the list or its window may forbid it when that stands.
+		if !e.recalled && (n.now < n.lanes.waitUntil[n.eps.lane[c.endpoint]] || !n.eps.ready[c.endpoint] ||
+			n.now >= n.windowEnd(e)) {
 			n.out.Recall(int32(i), e.sends-1)
 			e.recalled = true
 		}
--- a/node/desk.go
+++ b/node/desk.go
@@ -241,7 +241,7 @@
 
 func (d *desk) Recall(evt int32, number int) {
 	if s := d.current[evt]; s != nil && s.number == number {
-		s.call.recall()
+		s.call.recall(s)
 	}
 }
 
--- a/node/sends.go
+++ b/node/sends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,25 +48,16 @@
 	all                  // its last byte has gone, or may have
 )
 
-// timeout is how long a call may take: as long as the least patient of its sends.
-func (c *call) timeout() int64 {
-	least := c.sends[0].timeout
-	for _, s := range c.sends {
-		least = min(least, s.timeout)
-	}
-	return least
-}
-
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
 	defer p.end(c.endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if !c.begin(cancel) { // given up before it began
+	timeout := c.begin(cancel)
+	if timeout == 0 { // given up before it began
 		return
 	}
-	left := c.sends[0].began + c.timeout() - p.clock.now()
-	timer := time.AfterFunc(time.Duration(left), func() { c.giveUp(port.TimedOut) })
+	timer := time.AfterFunc(time.Duration(timeout), func() { c.giveUp(port.TimedOut) })
 	defer timer.Stop()
 
 	l, dial := p.kept(c.endpoint)
@@ -83,7 +75,7 @@
 
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
-	if err := writeCall(out, c.sends, c.timeout()); err != nil {
+	if err := writeCall(out, c.sends, timeout); err != nil {
 		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
 		l.Close()
 		c.finish(result{how: port.Unsent})
@@ -116,12 +108,20 @@
 	}
 }
 
-// begin notes what ends the call while it is connecting; it tells false if the call was given up before.
-func (c *call) begin(abort context.CancelFunc) bool {
+// begin notes what ends the call while it is connecting. It tells how long the call may take, which is as long as
+// the least patient of its sends waits, and 0 if it was given up before.
+func (c *call) begin(abort context.CancelFunc) (timeout int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.abort = abort
-	return !c.ended
+	if c.abort = abort; c.ended {
+		return 0
+	}
+	now := c.of.clock.now()
+	timeout = c.sends[0].began + c.sends[0].timeout - now
+	for _, s := range c.sends {
+		timeout = min(timeout, s.began+s.timeout-now)
+	}
+	return max(timeout, 1)
 }
 
 // leave writes down that the sends of a call go out, just before their bytes do; it tells false if nothing may go.
@@ -178,17 +178,19 @@
 	}
 }
 
-// recall gives up a call of which no byte has gone yet.
-func (c *call) recall() {
+// recall takes a send out of a call of which no byte has gone yet.
+func (c *call) recall(s *send) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.bytes != none {
+	i := slices.Index(c.sends, s)
+	if c.ended || c.bytes != none || i < 0 {
 		return
 	}
-	if c.abort != nil {
+	c.sends = slices.Delete(c.sends, i, i+1)
+	c.report(s, result{how: port.Unsent})
+	if c.ended = len(c.sends) == 0; c.ended && c.abort != nil {
 		c.abort()
 	}
-	c.end([]result{{how: port.Unsent}})
 }
 
 // finish ends a call in which each send fared as told, or all the same; it tells false if it had ended.
@@ -219,7 +221,12 @@
 		if !c.gaveUp {
 			r = results[min(i, len(results)-1)]
 		}
-		r.took = c.of.clock.now() - s.began
-		s.event.steps <- step{what: stepOutcome, send: s, result: r}
+		c.report(s, r)
 	}
 }
+
+// report tells a send's life how it ended.
+func (c *call) report(s *send, r result) {
+	r.took = c.of.clock.now() - s.began
+	s.event.steps <- step{what: stepOutcome, send: s, result: r}
+}
