Serve clients by a loop of our own, and close their connections without losing answers

Whether a connection rested was guessed inside Read and SetReadDeadline, which the server called as it liked. Change: a connection rests, is busy, ends; each step is taken under the doorman's lock, so a byte and the asking to close have an order. All that was read is answered; while draining a connection ends with the last request read from it. The end is a half close, then what comes is read out, 300 ms at most; connections that never heard anything, or that are closed for want of room, are closed at once. Tests: requests read together, also while draining; a request that crosses the end; asked to close before and after the first byte; all framings, whole and in pieces of seven bytes. The two on the old hooks are replaced by the one on rest and end.

--- a/node/clients.go
+++ b/node/clients.go
@@ -1,14 +1,19 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
+	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
 	"jaspersill/logs"
@@ -33,11 +38,17 @@
 // clients serves those who hand events in.
 type clients struct {
 	node   *Node
-	server *fasthttp.Server
 	door   *doorman
+	answer func(*fasthttp.RequestCtx) // a request that could be read
 	bad    tally
 }
 
+// Buffers are only held while a request is read and answered: most connections rest most of the time.
+var (
+	readers  = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headSize) }}
+	contexts = sync.Pool{New: func() any { return new(fasthttp.RequestCtx) }}
+)
+
 // quiet takes fasthttp's lines, one for each connection that fails. Danger: bad clients would fill the log.
 type quiet struct{}
 
@@ -51,28 +62,93 @@
 	c := &clients{node: n, door: newDoorman(l, most, keep),
 		bad: tally{part: "clients", what: "refused what is no event"}}
 	c.door.first, c.door.between = cmp.Or(g.First, firstWithin), cmp.Or(g.Between, clientIdle)
-	c.server = &fasthttp.Server{
-		Handler: c.handle, ErrorHandler: c.refuse, ReadBufferSize: headSize, WriteBufferSize: 1024,
-		ReadTimeout: cmp.Or(g.Whole, readWithin), WriteTimeout: writeWithin, IdleTimeout: c.door.between,
-		MaxRequestBodySize: mostBody,
-		ReduceMemoryUsage:  true, NoDefaultServerHeader: true, NoDefaultDate: true,
-		DisablePreParseMultipartForm: true,
-		Concurrency:                  most + 16, Logger: quiet{},
-		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
-			if g, ok := conn.(*guest); ok && s == fasthttp.StateIdle {
-				g.idle()
-			}
-		},
-	}
+	c.door.request = cmp.Or(g.Whole, readWithin)
+	c.answer = c.handle
 	return c, nil
 }
 
-func (c *clients) serve() error { return c.server.Serve(c.door) }
+// serve accepts connections until the doorman closes.
+func (c *clients) serve() error {
+	for {
+		g, err := c.door.accept()
+		if err != nil {
+			return err
+		}
+		go c.attend(g)
+	}
+}
 
-func (c *clients) handle(ctx *fasthttp.RequestCtx) {
-	if c.node.Phase() != Serving { // what comes while draining is answered, and told to go elsewhere
+// attend serves one connection to its end.
+func (c *clients) attend(g *guest) {
+	defer g.end()
+	for g.rest() && c.answerAll(g) {
+		g.idle()
+	}
+}
+
+// answerAll answers a request that begins to come, and those that were read along with it: what was read is not left
+// unanswered. It tells whether the connection stays open.
+func (c *clients) answerAll(g *guest) bool {
+	in, ctx := readers.Get().(*bufio.Reader), contexts.Get().(*fasthttp.RequestCtx)
+	defer readers.Put(in)
+	defer contexts.Put(ctx)
+	in.Reset(g)
+	defer in.Reset(nil)
+	ctx.Init2(g, quiet{}, true)
+	for {
+		if !c.answerOne(ctx, in, g) {
+			return false
+		}
+		if in.Buffered() == 0 {
+			return true
+		}
+		g.next()
+	}
+}
+
+// answerOne reads and answers one request. It tells whether the connection stays open: one that is busy while the
+// delivery node drains ends with the last request that was read from it.
+func (c *clients) answerOne(ctx *fasthttp.RequestCtx, in *bufio.Reader, g *guest) bool {
+	ctx.Request.Reset()
+	ctx.Response.Reset()
+	switch err := readRequest(&ctx.Request, in, g); {
+	case err == nil:
+		c.answer(ctx)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
+		return false // its client has left
+	default:
+		c.refuse(ctx, err)
 		ctx.SetConnectionClose()
 	}
+	draining := c.node.Phase() != Serving && in.Buffered() == 0
+	if ctx.Request.Header.ConnectionClose() || !ctx.Request.Header.IsHTTP11() || draining {
+		ctx.SetConnectionClose()
+	}
+	ctx.Response.SkipBody = ctx.IsHead()
+	out := bytebufferpool.Get()
+	defer bytebufferpool.Put(out)
+	if _, err := ctx.Response.WriteTo(out); err != nil {
+		return false
+	}
+	g.SetWriteDeadline(time.Now().Add(writeWithin))
+	_, err := g.Write(out.B)
+	return err == nil && !ctx.Response.ConnectionClose()
+}
+
+// readRequest reads a request whole; a client that asks first whether it may send its body is told to.
+func readRequest(req *fasthttp.Request, in *bufio.Reader, g *guest) error {
+	if err := req.Header.Read(in); err != nil {
+		return err
+	}
+	if req.MayContinue() {
+		if _, err := io.WriteString(g, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	return req.ContinueReadBody(in, mostBody, false)
+}
+
+func (c *clients) handle(ctx *fasthttp.RequestCtx) {
 	path, framed := string(ctx.Path()), isFramed(ctx.Request.Header.RawHeaders())
 	if g, ok := ctx.Conn().(*guest); ok {
 		g.read(framed && (path == pathReady || path == pathHandIn))
--- a/node/doorman.go
+++ b/node/doorman.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -13,6 +12,7 @@
 	silentGrace = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
 	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
 	idleGrace   = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
+	endWithin   = 300 * time.Millisecond // a client that heard the end of its connection closes it: there and back
 )
 
 // doorman accepts clients' connections, up to a limit. When short it closes first those that never asked for
@@ -23,7 +23,7 @@
 	most int // connections in all
 	keep int // of them, between requests
 
-	first, between time.Duration // until the first request is whole; between two
+	first, request, between time.Duration // until the first request is whole; from a later one's first byte; between two
 
 	accepts trouble
 	mu      sync.Mutex
@@ -32,31 +32,38 @@
 	shut    bool
 }
 
-// guest is a client's connection.
+// guest is a client's connection. It waits in rest, is busy from the first byte of a request until idle, and ends
+// with end. What may end its waiting for bytes is decided under the doorman's lock.
 type guest struct {
 	net.Conn
 	door  *doorman
 	came  time.Time
 	since time.Time // of its first byte, or of its last answer
+	woken [1]byte   // the first byte of a request
+	holds bool      // that byte was not read on yet
+	wrote bool      // something was answered
 
 	busy    bool // bytes of a request have been read and its answer is not written
 	whole   bool // all of them
 	asked   bool // it has brought an event, or asked how we are
-	leaving bool // asked to close
-	hurried bool // its request has no more time
+	leaving bool // asked to close, or closing
+	ending  bool // its answers are written, and what still comes is read out
+	hurried bool // it has no more time
 }
 
 var longAgo = time.Unix(1, 0)
 
 func newDoorman(l net.Listener, most, keep int) *doorman {
-	d := &doorman{Listener: l, most: most, keep: keep, first: firstWithin, between: clientIdle,
+	d := &doorman{Listener: l, most: most, keep: keep, first: firstWithin, request: readWithin,
+		between: clientIdle,
 		accepts: trouble{part: "clients", what: "accepting connections"},
 		open:    make(map[*guest]struct{})}
 	d.freed.L = &d.mu
 	return d
 }
 
-func (d *doorman) Accept() (net.Conn, error) {
+// accept returns the next connection. It waits while there is no room for one.
+func (d *doorman) accept() (*guest, error) {
 	c, err := d.Listener.Accept()
 	for err != nil {
 		if errors.Is(err, net.ErrClosed) {
@@ -85,7 +92,7 @@
 	return g, nil
 }
 
-// makeRoom asks a connection to close. Danger: hundreds that say nothing, or begin requests and never end
+// makeRoom hurries a connection that is ending, or asks one to close. Danger: hundreds that say nothing, or begin requests and never end
 // them, keep the usual clients out.
 func (d *doorman) makeRoom(now time.Time) {
 	var worst *guest
@@ -93,6 +100,10 @@
 	for g := range d.open {
 		r := 0
 		switch {
+		case g.ending && !g.hurried && now.Sub(g.since) < silentGrace:
+			soon = true
+		case g.ending && !g.hurried:
+			r = 4
 		case g.leaving || g.hurried:
 		case !g.busy && !g.asked && now.Sub(g.since) < silentGrace:
 			soon = true
@@ -111,9 +122,9 @@
 	}
 	switch {
 	case worst == nil || (rank == 1 && soon && now.Sub(worst.since) < idleGrace):
-	case worst.busy:
+	case worst.busy, worst.ending:
 		worst.hurried = true
-		worst.Conn.SetReadDeadline(longAgo) // it is answered that its request did not come
+		worst.SetReadDeadline(longAgo) // a busy one is answered that its request did not come
 	default:
 		worst.leave()
 	}
@@ -132,7 +143,7 @@
 // leave asks a connection between requests to close: its reader does, unless a request comes first.
 func (g *guest) leave() {
 	g.leaving = true
-	g.Conn.SetReadDeadline(longAgo)
+	g.SetReadDeadline(longAgo)
 }
 
 // dismiss closes all connections that wait between requests.
@@ -157,39 +168,59 @@
 	return d.Listener.Close()
 }
 
-// Read marks the connection busy. Danger: closed after its request was read, it would leave that unanswered.
-func (g *guest) Read(b []byte) (int, error) {
-	n, err := g.Conn.Read(b)
+// rest waits for the first byte of the next request. It tells false if none came in time, or if the connection was
+// asked to close before: the byte or the asking, whichever the doorman's lock sees first.
+func (g *guest) rest() bool {
 	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
-	if n > 0 {
-		if !g.busy {
-			g.busy, g.whole, g.since = true, false, time.Now()
-		}
-		g.leaving = false
-		return n, err
+	if g.leaving {
+		g.door.mu.Unlock()
+		return false
 	}
-	if g.leaving || (!g.busy && errors.Is(err, os.ErrDeadlineExceeded)) {
-		return 0, net.ErrClosed // danger: a complaint that nothing came would pass for the next request's answer
+	g.within(g.door.between)
+	g.door.mu.Unlock()
+	n, _ := g.Conn.Read(g.woken[:])
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
+	if n == 0 {
+		g.leaving = true
+		return false
 	}
-	return n, err
+	g.holds = true
+	g.begin()
+	return true
 }
 
-// SetReadDeadline leaves the deadline alone by which a connection was asked to close. Between requests it
-// gives clients their time, and for the first no more than is left of it since they connected.
-func (g *guest) SetReadDeadline(t time.Time) error {
+// begin marks that a request comes. Danger: closed after its request was read, it would leave that unanswered.
+func (g *guest) begin() {
+	g.busy, g.whole, g.leaving, g.since = true, false, false, time.Now()
+	g.within(g.door.request)
+}
+
+// next marks that one more request has begun to come behind the last.
+func (g *guest) next() {
 	g.door.mu.Lock()
 	defer g.door.mu.Unlock()
-	if g.leaving || g.hurried {
-		return nil
-	}
-	if !g.busy {
-		t = time.Now().Add(g.door.between)
-	}
+	g.begin()
+}
+
+// within gives the client so long for what comes next, and for its first request no more than is left of the time
+// since it connected. Danger: by a byte now and then, or none, it would keep its connection for good.
+func (g *guest) within(d time.Duration) {
+	t := time.Now().Add(d)
 	if first := g.came.Add(g.door.first); !g.asked && t.After(first) {
-		t = first // danger: by a byte now and then, or none, a client would keep its connection for good
+		t = first
 	}
-	return g.Conn.SetReadDeadline(t)
+	g.SetReadDeadline(t)
+}
+
+// Read reads on from the byte that ended the rest.
+func (g *guest) Read(b []byte) (int, error) {
+	if g.holds && len(b) > 0 {
+		g.holds = false
+		b[0] = g.woken[0]
+		return 1, nil
+	}
+	return g.Conn.Read(b)
 }
 
 // read marks that a request has come whole; good tells whether it was one.
@@ -227,10 +258,32 @@
 	}
 }
 
-func (g *guest) Close() error {
+// Write notes that there are answers which the end of the connection must not take along.
+func (g *guest) Write(b []byte) (int, error) {
+	g.wrote = true
+	return g.Conn.Write(b)
+}
+
+// end closes a connection whose answers are written. Danger: closed over unread bytes it is reset, which takes the
+// answers along that are still on their way. It is half closed, and what comes is read out until the client closes
+// too: a request that crossed the end was not answered, and its client hands it in again.
+func (g *guest) end() {
 	g.door.mu.Lock()
+	g.busy, g.leaving, g.ending, g.since = false, true, true, time.Now()
+	g.SetReadDeadline(g.since.Add(endWithin))
+	gently := g.wrote && !g.hurried
+	g.door.mu.Unlock()
+	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && gently && half.CloseWrite() == nil {
+		var rest [512]byte
+		for {
+			if _, err := g.Conn.Read(rest[:]); err != nil {
+				break
+			}
+		}
+	}
+	g.Conn.Close()
+	g.door.mu.Lock()
+	defer g.door.mu.Unlock()
 	delete(g.door.open, g)
 	g.door.freed.Signal()
-	g.door.mu.Unlock()
-	return g.Conn.Close()
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -481,27 +481,34 @@
 	return s.Listener.Accept()
 }
 
-func TestDoormanClosesIdleConnectionsWhenShort(t *testing.T) {
+// doorOnly is a delivery node of which nothing but the clients' side is there, for so many connections.
+func doorOnly(t *testing.T, most int, answer func(path string)) *world {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDoorman(&short{Listener: l, fails: 2}, 2, 2)
-	hold := make(chan bool)
-	server := &fasthttp.Server{ReduceMemoryUsage: true, IdleTimeout: clientIdle, ReadTimeout: readWithin,
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) == "/hold" {
-				<-hold
-			}
-		},
-		ConnState: func(conn net.Conn, s fasthttp.ConnState) {
-			if s == fasthttp.StateIdle {
-				conn.(*guest).idle()
-			}
+	n := &Node{}
+	n.phase.Store(int32(Serving))
+	n.clients = &clients{node: n, door: newDoorman(l, most, most), bad: tally{part: "clients", what: "test"},
+		answer: func(ctx *fasthttp.RequestCtx) {
+			ctx.Conn().(*guest).read(true)
+			answer(string(ctx.Path()))
 		}}
-	go server.Serve(d)
-	defer d.Close()
-	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
+	t.Cleanup(func() { n.clients.door.Close() })
+	return &world{t: t, Node: n}
+}
+
+func TestDoormanClosesIdleConnectionsWhenShort(t *testing.T) {
+	hold := make(chan bool)
+	w := doorOnly(t, 2, func(path string) {
+		if path == "/hold" {
+			<-hold
+		}
+	})
+	d := w.clients.door
+	d.Listener = &short{Listener: d.Listener, fails: 2}
+	go w.clients.serve()
 	get := func(c *client, path string) { fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
 	busy, idle := w.dial(), w.dial()
 	get(idle, "/")
@@ -615,57 +622,140 @@
 	}
 }
 
-func TestGuestAskedToCloseDoes(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := newDoorman(l, 2, 2)
-	defer d.Close()
-	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
-	io.WriteString(w.dial(), "half a request")
-	conn, _ := d.Accept()
-	first := make([]byte, 100)
-	if _, err := conn.Read(first); err != nil {
-		t.Fatal(err)
+func TestAConnectionAskedToCloseDoesUnlessARequestCameFirst(t *testing.T) {
+	w := doorOnly(t, 2, func(string) {})
+	d := w.clients.door
+	c := w.dial()
+	io.WriteString(c, "half a request")
+	g, err := d.accept()
+	if err != nil || !g.rest() {
+		t.Fatal("half a request is no rest", err)
 	}
 	d.dismiss()
-	if conn.(*guest).leaving {
+	if g.leaving {
 		t.Error("asked to close within a request")
 	}
-	conn.(*guest).idle()
+	if n, err := g.Read(make([]byte, 100)); n != 1 || err != nil {
+		t.Errorf("read on: %d, %v", n, err)
+	}
+	if n, err := g.Read(make([]byte, 100)); n != 13 || err != nil {
+		t.Errorf("read on: %d, %v", n, err)
+	}
+	g.idle()
 	d.dismiss()
-	conn.SetReadDeadline(time.Now().Add(long)) // the server waits for the next request only now
+	io.WriteString(c, "one that crosses the end")
 	begin := time.Now()
-	if n, err := conn.Read(first); n != 0 || err != net.ErrClosed || time.Since(begin) > long/2 {
-		t.Errorf("read %d, %v after %v", n, err, time.Since(begin))
+	if g.rest() || time.Since(begin) > long/2 { // asked before it waits: what comes now is not read on
+		t.Errorf("it waits on, %v", time.Since(begin))
+	}
+	c.Close()
+	g.end()
+	if !d.empty() {
+		t.Error("it is counted on")
+	}
+	// A byte that was read when the asking came: the request goes first.
+	c = w.dial()
+	if g, err = d.accept(); err != nil {
+		t.Fatal(err)
+	}
+	d.mu.Lock()
+	io.WriteString(c, "request")
+	rested := make(chan bool)
+	go func() { rested <- g.rest() }()
+	d.mu.Unlock()
+	if !<-rested {
+		t.Error("a request was not taken up")
 	}
 }
 
-func TestClientsMayConnectAheadOfTheirRequests(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// A close over unread bytes resets the connection, and the answers on their way go with it.
+func TestARequestThatCrossesTheEndTakesNoAnswerAlong(t *testing.T) {
+	w := doorOnly(t, 9, func(string) {})
+	d := w.clients.door
+	for range 50 {
+		c := w.dial()
+		g, err := d.accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(g, "answer")            // on its way when
+		io.WriteString(c, "a request crosses") // before
+		done := make(chan bool)
+		go func() { g.end(); done <- true }() // it is closed
+		if got, err := io.ReadAll(c.in); string(got) != "answer" || err != nil {
+			t.Fatalf("the client heard %q, %v", got, err)
+		}
+		c.Close()
+		<-done
 	}
-	d := newDoorman(l, 2, 2)
-	defer d.Close()
-	w := &world{t: t, Node: &Node{clients: &clients{door: d}}}
+}
+
+func TestRequestsReadTogetherAreAllAnswered(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	three := request("a", "alert", "1", 8000, "body") + request("b", "alert", "1", 8000, "") +
+		request("c", "alert", "1", 8000, "body")
 	c := w.dial()
-	conn, _ := d.Accept()
-	conn.SetReadDeadline(time.Now().Add(-time.Second)) // the server's, for a request that never comes
-	io.WriteString(c, "request")
-	if n, err := conn.Read(make([]byte, 100)); n != 7 || err != nil {
-		t.Errorf("read %d, %v", n, err)
+	io.WriteString(c, three)
+	for range 3 {
+		if status, _ := c.hear(""); status != statusTaken {
+			t.Errorf("one of three at once: %d", status)
+		}
+	}
+	w.Drain(2*time.Second, 2*time.Second, 2*time.Second)
+	w.stop()
+	w.until("it drains", func() bool { return w.Phase() == Draining })
+	c = w.dial()
+	io.WriteString(c, strings.NewReplacer("a\r", "d\r", "b\r", "e\r", "c\r", "f\r").Replace(three))
+	for i := range 3 {
+		if status, connection := c.hear("Connection"); status != statusTaken || (connection == "close") != (i == 2) {
+			t.Errorf("request %d of three while draining: %d, Connection: %q", i, status, connection)
+		}
 	}
-	conn.SetReadDeadline(time.Now().Add(-time.Second))
-	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("within a request: %v", err)
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last: %v", err)
+	}
+}
+
+func TestRequestsInAllFramings(t *testing.T) {
+	w := newWorld(t)
+	at := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	head := func(id, more string) string {
+		return "POST /api HTTP/1.1\r\nhost: x\r\nREQ-ID: " + id + "\r\nreq-kind:alert\r\nReq-Owner:  acme \r\n" +
+			"Req-Deadline-Ms: 8000\r\nIdempotency-Key: m" + id + "\r\nX-Envelope: dest=1\r\n" + more + "\r\n"
+	}
+	for name, text := range map[string]string{
+		"chunked":        head("a", "Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\n",
+		"no body":        head("b", "Content-Length: 0\r\n"),
+		"no length":      head("c", ""),
+		"a blank before": "\r\n" + head("d", "Content-Length: 3\r\n") + "abc",
+		"a form":         head("e", "Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 3\r\n") + "abc",
+		"the whole URI":  strings.Replace(head("f", "Content-Length: 3\r\n"), "/api", "http://x/api", 1) + "abc",
+	} {
+		for _, piece := range []int{len(text), 7} {
+			c := w.dial()
+			text := strings.NewReplacer("Key: m", fmt.Sprint("Key: m", piece), "REQ-ID: ", fmt.Sprint("REQ-ID: ", piece)).
+				Replace(text)
+			for rest := text; rest != ""; rest = rest[min(piece, len(rest)):] {
+				io.WriteString(c, rest[:min(piece, len(rest))])
+			}
+			if status, _ := c.hear(""); status != statusTaken {
+				t.Errorf("%s in pieces of %d: %d", name, piece, status)
+			}
+		}
+	}
+	c := w.dial()
+	io.WriteString(c, head("g", "Expect: 100-continue\r\nContent-Length: 3\r\n"))
+	if line, _ := c.in.ReadString('\n'); !strings.Contains(line, " 100 ") {
+		t.Errorf("asked before the body: %q", line)
 	}
-	conn.(*guest).idle()
-	conn.(*guest).Conn.SetReadDeadline(longAgo)
-	if _, err := conn.Read(make([]byte, 1)); err != net.ErrClosed { // no answer is written to nobody's request
-		t.Errorf("between requests: %v", err)
+	c.in.ReadString('\n')
+	if status, _ := c.hand("abc"); status != statusTaken {
+		t.Errorf("behind that: %d", status)
 	}
+	w.until("all are delivered", func() bool { calls, _ := at.calls(); return calls > 0 && w.journal.empty() })
 }
 
 // recorder is a module that writes down some of what it is told, and decides nothing.
