Heed a wait that stands in an answer which cannot be read to its end

Ruled out: late connects (recalled by now, and throng has none). Change: the wait is taken from the head, or from the unread line of a head that cannot be taken in; a line cut off tells nothing. Tests: four spoilt and cut answers, three of which fail without it.

--- a/node/sends.go
+++ b/node/sends.go
@@ -91,16 +91,7 @@
 		}
 		return
 	}
-	reply, err := l.in.read(c.sends)
-	if err != nil {
-		l.Close()
-		if errors.Is(err, errSpoilt) {
-			c.finish(result{how: port.Spoilt})
-		} else {
-			c.finish(result{how: port.Reset})
-		}
-		return
-	}
+	reply := l.in.read(c.sends)
 	if c.finish(reply.results...) && !reply.close {
 		p.keep(c.endpoint, l)
 	} else {
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -181,6 +181,13 @@
 		{"a 2000", say("HTTP/1.1 2000 OK\r\n\x00\r\n\r\n"), result{how: port.Spoilt}},
 		{"answers that are none, then one", say("HTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 101 Other\r\n\r\n" +
 			answerOf("429 Full", "Retry-After: 1\r\n", "")), result{how: port.Declined, wait: 1000 * ms}},
+		{"a wait in a head that cannot be read", say("HTTP/1.1 429 Full\r\nretry-after: 0.5\r\n\x00\xff\r\n\r\n"),
+			result{how: port.Spoilt, wait: 500 * ms}},
+		{"a wait before a body that does not come", say("HTTP/1.1 429 Full\r\nRetry-After: 0.5\r\n" +
+			"Content-Length: 44\r\n\r\nabc"), result{how: port.Spoilt, wait: 500 * ms}},
+		{"broken behind a wait", breakOff("HTTP/1.1 503 Shut\r\nRetry-After: 0.5\r\nA"),
+			result{how: port.Reset, wait: 500 * ms}},
+		{"broken within a wait", breakOff("HTTP/1.1 503 Shut\r\nRetry-After: 0.5"), result{how: port.Reset}},
 		{"broken before an answer", breakOff(""), result{how: port.Reset}},
 		{"ended before an answer", func(net.Conn, string) bool { return false }, result{how: port.Reset}},
 		{"broken within an answer", breakOff("HTTP/1.1 500 Err"), result{how: port.Reset}},
--- a/node/wire.go
+++ b/node/wire.go
@@ -102,11 +102,11 @@
 // errSpoilt: an answer came that cannot be read. What was sent has run, for all that is known.
 var errSpoilt = errors.New("an answer cannot be read")
 
-// read reads the answer to a call. An error means that it is not known how the call fared: errSpoilt, or the
-// connection broke before the answer was whole.
-func (r *replyReader) read(sends []*send) (reply, error) {
+// read reads the answer to a call: what it says of each send, or one result for all. Where it is not known how the
+// call fared, an answer was spoilt, or the connection broke before it was whole.
+func (r *replyReader) read(sends []*send) reply {
 	if _, err := r.buf.Peek(1); err != nil {
-		return reply{}, err
+		return reply{results: []result{{how: port.Reset}}, close: true}
 	}
 	// Danger: an answer that never ends would hold its slot, and what it says, for all the send's time.
 	r.conn.SetReadDeadline(time.Now().Add(restWithin))
@@ -126,11 +126,11 @@
 	switch {
 	case err == nil:
 	case delivered: // its first line has delivered a single event, whatever becomes of the rest
-		return reply{results: []result{{how: port.Acked, over: true}}, close: true}, nil
+		return reply{results: []result{{how: port.Acked, over: true, wait: r.toldWait(resp)}}, close: true}
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET):
-		return reply{}, err
+		return reply{results: []result{{how: port.Reset, wait: r.toldWait(resp)}}, close: true}
 	default:
-		return reply{}, errSpoilt
+		return reply{results: []result{{how: port.Spoilt, wait: r.toldWait(resp)}}, close: true}
 	}
 	var all result
 	all.left, all.limit = readLoad(string(resp.Header.Peek(headLoad)))
@@ -139,13 +139,29 @@
 	status := resp.StatusCode()
 	if len(sends) > 1 && status == fasthttp.StatusOK {
 		readEnds(resp.Body(), sends, all, out.results)
-		return out, nil
+		return out
 	}
 	all.how, all.over = readStatus(status, len(resp.Header.Peek(headNoSlot)) > 0, len(sends) > 1)
 	for i := range out.results {
 		out.results[i] = all
 	}
-	return out, nil
+	return out
+}
+
+// toldWait finds the wait that an answer tells. Danger: of an answer that cannot be read to its end, the wait that
+// stands in it binds all the same, and its sender holds us to it. A head that was not taken in is still unread.
+func (r *replyReader) toldWait(resp *fasthttp.Response) int64 {
+	if wait := readWait(string(resp.Header.Peek(headRetry))); wait > 0 {
+		return wait
+	}
+	unread, _ := r.buf.Peek(r.buf.Buffered())
+	for line := range bytes.Lines(unread) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte(headRetry)) && bytes.HasSuffix(value, []byte("\n")) {
+			return readWait(string(value))
+		}
+	}
+	return 0
 }
 
 // begins tells whether what comes next is text, waiting only for as long as it may be.
