Take calls called off, and waits told by a shut destination, as signs of an outage for all of it

(3) The credit of an endpoint set aside grew while a told wait held it, so all nodes had one call at its end. Change: a called off call that sat out its silence is a sign like a time-out; a told wait of 2 s sets aside all endpoints of the lane whatever the number of nodes; credit stands still during the wait. Not gone: open.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -201,7 +201,8 @@
 			// Danger: each of many nodes meets an outage but once, by a refused connection too, and pushes on the
 			// destination when it is back; all come when the wait ends that a shut one told. And one call may
 			// have sat out a silence alone: when it ends, the backlog follows.
-			mute, luck := how == port.TimedOut && took >= shutWait && n.eps.ackAt[ep] < c.at, n.chance.float()
+			mute, luck := (how == port.TimedOut && took >= shutWait || how == port.Cancelled && took >= leastOut) &&
+				n.eps.ackAt[ep] < c.at, n.chance.float()
 			limit := n.lanes.limit[n.eps.lane[ep]]
 			many := n.lanes.nodes > limit*float64(n.eps.back.FallAfter)/float64(second)
 			sure := mute || wait >= shutWait || (how == port.ConnectFailed &&
@@ -213,7 +214,7 @@
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
 				for _, sib := range n.byDest[e.dest] { // danger: an outage takes all, and each is tried by many
-					if sure && many && n.eps.lane[sib] == n.eps.lane[ep] && n.eps.ackAt[sib] < n.eps.failedAt[ep] {
+					if sure && (many || wait >= shutWait) && n.eps.lane[sib] == n.eps.lane[ep] && n.eps.ackAt[sib] < n.eps.failedAt[ep] {
 						n.eps.setAside(sib, n.now, n.chance.float())
 					}
 				}
@@ -223,6 +224,11 @@
 					n.out.TellGood(ep)
 				}
 			}
+			for _, sib := range n.byDest[e.dest] { // danger: saved up during a told wait, credit is spent by all at its end
+				if n.eps.aside[sib] && n.eps.lane[sib] == n.eps.lane[ep] {
+					n.eps.creditAt[sib] = max(n.eps.creditAt[sib], n.lanes.waitUntil[n.eps.lane[ep]])
+				}
+			}
 		}
 		if c.events--; c.events == 0 {
 			lane := n.eps.lane[ep]
@@ -592,7 +598,7 @@
 
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full, sure bool, luck float64) {
 	switch {
-	case how == port.Unsent, how == port.Cancelled, how == port.Spoilt, how == port.Declined && full && !sure:
+	case how == port.Unsent, how == port.Cancelled && !sure, how == port.Spoilt, how == port.Declined && full && !sure:
 		return // called off, the silence may be of the way there; spoilt, it answers; over a limit, it is not shut
 	case how == port.Acked:
 		if p.aside[ep] {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -358,7 +358,7 @@
 	p.note("cancel " + p.evts[evt])
 	for i := range p.dues {
 		if p.dues[i].evt == evt {
-			p.dues[i].at, p.dues[i].how, p.dues[i].took = p.now, port.Cancelled, 0
+			p.dues[i].at, p.dues[i].how, p.dues[i].took = p.now, port.Cancelled, p.now-p.outs[evt].at
 		}
 	}
 }
