Name unknown settings, refuse impossible ones, and catch the request to stop from the first moment

SIGTERM was caught only once all was open: before that it ended the process wherever it stood. Change: those values end the start with place, value and what was wanted; one line names what nothing reads; without a fall there is no cold share; the signal is caught before the first file is read.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -637,6 +637,9 @@
 // may tells if a cold endpoint bears one more call. Danger: pushed over it stays down. All that met it share.
 func (p *endpoints) may(ep int32, now int64, rate, nodes float64) bool {
 	warm, until := p.back.ColdShare, now
+	if p.back.FallAfter <= 0 || p.back.FallMultiple <= 0 { // nothing falls there
+		return true
+	}
 	if !p.aside[ep] {
 		if until = p.warmAt[ep]; until < 0 || now-until >= p.back.WarmAfter {
 			return true
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -153,10 +153,13 @@
 		p.decl = append(p.decl, port.StreamType{SLO: dur("slo"), MaxAge: dur("age"), Utility: num("utility"),
 			LateUtility: num("late"), Window: dur("window"), Ordered: num("ordered") > 0, ByZone: num("zone") > 0,
 			Safety: port.Safety(slices.Index([]string{"idempotent", "deduplicated", "once"}, w[2]))})
-	case "start": // start with slots N sends N nodes N pause D percall N routes 1 asked 1 pushed 1
+	case "start": // start with slots N sends N nodes N pause D percall N routes 1 asked 1 pushed 1 firm 1
 		p.room.Slots, p.room.Sends = cmp.Or(int(num("slots")), p.room.Slots), cmp.Or(int(num("sends")), p.room.Sends)
 		p.fleet = port.Fleet{Nodes: int(num("nodes")), Notes: true}
 		p.pause = dur("pause")
+		if num("firm") > 0 {
+			p.back = port.Recovery{}
+		}
 		p.kinds = []port.Partner{{PerCall: max(1, int(num("percall"))), Routes: num("routes") > 0}}
 		p.dir = port.Directory{Asked: num("asked") > 0, Pushed: num("pushed") > 0}
 	case "at", "to":
--- a/cmd/jaspersill/main_test.go
+++ b/cmd/jaspersill/main_test.go
@@ -95,6 +95,38 @@
 	}
 }
 
+func TestAskedToStopWhileStartingItEndsInOrder(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(name, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), child+"=1", "RELAY_CONFIG="+name, "RELAY_STATE="+t.TempDir())
+	c.Stderr = io.Discard
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	file, err := os.OpenFile(name, os.O_WRONLY, 0) // returns once it is being read
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		c.Process.Signal(syscall.SIGTERM)
+	}
+	file.Write(regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAll(text, []byte("127.0.0.1:0")))
+	file.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	if err := wait(t, "it ends", ended); err != nil {
+		t.Errorf("it did not end in order: %v", err)
+	}
+}
+
 func TestBadStartsEndWithAMessage(t *testing.T) {
 	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
--- a/cmd/jaspersill/serve.go
+++ b/cmd/jaspersill/serve.go
@@ -21,6 +21,9 @@
 
 // serve runs the delivery node.
 func serve(gate *logs.Gate, own string, replaced <-chan os.Signal) error {
+	// Danger: caught only once all is open, a request to stop would end the process in the middle of its start.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	platform := os.Getenv(platformFile)
 	t, s, b, err := read(platform, own)
 	if err != nil {
@@ -30,6 +33,10 @@
 	stopTelling := make(chan struct{})
 	defer close(stopTelling)
 	go gate.Run(logrus.StandardLogger(), stopTelling)
+	if len(s.Unknown) > 0 {
+		logs.Part("settings").WithField("names", strings.Join(s.Unknown, " ")).
+			Info("the platform tells settings that nothing here reads")
+	}
 	if cores := b.Share("limits.cores"); cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cores)))
 	}
@@ -59,8 +66,6 @@
 	}
 	apply(gate, n, b)
 	go follow(replaced, gate, n, platform, own, b)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	return n.Run(ctx)
 }
 
--- a/start/start.go
+++ b/start/start.go
@@ -31,8 +31,9 @@
 	LeftAt, LimitAt int  // where a load report holds the share left and the limit, -1 for nowhere
 
 	TypeNames, CustomerNames, PartnerNames, ZoneNames []string
-	Tick                                              int64 // least time between rounds
-	IdleFor, ConnectWithin                            int64 // connections: longest idle; to come up
+	Unknown                                           []string // settings that nothing reads
+	Tick                                              int64    // least time between rounds
+	IdleFor, ConnectWithin                            int64    // connections: longest idle; to come up
 }
 
 // maxListed bounds a count claimed by the env text.
@@ -40,15 +41,39 @@
 
 type reader struct {
 	values map[string]string
+	known  map[string]bool // names that were asked for
 	err    error
 }
 
+// get returns what a name was told, and whether it was.
+func (e *reader) get(name string) (string, bool) {
+	e.known[name] = true
+	v, ok := e.values[name]
+	return v, ok
+}
+
+func (e *reader) word(name string) string {
+	v, _ := e.get(name)
+	return v
+}
+
+// unknown lists the names that were told and that nothing asked for, in order.
+func (e *reader) unknown() (names []string) {
+	for name := range e.values {
+		if !e.known[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (e *reader) fail(name, value, want string) {
 	e.err = errors.Join(e.err, fmt.Errorf("settings: %s: want %s, got %q", name, want, value))
 }
 
 func (e *reader) text(name string, words ...string) string {
-	v, ok := e.values[name]
+	v, ok := e.get(name)
 	if !ok {
 		e.fail(name, "", "a value")
 		return ""
@@ -65,7 +90,7 @@
 }
 
 func (e *reader) number(name string, needed bool) float64 {
-	v, ok := e.values[name]
+	v, ok := e.get(name)
 	if !ok && !needed {
 		return 0
 	}
@@ -80,18 +105,27 @@
 func (e *reader) count(name string, needed bool) int {
 	f := e.number(name, needed)
 	if f != math.Trunc(f) || f > 1e9 {
-		e.fail(name, e.values[name], "a whole number")
+		e.fail(name, e.word(name), "a whole number")
 		return 0
 	}
 	return int(f)
 }
 
+// atLeast is a whole number under which nothing could be done.
+func (e *reader) atLeast(least int, name string) int {
+	n := e.count(name, true)
+	if _, told := e.get(name); told && n < least && e.err == nil {
+		e.fail(name, e.word(name), fmt.Sprintf("%d or more", least))
+	}
+	return n
+}
+
 func (e *reader) time(name string, needed bool) int64 {
 	return int64(math.Round(e.number(name, needed) * 1e6))
 }
 
 func (e *reader) flag(name string) bool {
-	v, ok := e.values[name]
+	v, ok := e.get(name)
 	if ok && v != "true" && v != "false" {
 		e.fail(name, v, "true or false")
 	}
@@ -101,7 +135,7 @@
 func (e *reader) listed(name string) int {
 	n := e.count(name, false)
 	if n > maxListed {
-		e.fail(name, e.values[name], "at most 4096")
+		e.fail(name, e.word(name), "at most 4096")
 		return 0
 	}
 	return n
@@ -166,17 +200,17 @@
 }
 
 func read(values map[string]string) (Start, error) {
-	e := &reader{values: values}
+	e := &reader{values: values, known: make(map[string]bool)}
 	var s Start
 	halving := false
-	if _, ok := e.values["family_info.late"]; ok {
+	if _, ok := e.get("family_info.late"); ok {
 		halving = e.text("family_info.late", "even", "by_half") == "by_half"
 	}
 	safeties := map[string]port.Safety{
 		"repeatable": port.Idempotent, "by_key": port.Deduplicated, "once": port.NonIdempotent}
 	types := e.listed("services.count")
 	if types == 0 && e.err == nil {
-		e.fail("services.count", e.values["services.count"], "1 or more")
+		e.fail("services.count", e.word("services.count"), "1 or more")
 	}
 	for i := range types {
 		at := "services." + strconv.Itoa(i) + "."
@@ -190,25 +224,28 @@
 			Ordered:     e.flag(at + "sequential"),
 			Halving:     halving,
 		}
+		if t.MaxAge == 0 && e.err == nil {
+			e.fail(at+"deadline_ms", e.word(at+"deadline_ms"), "over 0")
+		}
 		if t.Safety == port.Deduplicated {
 			t.Window = e.time(at+"memory_span_ms", true)
 			t.ByZone = e.text(at+"group", "all", "zone", "cell") == "zone"
 		}
 		s.Types = append(s.Types, t)
-		s.TypeNames = append(s.TypeNames, e.values[at+"name"])
+		s.TypeNames = append(s.TypeNames, e.word(at+"name"))
 	}
 	for i := range e.listed("projects.count") {
 		s.Customers = append(s.Customers,
 			port.Customer{Rate: e.number("projects."+strconv.Itoa(i)+".quota_rps", true)})
-		s.CustomerNames = append(s.CustomerNames, e.values["projects."+strconv.Itoa(i)+".name"])
+		s.CustomerNames = append(s.CustomerNames, e.word("projects."+strconv.Itoa(i)+".name"))
 	}
 	s.OverShare = 1
-	if _, ok := e.values["over_share_worth"]; ok {
+	if _, ok := e.get("over_share_worth"); ok {
 		s.OverShare = e.number("over_share_worth", true)
 	}
-	perCall := split(e.values["family_info.per_call"])
-	routes := split(e.values["family_info.own_limits"])
-	s.PartnerNames, s.ZoneNames = split(e.text("models")), split(e.values["areas"])
+	perCall := split(e.word("family_info.per_call"))
+	routes := split(e.word("family_info.own_limits"))
+	s.PartnerNames, s.ZoneNames = split(e.text("models")), split(e.word("areas"))
 	for i := range s.PartnerNames {
 		p := port.Partner{PerCall: 1}
 		if i < len(perCall) {
@@ -227,9 +264,9 @@
 		s.Partners = append(s.Partners, p)
 	}
 	s.Room = port.Room{
-		Slots:   e.count("family_info.slots", true),
-		Events:  e.count("ceilings.max_open", true),
-		Sends:   e.count("ceilings.max_attempts", true),
+		Slots:   e.atLeast(1, "family_info.slots"),
+		Events:  e.atLeast(1, "ceilings.max_open"),
+		Sends:   e.atLeast(1, "ceilings.max_attempts"),
 		Cancels: e.flag("ceilings.cancel"),
 	}
 	if e.flag("ceilings.retry_after") {
@@ -247,16 +284,17 @@
 	}
 	s.Fleet = port.Fleet{
 		Me:     e.count("me", true),
-		Nodes:  max(1, e.count("replicas_of_me", true)),
+		Nodes:  e.atLeast(1, "replicas_of_me"),
 		Notes:  e.flag("ceilings.peer_messages"),
 		Probes: e.flag("ceilings.probes"),
 	}
-	s.Rated = e.values["weight_kind"] == "nominal" || e.values["weight_kind"] == "rough"
-	names := split(e.values["feedback.names"])
+	s.Rated = e.word("weight_kind") == "nominal" || e.word("weight_kind") == "rough"
+	names := split(e.word("feedback.names"))
 	s.LeftAt, s.LimitAt = slices.Index(names, "x0"), slices.Index(names, "x1")
 	s.OrderPause = e.time("rules.order_pause_ms", false)
 	s.Tick, s.IdleFor = e.time("tick_ms", false), e.time("ceilings.conn_idle_ms", false)
 	s.ConnectWithin = e.time("ceilings.connect_timeout_ms", false)
+	s.Unknown = e.unknown()
 	return s, e.err
 }
 
--- a/start/start_test.go
+++ b/start/start_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(a, b) {
+	if b.Unknown = a.Unknown; !reflect.DeepEqual(a, b) { // a null is nothing told
 		t.Errorf("lines %+v\nJSON %+v", a, b)
 	}
 	if a.TypeNames[0] != Name("fleet alert") || a.CustomerNames[1] != Name("a,b c") || a.LimitAt != 0 ||
@@ -68,6 +68,9 @@
 		a.Room.ComeBack != 1500.5*1e6 {
 		t.Errorf("read %+v", a)
 	}
+	if len(a.Unknown) != 1 || a.Unknown[0] != "unknown.key" {
+		t.Errorf("unknown: %q", a.Unknown)
+	}
 }
 
 func TestBadSettingsAreNamed(t *testing.T) {
@@ -77,6 +80,11 @@
 		{`"by_key"`, `"sometimes"`, "services.0.semantics: want one of repeatable by_key once"},
 		{`"slots":5`, `"slots":5.5`, "family_info.slots: want a whole number"},
 		{`"retry_after":true`, `"retry_after":"yes"`, "ceilings.retry_after: want true or false"},
+		{`"slots":5`, `"slots":0`, `settings: family_info.slots: want 1 or more, got "0"`},
+		{`"max_open":50`, `"max_open":0`, `ceilings.max_open: want 1 or more, got "0"`},
+		{`"max_attempts":4`, `"max_attempts":0`, `ceilings.max_attempts: want 1 or more, got "0"`},
+		{`"replicas_of_me":2`, `"replicas_of_me":0`, `replicas_of_me: want 1 or more, got "0"`},
+		{`"deadline_ms":9000`, `"deadline_ms":0`, `services.0.deadline_ms: want over 0, got "0"`},
 		{nested, "", "settings: "},
 		{nested, "[]", "settings: "},
 	} {
