--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,12 +5,6 @@
 // its max age, under the companion pace. A lane shares one limit: a destination, or a route apart.
 //
 // Beside the design stand these mechanisms:
-//  1. Endpoint health: one with failures in a row, or silent past its time, is set aside and tried singly.
-//  2. Cold return: one that was set aside is sent our part of the rule's budget until it can be warm.
-//  3. Send time-outs: from an endpoint's measured answer times, doubling with each time-out in a row.
-//  4. Ranked choice: a destination's endpoints in an order renewed by a timer, filled from the top.
-//  5. Slot shares: a lane holds at most as many slots as are left free.
-//  6. Dead connections: idle ones are closed while calls after idle times, or connects, are lost.
 package choice
 
 import (
@@ -51,12 +45,12 @@
 	windowTries  = 2              // a send takes at most this part of its window: the rest is for a repeat
 	askFirst     = second / 2     // first delay before the directory is asked again, doubling
 	askMost      = 3 * second / 2 // longest such delay: what it has counts as told 6 s after it can be reached
-	askOut       = 4 * second     // a call that told nothing for so long is asked again: the socket side gives up sooner
-	askHold      = 1 * second     // a new process holds its sends so long for the first list, where lists are pushed
+	askOut       = 4 * second     // a call that told nothing so long is asked again: sockets give up sooner
+	askHold      = 1 * second     // sends wait so long for the first list, where lists are pushed
 	coldRoom     = 0.95           // part of the budget that is used: the told limit is under what they can do
 	coldMet      = 2.0            // calls an endpoint is sent in an outage, in parts of its limit: repeats too
 	coldChance   = 1.5            // deviations of chance that many nodes leave free in the budget
-	coldLeast    = 0.2            // part of it that is used all the same: an endpoint never tried never comes back
+	coldLeast    = 0.2            // part of it that is used all the same: untried, an endpoint stays away
 	guessLimit   = 2.0            // calls a second taken where no limit is told: about the least there is
 
 	asideAfter  = 2              // failures in a row that set an endpoint aside: one alone may be chance
@@ -214,7 +208,8 @@
 			if !was && n.eps.aside[ep] {
 				n.out.Log("endpoint set aside", ep)
 				for _, sib := range n.byDest[e.dest] { // danger: an outage takes all, and each is tried by many
-					if sure && (many || wait >= shutWait) && n.eps.lane[sib] == n.eps.lane[ep] && n.eps.ackAt[sib] < n.eps.failedAt[ep] {
+					if sure && (many || wait >= shutWait) && n.eps.lane[sib] == n.eps.lane[ep] &&
+						n.eps.ackAt[sib] < n.eps.failedAt[ep] {
 						n.eps.setAside(sib, n.now, n.chance.float())
 					}
 				}
@@ -224,7 +219,7 @@
 					n.out.TellGood(ep)
 				}
 			}
-			for _, sib := range n.byDest[e.dest] { // danger: saved up during a told wait, credit is spent by all at its end
+			for _, sib := range n.byDest[e.dest] { // danger: saved up during a told wait, all spend credit at its end
 				if n.eps.aside[sib] && n.eps.lane[sib] == n.eps.lane[ep] {
 					n.eps.creditAt[sib] = max(n.eps.creditAt[sib], n.lanes.waitUntil[n.eps.lane[ep]])
 				}
@@ -521,8 +516,9 @@
 	n.out.Send(evt, ep, timeout)
 }
 
-// joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none. Danger: a
-// call ends as a whole, so events that must wait for their answer share none with those that are soon repeated.
+// joinable is the call opened in this round to an endpoint, if it has room for one more event, -1 for none.
+// Danger: a call ends as a whole, so events that must wait for their answer share none with those that are
+// soon repeated.
 func (n *Node) joinable(ep int32, t *port.StreamType) int32 {
 	last := n.lanes.last[n.eps.lane[ep]][patient(t)]
 	if last >= 0 && n.calls[last].round == n.round && n.calls[last].endpoint == ep &&
@@ -598,7 +594,8 @@
 
 func (p *endpoints) judge(ep int32, now int64, how port.Outcome, took int64, full, sure bool, luck float64) {
 	switch {
-	case how == port.Unsent, how == port.Cancelled && !sure, how == port.Spoilt, how == port.Declined && full && !sure:
+	case how == port.Unsent, how == port.Spoilt,
+		!sure && (how == port.Cancelled || how == port.Declined && full):
 		return // called off, the silence may be of the way there; spoilt, it answers; over a limit, it is not shut
 	case how == port.Acked:
 		if p.aside[ep] {
@@ -788,8 +785,8 @@
 	}
 }
 
-// holds: danger: the list kept from before a restart is old, and where lists are pushed, what came since counts
-// from the first moment. One that cannot be reached must not hold back what is owed.
+// holds: danger: the list kept from before a restart is old, and where lists are pushed, what came since
+// counts from the first moment. One that cannot be reached must not hold back what is owed.
 func (d *directory) holds(now int64) bool { return d.pushed && !d.heard && now < d.firstAsk+askHold }
 
 // failed plans the next call: the notice does not say whether a watch still stands.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -19,10 +19,11 @@
 //	at TIME: NEWS; NEWS => DECISIONS     one round
 //	to TIME => DECISIONS                 a round each 10 ms until then
 //
-// News: event E TYPE DEST [left D] [key N] [sends N] [ran D], the last two for one from before a restart | OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP | full LEAST MOST |
-// list full|delta|failed EP:DEST[:STATE[:ZONE]]... | reply EP OUTCOME D [limit N], which answers the sends to EP.
-// Decisions, in order, all of them: send E EP | decline E | discard E | cancel E | watch | good EP, each with
-// [@FROM..TO] for its time; or "sends EP FROM..TO" for how many go to EP and nothing said of the rest.
+// News: event E TYPE DEST [left D] [key N] [sends N] [ran D], the last two for one from before a restart |
+// OUTCOME E [wait D] [took D] [limit N] | withdrawn E | good EP | full LEAST MOST | list full|delta|failed
+// EP:DEST[:STATE[:ZONE]]... | reply EP OUTCOME D [limit N], which answers the sends to EP. Decisions, in
+// order, all of them: send E EP | decline E | discard E | cancel E | watch | good EP, each with [@FROM..TO]
+// for its time; or "sends EP FROM..TO" for how many go to EP and nothing said of the rest.
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
--- a/cmd/jaspersill/serve.go
+++ b/cmd/jaspersill/serve.go
@@ -56,7 +56,7 @@
 			Known:      t.Known,
 		},
 		node.Limits{DiskMB: float64(b.Bytes("limits.disk")) / 1e6, Sockets: b.Count("limits.descriptors")},
-		node.Guests{First: b.Span("clients.first"), Whole: b.Span("clients.whole"),
+		node.ClientTimes{First: b.Span("clients.first"), Whole: b.Span("clients.whole"),
 			Between: b.Span("clients.between")},
 		s,
 		module,
--- a/lab/loopback/node_bench_test.go
+++ b/lab/loopback/node_bench_test.go
@@ -51,7 +51,7 @@
 		0,
 	)
 	n, err := node.Open(node.Place{Listen: listen, Directory: s.Directory(0), Folder: b.TempDir()},
-		node.Limits{DiskMB: 64, Sockets: 4096}, node.Guests{}, told, module)
+		node.Limits{DiskMB: 64, Sockets: 4096}, node.ClientTimes{}, told, module)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -15,7 +15,7 @@
 const (
 	burstTime  = 0.25             // seconds of a plain rate that may come at once
 	bucketTime = int64(1e8)       // ns in which offered calls are counted for the rule on cold returns
-	fallChance = 2.0              // deviations of chance over the rule's multiple that push nobody over: the platform's
+	fallChance = 2.0              // deviations of chance that push nobody over: the platform's figure
 	fallSpare  = 2                // and so many calls beyond
 	leastWait  = int64(100e6)     // ns; a told wait is at least this
 	never      = int64(1<<63 - 1) // an answer that does not come
--- a/node/clients.go
+++ b/node/clients.go
@@ -37,10 +37,10 @@
 
 // clients serves those who hand events in.
 type clients struct {
-	node   *Node
-	door   *doorman
-	answer func(*fasthttp.RequestCtx) // a request that could be read
-	bad    tally
+	node     *Node
+	listener *listener
+	answer   func(*fasthttp.RequestCtx) // a request that could be read
+	bad      tally
 }
 
 // Buffers are only held while a request is read and answered: most connections rest most of the time.
@@ -54,23 +54,23 @@
 
 func (quiet) Printf(format string, args ...any) { logs.Part("clients").Debugf(format, args...) }
 
-func openClients(n *Node, listen string, g Guests, most, keep int) (*clients, error) {
+func openClients(n *Node, listen string, times ClientTimes, most, keep int) (*clients, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, door: newDoorman(l, most, keep),
+	c := &clients{node: n, listener: newListener(l, most, keep),
 		bad: tally{part: "clients", what: "refused what is no event"}}
-	c.door.first, c.door.between = cmp.Or(g.First, firstWithin), cmp.Or(g.Between, clientIdle)
-	c.door.request = cmp.Or(g.Whole, readWithin)
+	c.listener.first, c.listener.between = cmp.Or(times.First, firstWithin), cmp.Or(times.Between, clientIdle)
+	c.listener.request = cmp.Or(times.Whole, readWithin)
 	c.answer = c.handle
 	return c, nil
 }
 
-// serve accepts connections until the doorman closes.
+// serve accepts connections until the listener closes.
 func (c *clients) serve() error {
 	for {
-		g, err := c.door.accept()
+		g, err := c.listener.accept()
 		if err != nil {
 			return err
 		}
@@ -79,16 +79,16 @@
 }
 
 // attend serves one connection to its end.
-func (c *clients) attend(g *guest) {
+func (c *clients) attend(g *clientConn) {
 	defer g.end()
 	for g.rest() && c.answerAll(g) {
 		g.idle()
 	}
 }
 
-// answerAll answers a request that begins to come, and those that were read along with it: what was read is not left
-// unanswered. It tells whether the connection stays open.
-func (c *clients) answerAll(g *guest) bool {
+// answerAll answers a request that begins to come, and those that were read along with it: what was read is
+// not left unanswered. It tells whether the connection stays open.
+func (c *clients) answerAll(g *clientConn) bool {
 	in, ctx := readers.Get().(*bufio.Reader), contexts.Get().(*fasthttp.RequestCtx)
 	defer readers.Put(in)
 	defer contexts.Put(ctx)
@@ -106,9 +106,9 @@
 	}
 }
 
-// answerOne reads and answers one request. It tells whether the connection stays open: one that is busy while the
-// delivery node drains ends with the last request that was read from it.
-func (c *clients) answerOne(ctx *fasthttp.RequestCtx, in *bufio.Reader, g *guest) bool {
+// answerOne reads and answers one request. It tells whether the connection stays open: one that is busy
+// while the delivery node drains ends with the last request that was read from it.
+func (c *clients) answerOne(ctx *fasthttp.RequestCtx, in *bufio.Reader, g *clientConn) bool {
 	ctx.Request.Reset()
 	ctx.Response.Reset()
 	switch err := readRequest(&ctx.Request, in, g); {
@@ -136,7 +136,7 @@
 }
 
 // readRequest reads a request whole; a client that asks first whether it may send its body is told to.
-func readRequest(req *fasthttp.Request, in *bufio.Reader, g *guest) error {
+func readRequest(req *fasthttp.Request, in *bufio.Reader, g *clientConn) error {
 	if err := req.Header.Read(in); err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 
 func (c *clients) handle(ctx *fasthttp.RequestCtx) {
 	path, framed := string(ctx.Path()), isFramed(ctx.Request.Header.RawHeaders())
-	if g, ok := ctx.Conn().(*guest); ok {
+	if g, ok := ctx.Conn().(*clientConn); ok {
 		g.read(framed && (path == pathReady || path == pathHandIn))
 	}
 	switch {
--- a/node/directory.go
+++ b/node/directory.go
@@ -26,7 +26,7 @@
 
 const (
 	lineEvery   = 2 * time.Second                  // a watch shows a sign of life so often: the protocol's
-	silentAfter = lineEvery + 500*time.Millisecond // one that shows none for longer is broken: the way here, twice
+	silentAfter = lineEvery + 500*time.Millisecond // without one for longer it is broken
 	listPath    = "/discovery/hosts"
 	mostList    = 16 << 20 // bytes of one list: far above the largest fleet
 
@@ -190,8 +190,8 @@
 	return ctx.Err()
 }
 
-// signs tells of the signs of life on a watch, and of those with nothing but an empty line. Danger: a list that
-// never ends would fill the memory, so there is an end to what is read of one.
+// signs tells of the signs of life on a watch, and of those with nothing but an empty line. Danger: a list
+// that never ends would fill the memory, so there is an end to what is read of one.
 type signs struct {
 	body io.Reader
 	left int
@@ -210,8 +210,8 @@
 	return n, err
 }
 
-// list reads one version of the list, or what changed since the last, and hands it in; of is nil for the list that
-// is known at the start.
+// list reads one version of the list, or what changed since the last, and hands it in; of is nil for the
+// list that is known at the start.
 func (d *directory) list(of *watch, text []byte) error {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
@@ -262,7 +262,7 @@
 		return nil
 	}
 	seq := v.GetUint64("seq")
-	if seq < d.seq && !whole { // danger: while one watch follows another, a change may come again behind a later one
+	if seq < d.seq && !whole { // danger: while one watch follows another, a change may come again behind a later
 		list = nil
 	} else {
 		d.seq = seq
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -185,7 +185,9 @@
 // dialer connects for so long, 0 for no limit but the call's own.
 func dialer(within int64) func(context.Context, string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(within)}
-	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}
 }
 
 // sweep closes idle connections in time, until stop.
--- a/node/doorman.go
+++ b/node/listener.go
@@ -12,36 +12,37 @@
 	silentGrace = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
 	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
 	idleGrace   = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
-	endWithin   = 300 * time.Millisecond // a client that heard the end of its connection closes it: there and back
+	endWithin   = 300 * time.Millisecond // a client that heard of the end closes too: there and back
 )
 
-// doorman accepts clients' connections, up to a limit. When short it closes first those that never asked for
+// listener accepts clients' connections, up to a limit. When short it closes first those that never asked for
 // anything that could be read, then those whose request does not come whole, then those that wait between
 // requests, the longest first each. If there are none, new ones wait for one.
-type doorman struct {
+type listener struct {
 	net.Listener
 	most int // connections in all
 	keep int // of them, between requests
 
-	first, request, between time.Duration // until the first request is whole; from a later one's first byte; between two
+	// until the first request is whole; from a later one's first byte until it is; between two
+	first, request, between time.Duration
 
 	accepts trouble
 	mu      sync.Mutex
 	freed   sync.Cond
-	open    map[*guest]struct{}
+	open    map[*clientConn]struct{}
 	shut    bool
 }
 
-// guest is a client's connection. It waits in rest, is busy from the first byte of a request until idle, and ends
-// with end. What may end its waiting for bytes is decided under the doorman's lock.
-type guest struct {
+// clientConn is a client's connection. It waits in rest, is busy from the first byte of a request until
+// idle, and ends with end. What may end its waiting for bytes is decided under the listener's lock.
+type clientConn struct {
 	net.Conn
-	door  *doorman
-	came  time.Time
-	since time.Time // of its first byte, or of its last answer
-	woken [1]byte   // the first byte of a request
-	holds bool      // that byte was not read on yet
-	wrote bool      // something was answered
+	listener *listener
+	came     time.Time
+	since    time.Time // of its first byte, or of its last answer
+	woken    [1]byte   // the first byte of a request
+	holds    bool      // that byte was not read on yet
+	wrote    bool      // something was answered
 
 	busy    bool // bytes of a request have been read and its answer is not written
 	whole   bool // all of them
@@ -53,17 +54,17 @@
 
 var longAgo = time.Unix(1, 0)
 
-func newDoorman(l net.Listener, most, keep int) *doorman {
-	d := &doorman{Listener: l, most: most, keep: keep, first: firstWithin, request: readWithin,
+func newListener(l net.Listener, most, keep int) *listener {
+	d := &listener{Listener: l, most: most, keep: keep, first: firstWithin, request: readWithin,
 		between: clientIdle,
 		accepts: trouble{part: "clients", what: "accepting connections"},
-		open:    make(map[*guest]struct{})}
+		open:    make(map[*clientConn]struct{})}
 	d.freed.L = &d.mu
 	return d
 }
 
 // accept returns the next connection. It waits while there is no room for one.
-func (d *doorman) accept() (*guest, error) {
+func (d *listener) accept() (*clientConn, error) {
 	c, err := d.Listener.Accept()
 	for err != nil {
 		if errors.Is(err, net.ErrClosed) {
@@ -79,7 +80,7 @@
 	}
 	d.accepts.note(nil)
 	now := time.Now()
-	g := &guest{Conn: c, door: d, came: now, since: now}
+	g := &clientConn{Conn: c, listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
@@ -92,10 +93,10 @@
 	return g, nil
 }
 
-// makeRoom hurries a connection that is ending, or asks one to close. Danger: hundreds that say nothing, or begin requests and never end
-// them, keep the usual clients out.
-func (d *doorman) makeRoom(now time.Time) {
-	var worst *guest
+// makeRoom hurries a connection that is ending, or asks one to close. Danger: hundreds that say nothing, or
+// begin requests and never end them, keep the usual clients out.
+func (d *listener) makeRoom(now time.Time) {
+	var worst *clientConn
 	rank, soon := 0, false
 	for g := range d.open {
 		r := 0
@@ -131,7 +132,7 @@
 }
 
 // closeIdle asks up to so many connections to close that wait between requests.
-func (d *doorman) closeIdle(most int) {
+func (d *listener) closeIdle(most int) {
 	for g := range d.open {
 		if most > 0 && !g.busy && !g.leaving {
 			g.leave()
@@ -141,26 +142,26 @@
 }
 
 // leave asks a connection between requests to close: its reader does, unless a request comes first.
-func (g *guest) leave() {
+func (g *clientConn) leave() {
 	g.leaving = true
 	g.SetReadDeadline(longAgo)
 }
 
 // dismiss closes all connections that wait between requests.
-func (d *doorman) dismiss() {
+func (d *listener) dismiss() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closeIdle(len(d.open))
 }
 
 // empty tells whether all connections are closed.
-func (d *doorman) empty() bool {
+func (d *listener) empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.open) == 0
 }
 
-func (d *doorman) Close() error {
+func (d *listener) Close() error {
 	d.mu.Lock()
 	d.shut = true
 	d.freed.Broadcast()
@@ -168,19 +169,19 @@
 	return d.Listener.Close()
 }
 
-// rest waits for the first byte of the next request. It tells false if none came in time, or if the connection was
-// asked to close before: the byte or the asking, whichever the doorman's lock sees first.
-func (g *guest) rest() bool {
-	g.door.mu.Lock()
+// rest waits for the first byte of the next request. It tells false if none came in time, or if the
+// connection was asked to close before: the byte or the asking, whichever the listener's lock sees first.
+func (g *clientConn) rest() bool {
+	g.listener.mu.Lock()
 	if g.leaving {
-		g.door.mu.Unlock()
+		g.listener.mu.Unlock()
 		return false
 	}
-	g.within(g.door.between)
-	g.door.mu.Unlock()
+	g.within(g.listener.between)
+	g.listener.mu.Unlock()
 	n, _ := g.Conn.Read(g.woken[:])
-	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
 	if n == 0 {
 		g.leaving = true
 		return false
@@ -190,31 +191,33 @@
 	return true
 }
 
-// begin marks that a request comes. Danger: closed after its request was read, it would leave that unanswered.
-func (g *guest) begin() {
+// begin marks that a request comes. Danger: closed after its request was read, it would leave that
+// unanswered.
+func (g *clientConn) begin() {
 	g.busy, g.whole, g.leaving, g.since = true, false, false, time.Now()
-	g.within(g.door.request)
+	g.within(g.listener.request)
 }
 
 // next marks that one more request has begun to come behind the last.
-func (g *guest) next() {
-	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
+func (g *clientConn) next() {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
 	g.begin()
 }
 
-// within gives the client so long for what comes next, and for its first request no more than is left of the time
-// since it connected. Danger: by a byte now and then, or none, it would keep its connection for good.
-func (g *guest) within(d time.Duration) {
+// within gives the client so long for what comes next, and for its first request no more than is left of
+// the time since it connected. Danger: by a byte now and then, or none, it would keep its connection for
+// good.
+func (g *clientConn) within(d time.Duration) {
 	t := time.Now().Add(d)
-	if first := g.came.Add(g.door.first); !g.asked && t.After(first) {
+	if first := g.came.Add(g.listener.first); !g.asked && t.After(first) {
 		t = first
 	}
 	g.SetReadDeadline(t)
 }
 
 // Read reads on from the byte that ended the rest.
-func (g *guest) Read(b []byte) (int, error) {
+func (g *clientConn) Read(b []byte) (int, error) {
 	if g.holds && len(b) > 0 {
 		g.holds = false
 		b[0] = g.woken[0]
@@ -224,16 +227,16 @@
 }
 
 // read marks that a request has come whole; good tells whether it was one.
-func (g *guest) read(good bool) {
-	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
+func (g *clientConn) read(good bool) {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
 	g.whole, g.asked = true, g.asked || good
 }
 
 // trim closes the connection idle longest when more wait between requests than are kept. Danger: clients may
 // hold so many; where many ask once and keep theirs, the next one cannot connect and is refused.
-func (d *doorman) trim() {
-	var oldest *guest
+func (d *listener) trim() {
+	var oldest *clientConn
 	idle := 0
 	for g := range d.open {
 		if !g.busy && !g.leaving && g.asked {
@@ -248,31 +251,31 @@
 }
 
 // idle marks that the answer was written.
-func (g *guest) idle() {
-	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
+func (g *clientConn) idle() {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
 	g.busy, g.since = false, time.Now()
-	g.door.trim()
-	if len(g.door.open) >= g.door.most {
-		g.door.freed.Signal()
+	g.listener.trim()
+	if len(g.listener.open) >= g.listener.most {
+		g.listener.freed.Signal()
 	}
 }
 
 // Write notes that there are answers which the end of the connection must not take along.
-func (g *guest) Write(b []byte) (int, error) {
+func (g *clientConn) Write(b []byte) (int, error) {
 	g.wrote = true
 	return g.Conn.Write(b)
 }
 
-// end closes a connection whose answers are written. Danger: closed over unread bytes it is reset, which takes the
-// answers along that are still on their way. It is half closed, and what comes is read out until the client closes
-// too: a request that crossed the end was not answered, and its client hands it in again.
-func (g *guest) end() {
-	g.door.mu.Lock()
+// end closes a connection whose answers are written. Danger: closed over unread bytes it is reset, which
+// takes the answers along that are still on their way. It is half closed, and what comes is read out until
+// the client closes too: a request that crossed the end was not answered, and its client hands it in again.
+func (g *clientConn) end() {
+	g.listener.mu.Lock()
 	g.busy, g.leaving, g.ending, g.since = false, true, true, time.Now()
 	g.SetReadDeadline(g.since.Add(endWithin))
 	gently := g.wrote && !g.hurried
-	g.door.mu.Unlock()
+	g.listener.mu.Unlock()
 	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && gently && half.CloseWrite() == nil {
 		var rest [512]byte
 		for {
@@ -282,8 +285,8 @@
 		}
 	}
 	g.Conn.Close()
-	g.door.mu.Lock()
-	defer g.door.mu.Unlock()
-	delete(g.door.open, g)
-	g.door.freed.Signal()
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	delete(g.listener.open, g)
+	g.listener.freed.Signal()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -20,8 +20,8 @@
 	Known                     []byte // the list of endpoints as it was last had
 }
 
-// Guests is how long clients' connections may take; 0 for the usual time.
-type Guests struct {
+// ClientTimes is how long clients' connections may take; 0 for the usual time.
+type ClientTimes struct {
 	First   time.Duration // from connecting until the first request is whole
 	Whole   time.Duration // from the first byte of each later request
 	Between time.Duration // between two requests
@@ -65,11 +65,11 @@
 }
 
 // Open opens the journal and the sockets of a delivery node; Run starts it.
-func Open(at Place, most Limits, g Guests, s start.Start, module port.Decider) (*Node, error) {
+func Open(at Place, most Limits, times ClientTimes, s start.Start, module port.Decider) (*Node, error) {
 	c := clock{start: time.Now()}
 	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames,
 		owners: s.CustomerNames}
-	n.Drain(drainDoor, drainChoose, drainEnd)
+	n.Drain(drainRest, drainChoose, drainEnd)
 	n.enter(Starting)
 	var err error
 	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
@@ -106,7 +106,7 @@
 		}
 	}
 	if err == nil {
-		n.clients, err = openClients(n, at.Listen, g, max(fewClients, sockets-idle-s.Room.Slots), keep)
+		n.clients, err = openClients(n, at.Listen, times, max(fewClients, sockets-idle-s.Room.Slots), keep)
 	}
 	if err != nil {
 		n.peers.close()
@@ -117,8 +117,9 @@
 }
 
 // Drain sets how long after SIGTERM connections between requests are closed, nothing more is decided, and the
-// node exits. It holds for a drain that begins later, and may be called at any time, as may Silence and Notices.
-func (n *Node) Drain(door, choose, end time.Duration) { n.drain.Store(&drainTimes{door, choose, end}) }
+// node exits. It holds for a drain that begins later, and may be called at any time, as may Silence and
+// Notices.
+func (n *Node) Drain(rest, choose, end time.Duration) { n.drain.Store(&drainTimes{rest, choose, end}) }
 
 // Silence sets for how long a call to the directory may show no sign of life.
 func (n *Node) Silence(most time.Duration) { n.directory.silence.Store(int64(most)) }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -89,7 +89,7 @@
 	s.Directory.Asked = true
 	module := choice.New(1, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	w.Node, err = Open(Place{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), Folder: w.folder,
-		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, Guests{}, s, module)
+		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, ClientTimes{}, s, module)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 	return slices.Clone(w.notices)
 }
 
-func (w *world) address() string { return w.clients.door.Addr().String() }
+func (w *world) address() string { return w.clients.listener.Addr().String() }
 
 // client is a connection to the delivery node.
 type client struct {
@@ -481,8 +481,8 @@
 	return s.Listener.Accept()
 }
 
-// doorOnly is a delivery node of which nothing but the clients' side is there, for so many connections.
-func doorOnly(t *testing.T, most int, answer func(path string)) *world {
+// listenerOnly is a delivery node of which nothing but the clients' side is there, for so many connections.
+func listenerOnly(t *testing.T, most int, answer func(path string)) *world {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -490,23 +490,24 @@
 	}
 	n := &Node{}
 	n.phase.Store(int32(Serving))
-	n.clients = &clients{node: n, door: newDoorman(l, most, most), bad: tally{part: "clients", what: "test"},
+	n.clients = &clients{node: n, listener: newListener(l, most, most),
+		bad: tally{part: "clients", what: "test"},
 		answer: func(ctx *fasthttp.RequestCtx) {
-			ctx.Conn().(*guest).read(true)
+			ctx.Conn().(*clientConn).read(true)
 			answer(string(ctx.Path()))
 		}}
-	t.Cleanup(func() { n.clients.door.Close() })
+	t.Cleanup(func() { n.clients.listener.Close() })
 	return &world{t: t, Node: n}
 }
 
 func TestDoormanClosesIdleConnectionsWhenShort(t *testing.T) {
 	hold := make(chan bool)
-	w := doorOnly(t, 2, func(path string) {
+	w := listenerOnly(t, 2, func(path string) {
 		if path == "/hold" {
 			<-hold
 		}
 	})
-	d := w.clients.door
+	d := w.clients.listener
 	d.Listener = &short{Listener: d.Listener, fails: 2}
 	go w.clients.serve()
 	get := func(c *client, path string) { fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
@@ -573,9 +574,9 @@
 	w := newWorld(t)
 	w.endpoint(1, say(answerOf("200 OK", "", "")))
 	w.run()
-	w.clients.door.mu.Lock()
-	w.clients.door.most = 10
-	w.clients.door.mu.Unlock()
+	w.clients.listener.mu.Lock()
+	w.clients.listener.most = 10
+	w.clients.listener.mu.Unlock()
 	usual, text := w.dial(), request("x", "alert", "1", 8000, "body")
 	usual.hand(text)
 	for i := range 30 {
@@ -599,9 +600,9 @@
 	w := newWorld(t)
 	w.endpoint(1, say(answerOf("200 OK", "", "")))
 	w.run()
-	w.clients.door.mu.Lock()
-	w.clients.door.keep = 3
-	w.clients.door.mu.Unlock()
+	w.clients.listener.mu.Lock()
+	w.clients.listener.keep = 3
+	w.clients.listener.mu.Unlock()
 	var all []*client
 	for i := range 5 {
 		all = append(all, w.dial())
@@ -623,8 +624,8 @@
 }
 
 func TestAConnectionAskedToCloseDoesUnlessARequestCameFirst(t *testing.T) {
-	w := doorOnly(t, 2, func(string) {})
-	d := w.clients.door
+	w := listenerOnly(t, 2, func(string) {})
+	d := w.clients.listener
 	c := w.dial()
 	io.WriteString(c, "half a request")
 	g, err := d.accept()
@@ -670,8 +671,8 @@
 
 // A close over unread bytes resets the connection, and the answers on their way go with it.
 func TestARequestThatCrossesTheEndTakesNoAnswerAlong(t *testing.T) {
-	w := doorOnly(t, 9, func(string) {})
-	d := w.clients.door
+	w := listenerOnly(t, 9, func(string) {})
+	d := w.clients.listener
 	for range 50 {
 		c := w.dial()
 		g, err := d.accept()
@@ -709,7 +710,8 @@
 	c = w.dial()
 	io.WriteString(c, strings.NewReplacer("a\r", "d\r", "b\r", "e\r", "c\r", "f\r").Replace(three))
 	for i := range 3 {
-		if status, connection := c.hear("Connection"); status != statusTaken || (connection == "close") != (i == 2) {
+		status, connection := c.hear("Connection")
+		if status != statusTaken || (connection == "close") != (i == 2) {
 			t.Errorf("request %d of three while draining: %d, Connection: %q", i, status, connection)
 		}
 	}
@@ -731,13 +733,14 @@
 		"no body":        head("b", "Content-Length: 0\r\n"),
 		"no length":      head("c", ""),
 		"a blank before": "\r\n" + head("d", "Content-Length: 3\r\n") + "abc",
-		"a form":         head("e", "Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 3\r\n") + "abc",
-		"the whole URI":  strings.Replace(head("f", "Content-Length: 3\r\n"), "/api", "http://x/api", 1) + "abc",
+		"a form": head("e", "Content-Type: multipart/form-data; boundary=b\r\n"+
+			"Content-Length: 3\r\n") + "abc",
+		"the whole URI": strings.Replace(head("f", "Content-Length: 3\r\n"), "/api", "http://x/api", 1) + "abc",
 	} {
 		for _, piece := range []int{len(text), 7} {
 			c := w.dial()
-			text := strings.NewReplacer("Key: m", fmt.Sprint("Key: m", piece), "REQ-ID: ", fmt.Sprint("REQ-ID: ", piece)).
-				Replace(text)
+			text := strings.NewReplacer("Key: m", fmt.Sprint("Key: m", piece),
+				"REQ-ID: ", fmt.Sprint("REQ-ID: ", piece)).Replace(text)
 			for rest := text; rest != ""; rest = rest[min(piece, len(rest)):] {
 				io.WriteString(c, rest[:min(piece, len(rest))])
 			}
@@ -853,7 +856,8 @@
 }
 
 func TestListsMayBeIndentedAndAreTakenOnlyWhole(t *testing.T) {
-	const first = "{\n  \"seq\": 7,\n  \"whole\": true,\n  \"hosts\": [\n    {\n\n      \"host\": \"a\",\n      \"block\": 3,\n" +
+	const first = "{\n  \"seq\": 7,\n  \"whole\": true,\n  \"hosts\": [\n    {\n\n" +
+		"      \"host\": \"a\",\n      \"block\": 3,\n" +
 		"      \"health\": \"Ready\"\n    }\n  ]\n}\n"
 	const older = `{"seq":6,"whole":false,"hosts":[{"host":"a","block":3,"health":"Gone"}]}` + "\n"
 	const half = `{"seq":9,"whole":false,"hosts":[{"host":"a","block":3,"health":"Gone"}`
--- a/node/phases.go
+++ b/node/phases.go
@@ -26,7 +26,7 @@
 
 // The platform kills 3.7 s after it said to stop, and for the first 0.4 s sends new connections.
 const (
-	drainDoor   = 600 * time.Millisecond  // then waiting connections are closed: their clients go elsewhere
+	drainRest   = 600 * time.Millisecond  // then waiting connections are closed: their clients go elsewhere
 	drainChoose = 2000 * time.Millisecond // then nothing new is decided or taken on: sends out have time to end
 	drainEnd    = 3400 * time.Millisecond // then it exits, whatever is still out
 	drainLast   = 150 * time.Millisecond  // and so much later with answers unwritten: they take no time to write
@@ -34,7 +34,7 @@
 )
 
 // drainTimes are counted from the beginning of the drain.
-type drainTimes struct{ door, choose, end time.Duration }
+type drainTimes struct{ rest, choose, end time.Duration }
 
 // Phase tells the present phase.
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
@@ -69,17 +69,17 @@
 
 	n.enter(Draining)
 	begin, drain := time.Now(), n.drain.Load()
-	n.sleep(begin.Add(drain.door), nil)
-	n.clients.door.dismiss()
+	n.sleep(begin.Add(drain.rest), nil)
+	n.clients.listener.dismiss()
 	n.sleep(begin.Add(drain.choose), n.unowed)
 	n.deskShut.Store(true)
-	n.clients.door.dismiss()
+	n.clients.listener.dismiss()
 	n.sleep(begin.Add(drain.choose), n.unowed) // what was admitted just before
 	n.desk.close()
 	n.sleep(begin.Add(drain.end), n.quiet)
-	n.clients.door.Close()
-	n.clients.door.dismiss()
-	n.sleep(begin.Add(drain.end+drainLast), n.clients.door.empty)
+	n.clients.listener.Close()
+	n.clients.listener.dismiss()
+	n.sleep(begin.Add(drain.end+drainLast), n.clients.listener.empty)
 	n.directory.close()
 	n.enter(Stopped)
 	return nil
--- a/node/sends.go
+++ b/node/sends.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// begin notes what ends the call while it is connecting. It tells how long the call may take, which is as long as
-// the least patient of its sends waits, and 0 if it was given up before.
+// begin notes what ends the call while it is connecting. It tells how long the call may take, which is as
+// long as the least patient of its sends waits, and 0 if it was given up before.
 func (c *call) begin(abort context.CancelFunc) (timeout int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,9 +115,9 @@
 	return max(timeout, 1)
 }
 
-// leave writes down that the sends of a call go out, just before their bytes do; it tells false if nothing may go.
-// Danger: the process may end while a send is out, and one that a restart finds connecting has not run. Written
-// while no one can give the call up, the beginning of a send stands before its end.
+// leave writes down that the sends of a call go out, just before their bytes do; it tells false if nothing
+// may go. Danger: the process may end while a send is out, and one that a restart finds connecting has not
+// run. Written while no one can give the call up, the beginning of a send stands before its end.
 func (c *call) leave(l *link) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,8 +149,9 @@
 	return c.gaveUp
 }
 
-// giveUp stops waiting for a call, by closing its connection: the protocol has no other way. Danger: a call of
-// which one send is given up and another waited for ends as the endpoint's side likes. So it ends as a whole.
+// giveUp stops waiting for a call, by closing its connection: the protocol has no other way. Danger: a call
+// of which one send is given up and another waited for ends as the endpoint's side likes. So it ends as a
+// whole.
 func (c *call) giveUp(how port.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,8 +196,8 @@
 	return true
 }
 
-// end tells each send's life how it ended, once. Of a call that was given up, what came since does not count; if
-// its last byte was not written when its connection was closed, it never ran.
+// end tells each send's life how it ended, once. Of a call that was given up, what came since does not
+// count; if its last byte was not written when its connection was closed, it never ran.
 func (c *call) end(results []result) {
 	c.ended = true
 	how := c.how
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -496,7 +496,8 @@
 	}
 }
 
-// An answer that comes as the first send of a call times out was once taken for the others, whose end nobody had.
+// An answer that comes as the first send of a call times out was once taken for the others, whose end
+// nobody had.
 func TestABulkCallIsGivenUpAsAWhole(t *testing.T) {
 	came := make(chan struct{})
 	at := newPeer(t, func(conn net.Conn, body string) bool {
--- a/node/wire.go
+++ b/node/wire.go
@@ -102,8 +102,8 @@
 // errSpoilt: an answer came that cannot be read. What was sent has run, for all that is known.
 var errSpoilt = errors.New("an answer cannot be read")
 
-// read reads the answer to a call: what it says of each send, or one result for all. Where it is not known how the
-// call fared, an answer was spoilt, or the connection broke before it was whole.
+// read reads the answer to a call: what it says of each send, or one result for all. Where it is not known
+// how the call fared, an answer was spoilt, or the connection broke before it was whole.
 func (r *replyReader) read(sends []*send) reply {
 	if _, err := r.buf.Peek(1); err != nil {
 		return reply{results: []result{{how: port.Reset}}, close: true}
@@ -148,8 +148,9 @@
 	return out
 }
 
-// toldWait finds the wait that an answer tells. Danger: of an answer that cannot be read to its end, the wait that
-// stands in it binds all the same, and its sender holds us to it. A head that was not taken in is still unread.
+// toldWait finds the wait that an answer tells. Danger: of an answer that cannot be read to its end, the
+// wait that stands in it binds all the same, and its sender holds us to it. A head that was not taken in is
+// still unread.
 func (r *replyReader) toldWait(resp *fasthttp.Response) int64 {
 	if wait := readWait(string(resp.Header.Peek(headRetry))); wait > 0 {
 		return wait
@@ -211,8 +212,8 @@
 	return port.Errored, false // danger: what is not known may have run
 }
 
-// readEnds reads the line of each event. Danger: an answer that leaves one out is not whole: it was cut short, and
-// the events that it names are still owed out there. What was sent may have run, all of it.
+// readEnds reads the line of each event. Danger: an answer that leaves one out is not whole: it was cut
+// short, and the events that it names are still owed out there. What was sent may have run, all of it.
 func readEnds(body []byte, sends []*send, all result, results []result) {
 	named := 0
 	for i := range results {
--- a/port/port.go
+++ b/port/port.go
@@ -93,8 +93,8 @@
 	Probes    bool
 }
 
-// Writer takes the decisions of one round, in order. Sends of one round to one endpoint may share a call, which
-// ends as a whole: when the least patient of them times out, or one is cancelled or recalled.
+// Writer takes the decisions of one round, in order. Sends of one round to one endpoint may share a call,
+// which ends as a whole: when the least patient of them times out, or one is cancelled or recalled.
 type Writer interface {
 	Send(evt, endpoint int32, timeout int64)
 	Decline(evt int32, comeBack int64)
