Take one sign for an outage wherever a node's part of a cold budget is small

One sign counted for all only where nodes were more than the warm limit has calls in the window (45 nodes, 120 calls), though the cold destination bears 60, so each node's part was 1.3 calls and they sent 2.3. Change: the bound is four calls of the cold budget a node.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,6 +50,7 @@
 	coldRoom     = 0.95           // part of the budget that is used: the told limit is under what they can do
 	coldMet      = 2.0            // calls an endpoint is sent in an outage, in parts of its limit: repeats too
 	coldChance   = 1.5            // deviations of chance that many nodes leave free in the budget
+	fewCalls     = 4.0            // a node's part of a cold budget under which one sign shows an outage
 	coldLeast    = 0.2            // part of it that is used all the same: untried, an endpoint stays away
 	guessLimit   = 2.0            // calls a second taken where no limit is told: about the least there is
 
@@ -198,7 +199,7 @@
 			mute, luck := (how == port.TimedOut && took >= shutWait || how == port.Cancelled && took >= leastOut) &&
 				n.eps.ackAt[ep] < c.at, n.chance.float()
 			limit := n.lanes.limit[n.eps.lane[ep]]
-			many := n.lanes.nodes > limit*float64(n.eps.back.FallAfter)/float64(second)
+			many := n.eps.coldBudget(limit) < fewCalls*n.lanes.nodes
 			sure := mute || wait >= shutWait || (how == port.ConnectFailed &&
 				(took >= leastLate || (many && limit > 0 && n.now >= n.stale.crowdedUntil)))
 			if mute { // time-outs end apart from each other: one try at once brings no crowd
@@ -620,6 +621,11 @@
 	}
 }
 
+// coldBudget is the calls that a cold destination of some limit bears in the rule's window.
+func (p *endpoints) coldBudget(limit float64) float64 {
+	return p.back.FallMultiple * p.back.ColdShare * limit * float64(p.back.FallAfter) / float64(second)
+}
+
 func (p *endpoints) setAside(ep int32, now int64, luck float64) {
 	if p.warmAt[ep] = -1; !p.aside[ep] {
 		p.aside[ep], p.credit[ep], p.creditAt[ep] = true, luck, now
