--- a/node/node_test.go
+++ b/node/node_test.go
@@ -669,6 +669,33 @@
 	}
 }
 
+func TestAClientMayConnectAheadAndHearsOfHalfARequest(t *testing.T) {
+	w := listenerOnly(t, 2, func(string) {})
+	d := w.clients.listener
+	d.request = 50 * time.Millisecond // from the first byte: far less than a client may rest
+	go w.clients.serve()
+	ahead, half := w.dial(), w.dial()
+	io.WriteString(half, "GET /up HTTP/1.1\r\nHo")
+	if status, connection := half.hear("Connection"); status != 408 || connection != "close" {
+		t.Errorf("half a request: %d, Connection: %q", status, connection)
+	}
+	io.WriteString(ahead, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n") // it rested for longer than a request may take
+	if status, _ := ahead.hear(""); status != 200 {
+		t.Errorf("one that connected ahead: %d", status)
+	}
+	d.dismiss()
+	if b, err := ahead.in.ReadByte(); err != io.EOF { // no answer is written to nobody's request
+		t.Errorf("between requests: %q, %v", b, err)
+	}
+}
+
+func TestAListThatNeverEndsIsCutOff(t *testing.T) {
+	s := &signs{body: strings.NewReader(strings.Repeat("x", 100)), left: 10, sign: func(bool) {}}
+	if got, err := io.ReadAll(s); len(got) != 10 || err == nil {
+		t.Errorf("read %d bytes, %v", len(got), err)
+	}
+}
+
 // A close over unread bytes resets the connection, and the answers on their way go with it.
 func TestARequestThatCrossesTheEndTakesNoAnswerAlong(t *testing.T) {
 	w := listenerOnly(t, 9, func(string) {})
