--- a/cmd/jaspersill-lab/main.go
+++ b/cmd/jaspersill-lab/main.go
@@ -18,6 +18,7 @@
 	"jaspersill/lab/report"
 	"jaspersill/lab/scenario"
 	"jaspersill/lab/scenarios"
+	"jaspersill/lab/sysfault"
 )
 
 const (
@@ -28,6 +29,7 @@
 type usageError struct{ error }
 
 func main() {
+	sysfault.BecomeProgramIfAsked()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := commands()
@@ -60,6 +62,7 @@
 		scenarioCommand(),
 		emulateCommand(),
 		loadCommand(),
+		soakCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/lab/soak/discovery.go
@@ -0,0 +1,224 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const signOfLife = 2 * time.Second // between the empty lines of a watch: the protocol's
+
+// discovery serves the list of endpoints and takes the notices, at an address for each node.
+type discovery struct {
+	ledger    *ledger
+	endpoints []*endpoint
+	listeners []net.Listener
+
+	mu       sync.Mutex
+	sequence int
+	draining map[int]bool
+	silent   map[int]bool // nodes whose open watches have fallen silent
+	down     bool
+	changed  chan struct{} // closed at each change
+	conns    map[net.Conn]struct{}
+}
+
+func newDiscovery(l *ledger, endpoints []*endpoint, nodes int) (*discovery, error) {
+	d := &discovery{ledger: l, endpoints: endpoints, sequence: 1, draining: map[int]bool{}, silent: map[int]bool{},
+		changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	for node := range nodes {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			d.close()
+			return nil, err
+		}
+		d.listeners = append(d.listeners, listener)
+		go d.serve(node, listener)
+	}
+	return d, nil
+}
+
+func (d *discovery) address(node int) string { return d.listeners[node].Addr().String() }
+
+func (d *discovery) close() {
+	for _, listener := range d.listeners {
+		listener.Close()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for conn := range d.conns {
+		conn.Close()
+	}
+}
+
+func (d *discovery) change(do func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	do()
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// drain marks an endpoint as one that wants nothing new.
+func (d *discovery) drain(endpoint int) {
+	d.change(func() {
+		d.sequence++
+		d.draining[endpoint] = true
+	})
+}
+
+// silence has the open watches of a node tell nothing any more.
+func (d *discovery) silence(node int) { d.change(func() { d.silent[node] = true }) }
+
+// fail takes discovery down or up again. Notices are taken all the while.
+func (d *discovery) fail(down bool) {
+	d.change(func() { d.down = down })
+	if !down {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for conn := range d.conns {
+		conn.Close()
+	}
+}
+
+func (d *discovery) serve(node int, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.conns[conn] = struct{}{}
+		d.mu.Unlock()
+		go func() {
+			d.attend(node, conn)
+			conn.Close()
+			d.mu.Lock()
+			delete(d.conns, conn)
+			d.mu.Unlock()
+		}()
+	}
+}
+
+func (d *discovery) attend(node int, conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		call, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(call.Body, mostCallBytes))
+		if err != nil {
+			return
+		}
+		if call.Method == http.MethodPost {
+			if d.takeNotices(conn, body) != nil {
+				return
+			}
+			continue
+		}
+		d.mu.Lock()
+		down := d.down
+		d.mu.Unlock()
+		if down {
+			io.WriteString(conn, "HTTP/1.1 503 Down\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			return
+		}
+		if call.URL.Query().Get("watch") == "" {
+			text, _ := d.list()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			d.told(node)
+			continue
+		}
+		d.watch(node, conn)
+		return
+	}
+}
+
+func (d *discovery) takeNotices(conn net.Conn, body []byte) error {
+	for line := range strings.Lines(string(body)) {
+		var n struct{ ID, Status string }
+		if err := json.Unmarshal([]byte(line), &n); err != nil {
+			d.ledger.broke(RuleAnswer, "a notice that cannot be read: %q", line)
+			_, err = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+			return err
+		}
+		d.ledger.notices(n.ID, n.Status)
+	}
+	_, err := io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	return err
+}
+
+// list is the whole list, and what ends its being the newest.
+func (d *discovery) list() (string, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var hosts []string
+	for _, e := range d.endpoints {
+		health := "Ready"
+		if d.draining[e.number] {
+			health = "Terminating"
+		}
+		hosts = append(hosts, fmt.Sprintf(`{"host":"e%d","dial":%q,"site":"here","class":"m0","block":%d,"health":%q,`+
+			`"share":1.0,"born_ms":0}`, e.number, e.address(), e.dest, health))
+	}
+	return `{"seq":` + strconv.Itoa(d.sequence) + `,"whole":true,"hosts":[` + strings.Join(hosts, ",") + "]}\n", d.changed
+}
+
+// told notes which endpoints a node knows by now to be draining.
+func (d *discovery) told(node int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for number := range d.draining {
+		d.endpoints[number].toldToDrain(node)
+	}
+}
+
+func (d *discovery) watch(node int, conn net.Conn) {
+	d.mu.Lock()
+	delete(d.silent, node)
+	d.mu.Unlock()
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return
+	}
+	say := func(line string) error {
+		_, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
+		return err
+	}
+	newest := ""
+	for {
+		text, changed := d.list()
+		d.mu.Lock()
+		silent, down := d.silent[node], d.down
+		d.mu.Unlock()
+		switch {
+		case down:
+			return
+		case silent:
+			io.Copy(io.Discard, conn) // until the node opens another
+			return
+		case text != newest:
+			newest = text
+			if say(text) != nil {
+				return
+			}
+			d.told(node)
+		}
+		select {
+		case <-changed:
+		case <-time.After(signOfLife):
+			if say("\n") != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lab/soak/endpoint.go
@@ -0,0 +1,307 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// mode is how an endpoint behaves.
+type mode string
+
+const (
+	healthy     mode = "healthy"
+	slow        mode = "slow"
+	failing     mode = "failing"     // it answers 500
+	limited     mode = "limited"     // it answers 429 with a time to wait
+	hanging     mode = "hanging"     // it reads and does not answer
+	resetting   mode = "resetting"   // it resets connections that have brought a request
+	garbling    mode = "garbling"    // its answers cannot be read
+	unavailable mode = "unavailable" // an outage: it resets, and returns cold
+)
+
+const (
+	usualAnswer   = 4 * time.Millisecond
+	slowAnswer    = 300 * time.Millisecond
+	toldWait      = 800 * time.Millisecond
+	endpointIdle  = 4 * time.Second
+	lookWithin    = 50 * time.Microsecond
+	mostCallBytes = 1 << 20
+)
+
+// endpoint is one emulated endpoint.
+type endpoint struct {
+	number, dest int
+	ledger       *ledger
+	listener     net.Listener
+	limit        float64 // calls a second that it reports
+
+	mu        sync.Mutex
+	mode      mode
+	random    *rand.Rand
+	conns     map[net.Conn]struct{}
+	closed    bool
+	toldUntil map[int]span // by node, the wait that it was told
+	outage    map[int]bool // nodes that met the last outage
+	back      time.Duration
+	arrivals  []arrival // since it is back
+	drains    map[int]time.Duration
+}
+
+type arrival struct {
+	at   time.Duration
+	node int
+}
+
+func newEndpoint(number, dest int, l *ledger, random *rand.Rand) (*endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{number: number, dest: dest, ledger: l, listener: listener, limit: endpointLimit, mode: healthy,
+		random: random, conns: map[net.Conn]struct{}{}, toldUntil: map[int]span{}, outage: map[int]bool{},
+		drains: map[int]time.Duration{}}
+	go e.serve()
+	return e, nil
+}
+
+func (e *endpoint) address() string { return e.listener.Addr().String() }
+
+func (e *endpoint) serve() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[conn] = struct{}{}
+		e.mu.Unlock()
+		go e.attend(conn)
+	}
+}
+
+func (e *endpoint) close() {
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	for conn := range e.conns {
+		conn.Close()
+	}
+}
+
+// behave sets how it behaves from now on.
+func (e *endpoint) behave(m mode) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.ledger.now()
+	if m == unavailable && e.mode != unavailable {
+		e.outage, e.back, e.arrivals = map[int]bool{}, 0, nil
+	}
+	if m != unavailable && e.mode == unavailable {
+		e.back, e.arrivals = now, nil
+	}
+	e.mode = m
+}
+
+// toldToDrain notes that a node was told that the endpoint drains.
+func (e *endpoint) toldToDrain(node int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, told := e.drains[node]; !told {
+		e.drains[node] = e.ledger.now()
+	}
+}
+
+func (e *endpoint) attend(conn net.Conn) {
+	defer func() {
+		conn.Close()
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+	}()
+	in := bufio.NewReader(conn)
+	for {
+		conn.SetReadDeadline(time.Now().Add(endpointIdle))
+		call, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(call.Body, mostCallBytes))
+		if err != nil || !e.answer(conn, in, call, body) {
+			return
+		}
+	}
+}
+
+// ids are the requests that a call carries.
+func ids(call *http.Request, body []byte) (list []string) {
+	if !strings.HasSuffix(call.URL.Path, "/bulk") {
+		return []string{call.Header.Get("Req-Id")}
+	}
+	for len(body) > 0 {
+		line, rest, _ := bytes.Cut(body, []byte("\r\n"))
+		words := strings.Fields(string(line))
+		if len(words) != 3 {
+			return list
+		}
+		size, err := strconv.Atoi(words[2])
+		if err != nil || size+2 > len(rest) {
+			return list
+		}
+		list = append(list, words[0])
+		body = rest[size+2:]
+	}
+	return list
+}
+
+// answer plays one call. It tells whether the connection stays open.
+func (e *endpoint) answer(conn net.Conn, in *bufio.Reader, call *http.Request, body []byte) bool {
+	type part struct {
+		request *request
+		attempt int
+	}
+	var parts []part
+	for _, id := range ids(call, body) {
+		r := e.ledger.reaches(id, e.number)
+		if r == nil {
+			fmt.Fprint(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+			return false
+		}
+		parts = append(parts, part{r, e.ledger.attemptsOf(r) - 1})
+	}
+	note := func(outcome string, ran, delivered bool) {
+		for _, p := range parts {
+			e.ledger.answers(p.request, p.attempt, outcome, ran, delivered)
+		}
+	}
+	if len(parts) == 0 {
+		return false
+	}
+	node := parts[0].request.node
+	m, delay := e.arrives(node)
+	report := fmt.Sprintf("Srv-Load: x0=0.5,x1=%g\r\n", e.limit)
+	switch m {
+	case failing:
+		note("500", true, false)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%sContent-Length: 0\r\n\r\n", report)
+		return err == nil
+	case limited:
+		note("429", false, false)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 429 Wait\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", report,
+			toldWait.Seconds())
+		e.tellsToWait(node)
+		return err == nil
+	case hanging:
+		note("hangs", true, false)
+		conn.SetReadDeadline(time.Time{})
+		io.Copy(io.Discard, conn)
+		return false
+	case resetting, unavailable:
+		note("reset", true, false)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		return false
+	case garbling:
+		note("garbled", true, false)
+		io.WriteString(conn, "HTTP/1.1 2\x00\x01\r\nContent-Length: 9999999\r\n\r\n?")
+		return false
+	}
+	note("runs", true, false)
+	time.Sleep(delay)
+	if !stands(conn, in) {
+		note("given up by the node", true, false)
+		return false
+	}
+	lines := ""
+	if strings.HasSuffix(call.URL.Path, "/bulk") {
+		for _, p := range parts {
+			lines += p.request.id + " done\r\n"
+		}
+	}
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", report, len(lines), lines)
+	note("200", true, err == nil)
+	return err == nil
+}
+
+// stands tells whether the other side still holds a connection open.
+func stands(conn net.Conn, in *bufio.Reader) bool {
+	conn.SetReadDeadline(time.Now().Add(lookWithin))
+	_, err := in.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (e *endpoint) tellsToWait(node int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.ledger.now()
+	e.toldUntil[node] = span{now, max(now+toldWait, e.toldUntil[node].to)}
+}
+
+// arrives holds a call to the rules on draining, waiting and slow start, and tells how it is to be answered.
+func (e *endpoint) arrives(node int) (mode, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.ledger.now()
+	if told, drains := e.drains[node]; drains && now > told+drainGrace+socketGrace+crossingGrace {
+		e.ledger.broke(RuleDrain, "node %d sent to endpoint %d %v after it was told that it drains", node, e.number, now-told)
+	}
+	if w, told := e.toldUntil[node]; told && now > w.from+waitGrace && now < w.to-socketGrace {
+		e.ledger.broke(RuleWait, "node %d sent to endpoint %d %v before the wait that it was told is over", node, e.number,
+			w.to-now)
+	}
+	if e.mode == unavailable {
+		e.outage[node] = true
+	} else if e.back > 0 && now < e.back+warmAfter {
+		e.arrivals = append(e.arrivals, arrival{now, node})
+		e.slowStart(now)
+	}
+	delay := usualAnswer + time.Duration(e.random.Int64N(int64(usualAnswer)))
+	if e.mode == slow {
+		delay += slowAnswer
+	}
+	return e.mode, delay
+}
+
+// slowStart holds the calls of the rule's window to what an endpoint that returns cold bears; the lock is held.
+func (e *endpoint) slowStart(now time.Duration) {
+	n := fallMultiple * coldShare * e.limit * fallAfter.Seconds()
+	most := n + 2*math.Sqrt(n) + 2
+	if n < 30 {
+		most = n + 3*math.Sqrt(n) + 3
+	}
+	calls, informed := 0, 0
+	for _, a := range e.arrivals {
+		if now-a.at < fallAfter {
+			calls++
+			if e.outage[a.node] {
+				informed++
+			}
+		}
+	}
+	if float64(calls) > most && informed*3 > calls*2 {
+		e.ledger.broke(RuleSlowStart, "endpoint %d, back for %v, got %d calls in %v, %d of nodes that met its outage: at most %.0f",
+			e.number, now-e.back, calls, fallAfter, informed, most)
+		e.back = 0
+	}
+}
+
+// forget drops the wait that a process was told: a restart ends it.
+func (e *endpoint) forget(node int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.toldUntil, node)
+	delete(e.outage, node)
+}
--- /dev/null
+++ b/lab/soak/process.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"jaspersill/lab/sysfault"
+)
+
+// What the platform does and asks of a process.
+const (
+	killAfterTerm  = 3700 * time.Millisecond // the earliest time from SIGTERM to SIGKILL
+	newConnections = 300 * time.Millisecond  // new connections go on coming so long after SIGTERM
+	restartAfter   = 600 * time.Millisecond
+	readyWithin    = 10 * time.Second
+	connectMillis  = 500
+	slots          = 16
+	mostRequests   = 200
+	mostAttempts   = 6
+	keyedWindow    = 1500 * time.Millisecond
+	drainGrace     = 300 * time.Millisecond
+	coldShare      = 0.2
+	fallMultiple   = 2.0
+	fallAfter      = 2 * time.Second
+	warmAfter      = 4 * time.Second
+	endpointLimit  = 200.0
+	usualSockets   = 1024
+	crowdedSockets = 160
+)
+
+// process is one delivery node that is started, signalled, killed and started again on one folder.
+type process struct {
+	number  int
+	program string
+	listen  string
+	config  string
+	folder  string
+	logFile string
+	ledger  *ledger
+
+	mu         sync.Mutex
+	command    *exec.Cmd
+	supervisor *sysfault.Supervisor
+	ended      chan struct{}
+	serving    bool // new connections go to it
+	expected   bool // it was asked to end
+	settings   map[string]any
+	restarting atomic.Bool
+}
+
+func newProcess(number int, options *Options, l *ledger, discovery string, crowded bool) (*process, error) {
+	name := "n" + strconv.Itoa(number)
+	p := &process{number: number, program: options.Program, ledger: l,
+		config: filepath.Join(options.Folder, name+".json"), folder: filepath.Join(options.Folder, name),
+		logFile: filepath.Join(options.Folder, name+".log")}
+	// An address of its own on the loopback network, since a port of 127.0.0.1 may be given away between two starts.
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+options.Seed%250, number/200+1, number%200+1))
+	if err != nil {
+		return nil, err
+	}
+	p.listen = listener.Addr().String()
+	listener.Close()
+	sockets := usualSockets
+	if crowded {
+		sockets = crowdedSockets
+	}
+	p.settings = map[string]any{"name": name, "listen": p.listen, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", options.Seed*1000+uint64(number)+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets, "disk_mb": 8},
+		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}}, "settings": settings(options.Nodes, number)}
+	if err := os.MkdirAll(p.folder, 0o755); err != nil {
+		return nil, err
+	}
+	return p, p.configure()
+}
+
+// settings is the part of the configuration that the platform calls so.
+func settings(nodes, me int) map[string]any {
+	class := func(name Class, semantics string) map[string]any {
+		return map[string]any{"name": name, "semantics": semantics, "group": "all", "aim_ms": 500,
+			"deadline_ms": mostDeadline.Milliseconds(), "value": 1, "late_value": 0.5, "memory_span_ms": keyedWindow.Milliseconds()}
+	}
+	return map[string]any{"me": me, "replicas_of_me": nodes, "tick_ms": 2, "models": []any{"m0"}, "areas": []any{"here"},
+		"discovery": "subscribe", "weight_kind": "silent",
+		"services": []any{class(Repeatable, "repeatable"), class(Once, "once"), class(Keyed, "by_key")},
+		"projects": []any{map[string]any{"name": "acme", "quota_rps": 1000}},
+		"family_info": map[string]any{"slots": slots, "per_call": []any{3}, "own_limits": []any{false},
+			"late": "even"},
+		"feedback": map[string]any{"names": []any{"x0", "x1"}},
+		"ceilings": map[string]any{"max_open": mostRequests, "max_attempts": mostAttempts, "may_duplicate": true, "cancel": true,
+			"retry_after": true, "max_retry_after_ms": 1000, "conn_idle_ms": endpointIdle.Milliseconds(),
+			"connect_timeout_ms": connectMillis},
+		"rules": map[string]any{"cold_share": coldShare, "ramp_time_ms": warmAfter.Milliseconds(), "fall_multiple": fallMultiple,
+			"tip_after_ms": fallAfter.Milliseconds(), "drain_grace_ms": drainGrace.Milliseconds(), "ask_within_ms": 5000}}
+}
+
+func (p *process) configure() error {
+	text, err := json.Marshal(p.settings)
+	if err != nil {
+		return err
+	}
+	next := p.config + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, p.config)
+}
+
+// start starts the process; faults are in force from its first call on.
+func (p *process) start(faults []sysfault.Fault) error {
+	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c := exec.Command(p.program, "serve")
+	c.Env = append(os.Environ(), "RELAY_CONFIG="+p.config, "RELAY_STATE="+p.folder, "GOMEMLIMIT=64MiB")
+	c.Stdout, c.Stderr = log, log
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, err := sysfault.Start(c)
+	if err != nil {
+		return err
+	}
+	s.Watch(p.folder)
+	for _, f := range faults {
+		s.Add(f)
+	}
+	ended := make(chan struct{})
+	p.command, p.supervisor, p.ended, p.expected = c, s, ended, false
+	go func() {
+		c.Wait()
+		p.ledger.died(p.number)
+		p.mu.Lock()
+		if !p.expected {
+			p.ledger.broke(RuleCrash, "node %d ended unasked: %v", p.number, c.ProcessState)
+		}
+		p.serving = false
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// awaitReady waits until the process serves.
+func (p *process) awaitReady(ctx context.Context) error {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	began := time.Now()
+	for time.Since(began) < readyWithin {
+		if r, err := client.Get("http://" + p.listen + "/up"); err == nil {
+			r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				p.mu.Lock()
+				p.serving = true
+				p.mu.Unlock()
+				p.ledger.ready(p.number)
+				return nil
+			}
+		}
+		p.mu.Lock()
+		ended := p.ended
+		p.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ended:
+			return errors.New("it ended while it started")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("it is not ready after %v", readyWithin)
+}
+
+func (p *process) accepts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serving
+}
+
+func (p *process) fault(f sysfault.Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.supervisor != nil {
+		p.supervisor.Add(f)
+	}
+}
+
+// hangUp has the process read its configuration again.
+func (p *process) hangUp() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command.Process.Signal(syscall.SIGHUP)
+}
+
+// kill ends the process at once and waits until it is gone.
+func (p *process) kill() {
+	p.mu.Lock()
+	p.expected, p.serving = true, false
+	command, ended := p.command, p.ended
+	p.mu.Unlock()
+	p.ledger.leaves(p.number)
+	command.Process.Kill()
+	<-ended
+}
+
+// terminate asks the process to end, and kills it at the earliest time that the platform does.
+func (p *process) terminate() {
+	p.mu.Lock()
+	p.expected = true
+	command, ended := p.command, p.ended
+	p.mu.Unlock()
+	p.ledger.leaves(p.number)
+	command.Process.Signal(syscall.SIGTERM)
+	time.AfterFunc(newConnections, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.command == command {
+			p.serving = false
+		}
+	})
+	select {
+	case <-ended:
+	case <-time.After(killAfterTerm):
+		command.Process.Kill()
+		<-ended
+	}
+}
--- /dev/null
+++ b/lab/soak/soak.go
@@ -0,0 +1,181 @@
+// Package soak plays real delivery nodes on loopback under faults that overlap in time, drawn from a seed: failing,
+// short and slow system calls, signals in series, kills, endpoints and discovery that fail in many ways, and crowds
+// of clients. A ledger outside the nodes knows what each client heard, each endpoint received and the platform was
+// told, and holds every request to the rules.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options is what a run is told.
+type Options struct {
+	Seed    uint64
+	Program string        // of the delivery node
+	Folder  string        // for configurations, state folders and logs
+	Nodes   int           // processes
+	Length  time.Duration // for which clients hand in requests
+	Only    string        // a kind of fault that is played alone, or empty for all
+}
+
+// Report is what became of a run.
+type Report struct {
+	Seed       uint64
+	Requests   int
+	Counts     map[string]int
+	Violations []Violation
+	Events     []string // what was done to the system, in order
+}
+
+// Summary tells the counts in one line.
+func (r *Report) Summary() string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(r.Counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", name, r.Counts[name]))
+	}
+	return fmt.Sprintf("seed %d: %d requests, %d violations; %s", r.Seed, r.Requests, len(r.Violations), strings.Join(parts, ", "))
+}
+
+const (
+	clientsOfNode    = 5
+	clientInterval   = 60 * time.Millisecond
+	settleTime       = mostDeadline + finalGrace + 2*time.Second
+	mostDestinations = 3
+	crowdSize        = 150
+	largeBody        = 6000 // bytes
+)
+
+// run is one run under way.
+type run struct {
+	options   Options
+	plan      *plan
+	ledger    *ledger
+	endpoints []*endpoint
+	discovery *discovery
+	processes []*process
+
+	mu       sync.Mutex
+	restarts map[int][]span // by node, from the kill until it was ready again
+}
+
+// Play plays one run and judges it. The error is for a run that could not be played.
+func Play(ctx context.Context, options Options) (*Report, error) {
+	r := &run{options: options, ledger: newLedger(), restarts: map[int][]span{}}
+	r.plan = draw(options)
+	defer r.close()
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	if err := r.startAll(ctx); err != nil {
+		return nil, err
+	}
+	var done sync.WaitGroup
+	playing, stop := context.WithTimeout(ctx, options.Length)
+	defer stop()
+	r.ledger.did("the clients begin")
+	for _, s := range r.plan.steps {
+		done.Go(func() {
+			pause(playing, s.at)
+			if playing.Err() == nil {
+				s.do(ctx, r)
+			}
+		})
+	}
+	r.hire(playing, &done)
+	done.Wait()
+	pause(ctx, settleTime)
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	r.ledger.judge(keyedWindow)
+	r.ledger.judgeUntried(r.restarts)
+	l := r.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &Report{Seed: options.Seed, Requests: len(l.order), Counts: l.counts, Violations: l.violations, Events: l.events}, nil
+}
+
+func (r *run) open() error {
+	for dest := range r.plan.destinations {
+		for range r.plan.endpointsOfDestination {
+			number := len(r.endpoints)
+			e, err := newEndpoint(number, dest, r.ledger, rand.New(rand.NewPCG(r.options.Seed, uint64(number))))
+			if err != nil {
+				return err
+			}
+			r.endpoints = append(r.endpoints, e)
+		}
+	}
+	var err error
+	if r.discovery, err = newDiscovery(r.ledger, r.endpoints, r.options.Nodes); err != nil {
+		return err
+	}
+	for number := range r.options.Nodes {
+		p, err := newProcess(number, &r.options, r.ledger, r.discovery.address(number), r.plan.crowded[number])
+		if err != nil {
+			return err
+		}
+		r.processes = append(r.processes, p)
+	}
+	return nil
+}
+
+func (r *run) startAll(ctx context.Context) error {
+	for _, p := range r.processes {
+		if err := p.start(nil); err != nil {
+			return fmt.Errorf("node %d: %w", p.number, err)
+		}
+	}
+	for _, p := range r.processes {
+		if err := p.awaitReady(ctx); err != nil {
+			text, _ := os.ReadFile(p.logFile)
+			return fmt.Errorf("node %d: %w: %s", p.number, err, text)
+		}
+	}
+	return nil
+}
+
+func (r *run) hire(ctx context.Context, done *sync.WaitGroup) {
+	for number, p := range r.processes {
+		for i := range clientsOfNode {
+			c := &client{ledger: r.ledger, node: number, dests: r.plan.destinations, at: p.listen, body: r.plan.body,
+				random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+i)))}
+			done.Go(func() { c.run(ctx, clientInterval, p.accepts) })
+		}
+		if r.plan.crowded[number] {
+			done.Go(func() { crowd(ctx, p.listen, crowdSize) })
+		}
+	}
+}
+
+func (r *run) close() {
+	for _, p := range r.processes {
+		p.mu.Lock()
+		running := p.command != nil && p.ended != nil
+		p.mu.Unlock()
+		if running {
+			p.kill()
+		}
+	}
+	for _, e := range r.endpoints {
+		e.close()
+	}
+	if r.discovery != nil {
+		r.discovery.close()
+	}
+}
+
+// Logs names the nodes' logs of a run.
+func Logs(folder string) []string {
+	names, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	return names
+}
--- /dev/null
+++ b/lab/sysfault/supervisor.go
@@ -0,0 +1,295 @@
+package sysfault
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Call is a kind of system call that can be made to fail.
+type Call string
+
+// The kinds of calls. A read or write is told by what its descriptor stands for.
+const (
+	FileWrite    Call = "file-write"
+	FileRead     Call = "file-read"
+	FileOpen     Call = "file-open"
+	FileTruncate Call = "file-truncate"
+	FileRemove   Call = "file-remove"
+	FileRename   Call = "file-rename"
+	FileSync     Call = "file-sync"
+	SocketWrite  Call = "socket-write"
+	SocketRead   Call = "socket-read"
+	SocketOpen   Call = "socket-open"
+	Accept       Call = "accept"
+	Connect      Call = "connect"
+	otherCall    Call = ""
+)
+
+var trapped = map[int]Call{
+	unix.SYS_WRITE:     FileWrite, // or SocketWrite
+	unix.SYS_READ:      FileRead,  // or SocketRead
+	unix.SYS_OPENAT:    FileOpen,
+	unix.SYS_FTRUNCATE: FileTruncate,
+	unix.SYS_UNLINKAT:  FileRemove,
+	unix.SYS_RENAMEAT:  FileRename,
+	unix.SYS_RENAMEAT2: FileRename,
+	unix.SYS_FSYNC:     FileSync,
+	unix.SYS_SOCKET:    SocketOpen,
+	unix.SYS_ACCEPT4:   Accept,
+	unix.SYS_CONNECT:   Connect,
+}
+
+// Fault is what happens to calls of one kind while it is in force.
+type Fault struct {
+	Call  Call
+	Errno syscall.Errno // 0 with Delay for a call that is only slow
+	Share float64       // of the calls, 0 for all
+	Short bool          // a write goes out in part before the next one fails
+	Delay time.Duration
+	Until time.Time
+}
+
+// Supervisor decides on the calls of one child process.
+type Supervisor struct {
+	listener int
+	done     chan struct{}
+	failed   atomic.Int64
+
+	mu     sync.Mutex
+	folder string
+	faults []Fault
+}
+
+// Watch names the folder to whose files file faults are limited: no program can load without reading others.
+func (s *Supervisor) Watch(folder string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.folder = folder
+}
+
+// Add puts a fault in force until its time is up.
+func (s *Supervisor) Add(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, f)
+}
+
+// Failed counts the calls that were failed, shortened or delayed.
+func (s *Supervisor) Failed() int64 { return s.failed.Load() }
+
+// Wait returns once the child has ended.
+func (s *Supervisor) Wait() { <-s.done }
+
+// notification and response are the kernel's seccomp_notif and seccomp_notif_resp.
+type notification struct {
+	id        uint64
+	pid       uint32
+	flags     uint32
+	number    int32
+	arch      uint32
+	ip        uint64
+	arguments [6]uint64
+}
+
+type response struct {
+	id    uint64
+	value int64
+	errno int32
+	flags uint32
+}
+
+const pollMilliseconds = 200
+
+func (s *Supervisor) run() {
+	defer close(s.done)
+	defer unix.Close(s.listener)
+	for {
+		ready := []unix.PollFd{{Fd: int32(s.listener), Events: unix.POLLIN}}
+		if _, err := unix.Poll(ready, pollMilliseconds); err != nil && err != unix.EINTR {
+			return
+		}
+		if ready[0].Revents&unix.POLLIN == 0 {
+			if ready[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0 {
+				return
+			}
+			continue
+		}
+		var n notification
+		if err := s.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)); err != nil {
+			continue // the call ended meanwhile
+		}
+		s.decide(&n)
+	}
+}
+
+func (s *Supervisor) control(request uintptr, argument unsafe.Pointer) error {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(s.listener), request, uintptr(argument))
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
+
+func (s *Supervisor) answer(r response) { s.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r)) }
+
+func (s *Supervisor) proceed(id uint64) {
+	s.answer(response{id: id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE})
+}
+
+// decide lets a call go on or does to it what a fault in force says.
+func (s *Supervisor) decide(n *notification) {
+	fault := s.faultFor(n)
+	if fault == nil {
+		s.proceed(n.id)
+		return
+	}
+	s.failed.Add(1)
+	switch {
+	case fault.Errno == 0:
+		time.AfterFunc(fault.Delay, func() { s.proceed(n.id) })
+	case fault.Short && s.shorten(n):
+	default:
+		s.answer(response{id: n.id, errno: -int32(fault.Errno)})
+	}
+}
+
+func (s *Supervisor) faultFor(n *notification) *Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) == 0 {
+		return nil
+	}
+	now := time.Now()
+	kept := s.faults[:0]
+	for _, f := range s.faults {
+		if now.Before(f.Until) {
+			kept = append(kept, f)
+		}
+	}
+	s.faults = kept
+	if len(kept) == 0 {
+		return nil
+	}
+	call := s.kind(n)
+	if call == otherCall {
+		return nil
+	}
+	for i := range s.faults {
+		f := s.faults[i]
+		if f.Call == call && (f.Share == 0 || rand.Float64() < f.Share) {
+			return &f
+		}
+	}
+	return nil
+}
+
+// kind tells what a call does; the lock is held.
+func (s *Supervisor) kind(n *notification) Call {
+	call := trapped[int(n.number)]
+	switch call {
+	case FileWrite, FileRead, FileTruncate, FileSync:
+		target, err := os.Readlink("/proc/" + strconv.Itoa(int(n.pid)) + "/fd/" + strconv.Itoa(int(int32(n.arguments[0]))))
+		switch {
+		case err != nil:
+			return otherCall
+		case strings.HasPrefix(target, "socket:") && call == FileWrite:
+			return SocketWrite
+		case strings.HasPrefix(target, "socket:") && call == FileRead:
+			return SocketRead
+		case s.folder != "" && strings.HasPrefix(target, s.folder+"/"):
+			return call
+		}
+		return otherCall
+	case FileOpen, FileRemove, FileRename:
+		if name := readString(int(n.pid), uintptr(n.arguments[1])); s.folder != "" && strings.HasPrefix(name, s.folder) {
+			return call
+		}
+		return otherCall
+	}
+	return call
+}
+
+// readString reads a string that ends with a zero byte out of another process.
+func readString(pid int, address uintptr) string {
+	text := make([]byte, 0, 256)
+	for len(text) < unix.PathMax {
+		part := make([]byte, 256-int(address%256)) // never across a page
+		local := []unix.Iovec{{Base: &part[0], Len: uint64(len(part))}}
+		remote := []unix.RemoteIovec{{Base: address, Len: len(part)}}
+		size, err := unix.ProcessVMReadv(pid, local, remote, 0)
+		if err != nil || size == 0 {
+			return string(text)
+		}
+		if before, _, found := strings.Cut(string(part[:size]), "\x00"); found {
+			return string(append(text, before...))
+		}
+		text = append(text, part[:size]...)
+		address += uintptr(size)
+	}
+	return string(text)
+}
+
+// shorten writes half of what a call is to write in the child's place. The next call of the kind fails.
+func (s *Supervisor) shorten(n *notification) bool {
+	size := int(n.arguments[2]) / 2
+	if n.number != unix.SYS_WRITE || size == 0 {
+		return false
+	}
+	part := make([]byte, size)
+	local := []unix.Iovec{{Base: &part[0], Len: uint64(size)}}
+	remote := []unix.RemoteIovec{{Base: uintptr(n.arguments[1]), Len: size}}
+	if got, err := unix.ProcessVMReadv(int(n.pid), local, remote, 0); err != nil || got != size {
+		return false
+	}
+	descriptor, err := copyDescriptor(int(n.pid), int(int32(n.arguments[0])))
+	if err != nil {
+		return false
+	}
+	defer unix.Close(descriptor)
+	written, err := unix.Write(descriptor, part)
+	if err != nil {
+		return false
+	}
+	s.answer(response{id: n.id, value: int64(written)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.faults {
+		s.faults[i].Short = false
+	}
+	return true
+}
+
+// copyDescriptor takes a copy of a descriptor of another process.
+func copyDescriptor(thread, descriptor int) (int, error) {
+	process, err := unix.PidfdOpen(leaderOf(thread), 0)
+	if err != nil {
+		return 0, err
+	}
+	defer unix.Close(process)
+	return unix.PidfdGetfd(process, descriptor, 0)
+}
+
+// leaderOf is the process that a thread belongs to.
+func leaderOf(thread int) int {
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(thread) + "/status")
+	if err != nil {
+		return thread
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, "Tgid:"); found {
+			if leader, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
+				return leader
+			}
+		}
+	}
+	return thread
+}
