--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -60,7 +60,6 @@
 type call struct {
 	node, ep, own int32
 	nodeLife      int64
-	life          int64
 	sends         []out
 	left          int // sends that nobody gave up
 	began         int64
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -101,7 +101,6 @@
 	order   []*instance // instances with an event in this batch, as first named
 	records []byte
 	tail    []byte
-	count   int
 }
 
 // instance is one delivery node: its decisions and its ids at the door.
--- a/store/store.go
+++ b/store/store.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"unsafe"
 )
 
 // Sync says when what was written is made to outlast a loss of power. A killed process loses nothing in any
@@ -714,7 +713,4 @@
 	return err
 }
 
-// fixed is what the index keeps for each event beside the texts of its own.
-const fixed = int(unsafe.Sizeof(item{}) + unsafe.Sizeof(Event{}))
-
 func newEpoch() uint64 { return rand.Uint64() | 1 }
