Keep a segment that cannot be removed the oldest one

Cause: Compact took the emptied segment off its list before Remove. If that failed the file stayed, while the segments behind it, which hold the records of completion, were removed in their turn; recovery read the old one and found its events pending. Evidence: TestASegmentThatCannotBeRemovedBringsNothingBack, one failing unlink: 5 ended requests pending. Why this works: segments are removed oldest first and never past one that stands, so a record of completion outlasts every state before it. The next step of compaction tries the same file again; one that is gone already counts as removed.

--- a/store/store.go
+++ b/store/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"sync"
 )
@@ -648,10 +649,20 @@
 			return true, nil
 		}
 	}
-	// All that stood here stands further on, and is written. What else is in it is dead.
-	s.segs = s.segs[1:]
 	s.mu.Unlock()
-	return true, s.folder.Remove(oldest.name())
+	return true, s.removeOldest(oldest)
+}
+
+// removeOldest removes the oldest segment, of which nothing counts any more. One that cannot be removed stays the
+// oldest: the records that end its events stand in later ones, which must not be removed before it.
+func (s *Store) removeOldest(oldest *segment) error {
+	if err := s.folder.Remove(oldest.name()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("store: remove %s: %w", oldest.name(), err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.segs = s.segs[1:]
+	return nil
 }
 
 // back has an item stand where it stood, after its state could not be written anew.
