Take half a record at the end of the log for what a kill left, not for lost records

Callers saw: after a kill inside a write, requests that had never been tried and may not be repeated were ended without a call.

Cause: recovery counted a torn last record as lost records, so every pending event counted as possibly run. But a record is answered for only after its whole write: nobody was told of half of one, and no byte of an attempt goes out before its record is whole. Why this works: only a record that is a prefix of one, with nothing behind it, passes for torn. The test that cuts every file at every byte and flips bits of all files passes unchanged.

--- a/store/record.go
+++ b/store/record.go
@@ -67,10 +67,15 @@
 	payload := to[at+frameSize:]
 	le.PutUint32(to[at:], uint32(len(payload)))
 	le.PutUint64(to[at+8:], seq)
-	le.PutUint32(to[at+4:], crc32.Update(crc32.Checksum(to[at+8:at+16], crcTable), crcTable, payload))
+	le.PutUint32(to[at+4:], checksum(to[at:], payload))
 	return to
 }
 
+// checksum covers a record's sequence number, which stands in its frame, and its payload.
+func checksum(frame, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(frame[8:frameSize], crcTable), crcTable, payload)
+}
+
 // next reads the record at the beginning of some bytes. torn tells that they end within it.
 func next(b []byte) (payload []byte, seq uint64, size int, torn bool, err error) {
 	if len(b) < frameSize {
@@ -84,7 +89,7 @@
 		return nil, 0, 0, true, nil
 	}
 	payload = b[frameSize : frameSize+n]
-	if le.Uint32(b[4:]) != crc32.Update(crc32.Checksum(b[8:16], crcTable), crcTable, payload) {
+	if le.Uint32(b[4:]) != checksum(b, payload) {
 		return nil, 0, frameSize + n, false, errors.New("a record whose checksum is wrong")
 	}
 	return payload, le.Uint64(b[8:]), frameSize + n, false, nil
--- a/store/recover.go
+++ b/store/recover.go
@@ -151,10 +151,13 @@
 	for at := headSize; at < len(r.text); {
 		payload, seq, size, torn, err := next(r.text[at:])
 		if torn {
-			if last {
-				f.Torn = len(r.text) - at
-				// Danger: what was cut off may be a record that its writer was told of.
+			rest := r.text[at:]
+			switch {
+			case hasRecordBehind(rest, f.seq):
+				f.fault(r.name, at, "a record whose length is wrong")
 				l.lost(f.seq + 1)
+			case last: // half a record that a kill left: nobody was told that it is written
+				f.Torn = len(rest)
 			}
 			return
 		}
@@ -183,6 +186,27 @@
 	}
 }
 
+// hasRecordBehind tells whether bytes that end within a record, going by its length, hold records that were whole:
+// its own, under another length, or later ones. Then the length is damaged.
+func hasRecordBehind(rest []byte, seq uint64) bool {
+	for at := range rest {
+		if len(rest)-at <= frameSize {
+			return false
+		}
+		number := le.Uint64(rest[at+8:])
+		if number <= seq || number-seq > uint64(len(rest)) {
+			continue
+		}
+		if payload := rest[at+frameSize:]; checksum(rest[at:], payload) == le.Uint32(rest[at+4:]) {
+			return true
+		}
+		if payload, _, _, torn, err := next(rest[at:]); err == nil && !torn && len(payload) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *loader) lost(before uint64) {
 	l.found.Lost = true
 	l.gap = max(l.gap, before)
