Give the log one writer that keeps outcomes and ends until they are written

Cause: a failed write whose truncation failed too set Store.broken for good; and Ended, Decide and Over returned the error of their one write, which the node logged and forgot. After a restart such events were pending again. Change: store/writer.go owns the log. Records that say what happened stay at the head of its queue until they are written, in order; a receipt tells when. Only a request that is taken on and the beginning of an attempt are refused when their write fails, and a refusal is told after what was written of it has been taken back. Where the file cannot be cut, the log goes on in a new segment, whose head says where the one before ends (in four bytes that were zero: old folders read as before, an older version passes over them). A sync that failed is never trusted: the segment is left and its records are written anew. The queue is bounded: while it cannot be written nothing is taken on and no attempt begins, so it holds at most three records for each event in hand.

--- /dev/null
+++ b/errclass/errclass.go
@@ -0,0 +1,93 @@
+// Package errclass says what an error of a system call means for the caller: whether the same call may be tried
+// again, and to whom the failure is charged. It is the only place that decides this.
+package errclass
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+)
+
+// Class is what an error means.
+type Class uint8
+
+// The classes.
+const (
+	None      Class = iota // there is no error
+	Momentary              // this machine was short of something or interrupted: the same call may be tried again
+	Peer                   // the other side, or the way to it, failed
+	Expired                // a deadline of our own passed
+	Closed                 // we closed it
+	Permanent              // the same call would fail again
+)
+
+// momentary are the errors that say nothing of the object of the call. Linux documents them for calls on files and
+// on sockets alike.
+var momentary = map[syscall.Errno]bool{
+	syscall.EINTR:  true,
+	syscall.EAGAIN: true,
+	syscall.ENOMEM: true,
+	syscall.EMFILE: true,
+	syscall.ENFILE: true,
+}
+
+// momentaryOfFiles are those that a disk has for a while.
+var momentaryOfFiles = map[syscall.Errno]bool{
+	syscall.EIO:       true,
+	syscall.ENOSPC:    true,
+	syscall.EDQUOT:    true,
+	syscall.EBUSY:     true,
+	syscall.ETXTBSY:   true,
+	syscall.ENOBUFS:   true,
+	syscall.ETIMEDOUT: true,
+}
+
+// momentaryOfSockets are those that the local side of the network has for a while: buffers, ports, addresses, rules
+// of its packet filter.
+var momentaryOfSockets = map[syscall.Errno]bool{
+	syscall.ENOBUFS:       true,
+	syscall.EADDRINUSE:    true,
+	syscall.EADDRNOTAVAIL: true,
+	syscall.EPERM:         true,
+	syscall.EACCES:        true,
+	syscall.EIO:           true,
+}
+
+// File classifies an error of a call on a file or a folder.
+func File(err error) Class {
+	var errno syscall.Errno
+	switch {
+	case err == nil:
+		return None
+	case errors.Is(err, os.ErrClosed):
+		return Closed
+	case errors.As(err, &errno) && (momentary[errno] || momentaryOfFiles[errno]):
+		return Momentary
+	}
+	return Permanent
+}
+
+// Socket classifies an error of a call on a socket, or of connecting one.
+func Socket(err error) Class {
+	var errno syscall.Errno
+	switch {
+	case err == nil:
+		return None
+	case errors.Is(err, net.ErrClosed):
+		return Closed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Expired
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return Peer
+	case errors.As(err, &errno) && (momentary[errno] || momentaryOfSockets[errno]):
+		return Momentary
+	case errors.As(err, &errno):
+		return Peer
+	}
+	return Permanent
+}
+
+// ShortOfDescriptors tells whether this process has no descriptor left, so that closing one of its own helps.
+func ShortOfDescriptors(err error) bool { return errors.Is(err, syscall.EMFILE) }
--- a/node/journal.go
+++ b/node/journal.go
@@ -125,7 +125,7 @@
 func (j *journal) close() {
 	close(j.stop)
 	<-j.done
-	j.must(j.store.Close())
+	j.disk.note(j.store.Close())
 }
 
 // take writes that an event was taken on.
@@ -137,29 +137,21 @@
 
 // began writes that a send goes out. Where it fails, nothing may go.
 func (j *journal) began(e *event, number int, at int64, zone string) error {
-	return j.store.Began(e.id, e.came, number, at, zone)
+	return j.store.RecordAttempt(e.id, e.came, number, at, zone)
 }
 
 // ended writes how a send ended.
-func (j *journal) ended(e *event, number int, how port.Outcome) {
-	j.must(j.store.Ended(e.id, e.came, number, how))
+func (j *journal) ended(e *event, number int, how port.Outcome) *store.Receipt {
+	return j.store.RecordOutcome(e.id, e.came, number, how)
 }
 
 // decide writes how an event ends whose notice is still owed.
-func (j *journal) decide(e *event) {
-	j.must(j.store.Decide(e.id, e.came, store.Verdict(e.verdict), e.comeBack))
+func (j *journal) decide(e *event) *store.Receipt {
+	return j.store.Resolve(e.id, e.came, store.Verdict(e.verdict), e.comeBack)
 }
 
 // over writes that nothing more is owed for an event.
-func (j *journal) over(e *event) { j.must(j.store.Over(e.id, e.came, 0)) }
-
-// must: danger: an end that was not written is told twice after a restart; stopping would lose more. A late
-// answer may speak of an event that is over: it changes nothing.
-func (j *journal) must(err error) {
-	if !errors.Is(err, errOver) {
-		j.disk.note(err)
-	}
-}
+func (j *journal) over(e *event) *store.Receipt { return j.store.Complete(e.id, e.came, 0) }
 
 // empty tells whether nothing is owed.
 func (j *journal) empty() bool { return j.store.Empty() }
--- a/store/record.go
+++ b/store/record.go
@@ -40,6 +40,10 @@
 	epoch  uint64 // of the store: an old file is never taken for one of a new store
 	number uint64
 	first  uint64 // sequence number of its first record
+
+	// previousSize is where the segment before ends: what stands behind was not written, for all that anybody was
+	// told. 0 stands for all of it.
+	previousSize uint32
 }
 
 func (h head) bytes() []byte {
@@ -48,6 +52,7 @@
 	le.PutUint64(b[8:], h.epoch)
 	le.PutUint64(b[16:], h.number)
 	le.PutUint64(b[24:], h.first)
+	le.PutUint32(b[32:], h.previousSize)
 	le.PutUint32(b[36:], crc32.Checksum(b[:36], crcTable))
 	return b
 }
@@ -56,15 +61,14 @@
 	if len(b) < headSize || string(b[:8]) != magic || le.Uint32(b[36:]) != crc32.Checksum(b[:36], crcTable) {
 		return h, errHead
 	}
-	return head{le.Uint64(b[8:]), le.Uint64(b[16:]), le.Uint64(b[24:])}, nil
+	return head{le.Uint64(b[8:]), le.Uint64(b[16:]), le.Uint64(b[24:]), le.Uint32(b[32:])}, nil
 }
 
-// frame appends a record.
-func frame(to []byte, seq uint64, k kind, fill func([]byte) []byte) []byte {
+// frame appends a record of a payload, whose first byte is its kind.
+func frame(to []byte, seq uint64, payload []byte) []byte {
 	at := len(to)
 	to = append(to, make([]byte, frameSize)...)
-	to = fill(append(to, byte(k)))
-	payload := to[at+frameSize:]
+	to = append(to, payload...)
 	le.PutUint32(to[at:], uint32(len(payload)))
 	le.PutUint64(to[at+8:], seq)
 	le.PutUint32(to[at+4:], checksum(to[at:], payload))
@@ -210,13 +214,24 @@
 	return false
 }
 
-// Begin adds a send. One before it that never began cannot have run.
+// Begin adds an attempt, or goes on with one that did not go out after all. One before it that never began cannot
+// have run.
 func (e *Event) Begin(number int, s Send) {
 	for len(e.Sends) < number {
 		e.Sends = append(e.Sends, Send{At: s.At, Zone: s.Zone, Ended: true, How: port.Unsent})
 	}
-	if len(e.Sends) == number {
+	switch {
+	case len(e.Sends) == number:
 		e.Sends = append(e.Sends, s)
+	case e.Sends[number].Ended && e.Sends[number].How == unsent:
+		e.Sends[number] = s
+	}
+}
+
+// unbegin notes that an attempt did not go out.
+func (e *Event) unbegin(number int) {
+	if number < len(e.Sends) {
+		e.Sends[number].Ended, e.Sends[number].How = true, unsent
 	}
 }
 
--- a/store/recover.go
+++ b/store/recover.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -22,7 +21,8 @@
 	Faults   []string // file, offset and reason of what is damaged, missing or foreign
 
 	epoch, seq, number uint64
-	mirror             int // whole bytes of the mirror
+	mirror             int              // whole bytes of the mirror
+	sizes              map[string]int64 // of each file
 }
 
 // longAgo is when a send went out of which nothing but that it may have is known: no window of repeats
@@ -40,7 +40,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Found{Waits: map[string]int64{}, Outages: map[string]int64{}, Past: map[string]int64{}}
+	f := &Found{Waits: map[string]int64{}, Outages: map[string]int64{}, Past: map[string]int64{},
+		sizes: map[string]int64{}}
 	var segs []read
 	for _, name := range names {
 		if !strings.HasPrefix(name, "seg-") && name != mirrorName {
@@ -51,6 +52,7 @@
 			return nil, err
 		}
 		f.Size += int64(len(text))
+		f.sizes[name] = int64(len(text))
 		h, err := readHead(text)
 		if err != nil {
 			f.fault(name, 0, err.Error())
@@ -81,6 +83,9 @@
 	f.Segments = len(segs)
 	l := loader{found: f, events: map[string]*loaded{}}
 	for i := range segs {
+		if i+1 < len(segs) {
+			segs[i].endAt(&segs[i+1])
+		}
 		l.segment(&segs[i], i == 0, i == len(segs)-1)
 	}
 	if mirror != nil {
@@ -100,6 +105,13 @@
 	bad  bool
 }
 
+// endAt cuts off what the next segment says was not written.
+func (r *read) endAt(next *read) {
+	if size := int(next.previousSize); next.number == r.number+1 && size >= headSize && size < len(r.text) {
+		r.text = r.text[:size]
+	}
+}
+
 // epochOf is the epoch that most files are of; of as many, the later's.
 func epochOf(files []read) (epoch uint64) {
 	count, last := map[uint64]int{}, map[uint64]uint64{}
@@ -338,37 +350,54 @@
 
 // Open opens a folder's store, or begins one, and returns what it holds. most is how many bytes its files may
 // take, 0 for 256 MiB; sends how many an event may have; clock tells the time of day in ns. Only one process
-// may have it open.
+// may have it open. Calls that fail for a moment are tried again.
 func Open(folder Folder, most int64, sends int, sync Sync, clock func() int64) (*Store, *Found, error) {
-	release, err := folder.Lock()
+	var release func()
+	err := again(func() (err error) {
+		release, err = folder.Lock()
+		return err
+	})
 	if err != nil {
 		return nil, nil, err
 	}
-	found, err := Recover(folder)
+	var found *Found
+	err = again(func() (err error) {
+		found, err = Recover(folder)
+		return err
+	})
 	if err != nil {
 		release()
 		return nil, nil, err
 	}
+	s := newStore(folder, most, sends, sync, clock, found)
+	s.release = release
+	if err := s.begin(found); err != nil {
+		if s.file != nil {
+			s.file.Close()
+		}
+		release()
+		return nil, nil, err
+	}
+	go s.runWriter()
+	return s, found, nil
+}
+
+func newStore(folder Folder, most int64, sends int, sync Sync, clock func() int64, found *Found) *Store {
 	if most <= 0 {
 		most = noLimit
 	}
 	most -= slackSize
-	s := &Store{folder: folder, release: release, most: most, sync: sync, sends: sends, clock: clock,
+	s := &Store{folder: folder, most: most, sync: sync, sends: sends, clock: clock,
 		segSize: min(max(most/segments, leastSeg), mostSeg),
-		from:    most / compactFrom, epoch: found.epoch, seq: found.seq, cur: newBatch(),
-		events: map[string]*item{}, past: map[string]*item{}, waits: map[string]*item{},
+		from:    most / compactFrom, epoch: found.epoch, seq: found.seq, closing: make(chan struct{}),
+		writerDone: make(chan struct{}),
+		events:     map[string]*item{}, past: map[string]*item{}, waits: map[string]*item{},
 		outages: map[string]*item{}}
+	s.work.L = &s.mu
 	if s.epoch == 0 {
 		s.epoch = newEpoch()
 	}
-	if err := s.begin(found); err != nil {
-		if s.file != nil {
-			s.file.Close()
-		}
-		release()
-		return nil, nil, err
-	}
-	return s, found, nil
+	return s
 }
 
 // begin writes all that is kept anew into new segments, and removes the old ones. A crash on the way leaves
@@ -377,16 +406,35 @@
 // Danger: what is appended behind a torn record would be lost with it, and a doubt that is not written down
 // would be forgotten by the next start.
 func (s *Store) begin(found *Found) error {
-	names, err := s.folder.Names()
+	var names []string
+	err := again(func() (err error) {
+		names, err = s.folder.Names()
+		return err
+	})
 	if err != nil {
 		return err
 	}
 	s.segs = []*segment{{number: found.number}} // to count from
-	if err := s.roll(s.seq + 1); err != nil {
+	if err := again(s.roll); err != nil {
 		return err
 	}
 	s.segs = s.segs[1:]
-	for _, e := range found.Events {
+	if err := s.rewriteEvents(found.Events); err != nil {
+		return err
+	}
+	s.queueMarks(found)
+	if err := s.flushQueue(); err != nil {
+		return err
+	}
+	if err := again(s.rewriteMirror); err != nil {
+		return err
+	}
+	s.removeFormer(names, found)
+	return nil
+}
+
+func (s *Store) rewriteEvents(events []*Event) error {
+	for _, e := range events {
 		s.came = max(s.came, e.Came)
 		kept := *e
 		kept.Body = nil
@@ -394,10 +442,17 @@
 		it := &item{event: &kept, kind: recState, need: int32(s.need(e))}
 		s.keep(it)
 		s.put(it, recState, len(e.Body), e.state)
-		if err := s.drain(false); err != nil {
-			return err
+		if s.pending > s.segSize {
+			if err := s.flushQueue(); err != nil {
+				return err
+			}
 		}
 	}
+	return nil
+}
+
+// queueMarks queues the waits, the outages and the ids that are over, as far as they are still in force.
+func (s *Store) queueMarks(found *Found) {
 	now := s.clock()
 	for _, table := range []struct {
 		kind kind
@@ -414,32 +469,42 @@
 				need:  int32(2 * (frameSize + 24 + len(name))),
 			}
 			s.keep(it)
-			s.put(
-				it,
-				table.kind,
-				0,
-				func(to []byte) []byte { return append(putText(to, name), varint(value)...) },
-			)
+			s.put(it, table.kind, 0, func(to []byte) []byte { return append(putText(to, name), varint(value)...) })
 		}
 	}
-	if err := s.drain(true); err != nil {
-		return err
-	}
-	if err := s.rewriteMirror(); err != nil {
+}
+
+// flushQueue writes what is queued, before there is a writer.
+func (s *Store) flushQueue() error {
+	batch := s.entries
+	s.entries = nil
+	return again(func() error {
+		written, err := s.appendBatch(batch)
+		batch = batch[written:]
 		return err
-	}
+	})
+}
+
+// removeFormer removes the segments of former processes, oldest first. Where one cannot be removed, it and those
+// behind it are left to Compact.
+func (s *Store) removeFormer(names []string, found *Found) {
 	own := map[string]bool{}
 	for _, g := range s.segs {
 		own[g.name()] = true
 	}
+	var former []*segment
+	slices.Sort(names)
 	for _, name := range names {
-		if foreign := found.hasFault(name) && found.foreign(name); strings.HasPrefix(name, "seg-") &&
-			!own[name] &&
-			!foreign {
-			err = errors.Join(err, s.folder.Remove(name))
+		foreign := found.hasFault(name) && found.foreign(name)
+		if !strings.HasPrefix(name, "seg-") || own[name] || foreign {
+			continue
+		}
+		if len(former) == 0 && s.folder.Remove(name) == nil {
+			continue
 		}
+		former = append(former, &segment{former: name, stale: true, size: found.sizes[name]})
 	}
-	return err
+	s.segs = append(former, s.segs...)
 }
 
 // foreign tells whether a file was passed over as another store's: it is left where it is.
@@ -448,13 +513,3 @@
 		return strings.HasPrefix(text, name+":") && strings.Contains(text, "another store")
 	})
 }
-
-// drain writes what is queued, once it is much or all is to go.
-func (s *Store) drain(all bool) error {
-	if b := s.cur; len(b.ops) > 0 && (all || s.pending > s.segSize) {
-		s.writing = true
-		s.write()
-		return b.err
-	}
-	return nil
-}
