Try calls of the start again that fail for a moment

Callers saw: a node that did not come back after a kill, while its disk failed for a moment; what it had accepted was lost meanwhile.

Cause: one failing create, write, rename, remove, read or lock ended the start, and with it the process. A folder that is not there, or is held by another process, is still told at once.

--- a/store/writer.go
+++ b/store/writer.go
@@ -13,7 +13,9 @@
 	settleAgain   = 5 * time.Millisecond   // between tries to take a failed write back
 	settleWithin  = 250 * time.Millisecond // a refusal is held so long for it: clients wait 400 ms for their answer
 	closeWithin   = 300 * time.Millisecond // for the last records at the end of the process
-	batchCapacity = 64                     // entries, to begin with
+	startWithin   = 10 * time.Second       // for calls that fail at the start
+	startAgain    = 20 * time.Millisecond
+	batchCapacity = 64 // entries, to begin with
 )
 
 // ErrDeferred tells that a record could not be written yet. The store keeps it and tries again.
@@ -279,5 +281,12 @@
 	return nil
 }
 
-// again makes a call of the start.
-func again(call func() error) error { return call() }
+// again repeats a call of the start for as long as it fails for a moment.
+func again(call func() error) error {
+	for began := time.Now(); ; time.Sleep(startAgain) {
+		err := call()
+		if errclass.File(err) != errclass.Momentary || time.Since(began) > startWithin {
+			return err
+		}
+	}
+}
