Add failing tests of the node while its disk and its system calls fail for a moment

Nine tests fail, each for a fault of its own (KNOWN-RED.txt names what each showed): notices and refusals told before a restart would respect them, attempts after their deadline, an event loop that waits for the disk, connections closed with no answer, attempts charged to an endpoint that was never asked, resting connections closed when accept fails, and requests read from a connection that can carry no answer.

--- /dev/null
+++ b/node/failing_test.go
@@ -0,0 +1,389 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"jaspersill/port"
+	"jaspersill/store"
+)
+
+// faultyDisk is a folder whose files cannot be written, or only slowly, while a test says so.
+type faultyDisk struct {
+	store.Dir
+	failing atomic.Bool
+	slow    atomic.Int64 // ns for each write
+	onWrite func(text []byte)
+}
+
+func (d *faultyDisk) Create(name string) (store.File, error) {
+	if d.failing.Load() {
+		return nil, syscall.ENOSPC
+	}
+	f, err := d.Dir.Create(name)
+	return &faultyFile{f, d}, err
+}
+
+type faultyFile struct {
+	store.File
+	disk *faultyDisk
+}
+
+func (f *faultyFile) Write(text []byte) (int, error) {
+	if f.disk.failing.Load() {
+		return 0, syscall.EIO
+	}
+	time.Sleep(time.Duration(f.disk.slow.Load()))
+	n, err := f.File.Write(text)
+	if f.disk.onWrite != nil {
+		f.disk.onWrite(text)
+	}
+	return n, err
+}
+
+func (f *faultyFile) Truncate(size int64) error {
+	if f.disk.failing.Load() {
+		return syscall.EIO
+	}
+	return f.File.Truncate(size)
+}
+
+// afterKill is what a restart would find in a folder, by id.
+func afterKill(t *testing.T, folder string) map[string]*store.Event {
+	t.Helper()
+	found, err := store.Recover(store.Dir(killed(t, folder)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := map[string]*store.Event{}
+	for _, e := range found.Events {
+		list[e.ID] = e
+	}
+	return list
+}
+
+// Guards against a notice for a request that a restart would forward again, because the end is not on the disk.
+func TestANoticeWaitsForItsRecordOrForTheDeadline(t *testing.T) {
+	for _, recovers := range []bool{true, false} {
+		w := newWorld(t)
+		disk := &faultyDisk{Dir: store.Dir(w.folder)}
+		w.disk = disk
+		answer := make(chan bool)
+		at := w.endpoint(1, func(conn net.Conn, body string) bool {
+			<-answer
+			return say(answerOf("500 Error", "", ""))(conn, body)
+		})
+		w.run()
+		sent := time.Now()
+		const left = 900 * time.Millisecond
+		if status, _ := w.dial().hand(request("x", "charge", "1", left.Milliseconds(), "")); status != statusTaken {
+			t.Fatal(status)
+		}
+		w.until("it is out", func() bool { calls, _ := at.calls(); return calls == 1 })
+		disk.failing.Store(true)
+		answer <- true
+		time.Sleep(200 * time.Millisecond)
+		if len(w.noticed()) > 0 && time.Since(sent) < left {
+			t.Errorf("the platform heard %q while a restart would still forward it", w.noticed())
+		}
+		if recovers {
+			disk.failing.Store(false)
+		}
+		w.until("the platform hears of the end", func() bool { return len(w.noticed()) > 0 })
+		heard := time.Since(sent)
+		if e := afterKill(t, w.folder)["x"]; recovers && e != nil && e.Verdict == store.Undecided {
+			t.Error("told, and not on the disk")
+		}
+		if recovers && heard > left {
+			t.Errorf("told after %v though the disk had recovered", heard)
+		}
+		if !recovers && (heard < left || heard > left+300*time.Millisecond) {
+			t.Errorf("told after %v, though it may be told from %v on and is overdue 0.3 s later", heard, left)
+		}
+		disk.failing.Store(false)
+	}
+}
+
+// Guards against a refusal that is told while a restart would still find the request and forward it.
+func TestARefusalIsToldOnceARestartWouldNotForward(t *testing.T) {
+	w := newWorld(t)
+	disk := &faultyDisk{Dir: store.Dir(w.folder)}
+	disk.onWrite = func(text []byte) {
+		if bytes.Contains(text, []byte("refused")) && bytes.Contains(text, []byte("acme")) {
+			disk.failing.Store(true) // from its state on, nothing can be written
+			time.AfterFunc(150*time.Millisecond, func() { disk.failing.Store(false) })
+		}
+	}
+	w.disk = disk
+	w.run()
+	w.directory.mu.Lock()
+	w.directory.dests[9] = struct{}{} // listed once, and nobody is there
+	w.directory.mu.Unlock()
+	status, _ := w.dial().hand(request("refused", "alert", "9", 0, ""))
+	if _, found := afterKill(t, w.folder)["refused"]; found && status == statusDeclined {
+		t.Error("refused, and a restart would forward it")
+	}
+	w.until("nothing is owed", w.journal.empty)
+}
+
+// Guards against an attempt that goes out after its request's deadline because its record took long to write.
+func TestNothingIsSentAfterTheDeadlineWhenTheDiskIsSlow(t *testing.T) {
+	w := newWorld(t)
+	disk := &faultyDisk{Dir: store.Dir(w.folder)}
+	w.disk = disk
+	at := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	c := w.dial()
+	c.hand(request("first", "charge", "1", 8000, ""))
+	w.until("a connection is kept", func() bool { calls, _ := at.calls(); return calls == 1 })
+	disk.slow.Store(int64(400 * time.Millisecond))
+	c.hand(request("second", "charge", "1", 600, ""))
+	disk.slow.Store(int64(600 * time.Millisecond))
+	w.until("it has its end", w.journal.empty)
+	if calls, _ := at.calls(); calls != 1 {
+		t.Errorf("%d calls: the second one goes out after its deadline", calls)
+	}
+}
+
+// Guards against a slow write that holds whoever calls an attempt off: the event loop does.
+func TestCallingOffDoesNotWaitForTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	disk := &faultyDisk{Dir: store.Dir(folder)}
+	j, _, err := openJournal(folder, disk, 3, 6, anyName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(j.close)
+	at := newPeer(t, say(answerOf("200 OK", "", "")))
+	for name, callOff := range map[string]func(*call){
+		"given up": func(c *call) { c.giveUp(port.Cancelled) },
+		"recalled": func(c *call) { c.recall(c.sends[0]) },
+	} {
+		p := newEndpoints(t, at.Addr().String())
+		p.journal = j
+		c := &call{of: p}
+		s := newSend(t, c, name, 10*time.Second)
+		c.sends = []*send{s}
+		disk.slow.Store(int64(time.Second))
+		go p.carry(c)
+		time.Sleep(200 * time.Millisecond) // it is being written
+		began := time.Now()
+		callOff(c)
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("%s: it took %v", name, took)
+		}
+		if r := ending(t, s); r.how != port.Unsent {
+			t.Errorf("%s: ended as %v", name, r.how)
+		}
+		disk.slow.Store(0)
+	}
+	if calls, _ := at.calls(); calls > 0 {
+		t.Errorf("%d calls went out", calls)
+	}
+}
+
+// faultyConn is a connection on which calls fail for a moment.
+type faultyConn struct {
+	*net.TCPConn
+	errno  syscall.Errno
+	mu     sync.Mutex
+	reads  int // so many fail
+	writes int // so many fail, the first after a byte
+	shut   bool
+	late   int // bytes that were read after the half close
+}
+
+func (c *faultyConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	fails := c.reads > 0
+	c.reads--
+	c.mu.Unlock()
+	if fails {
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", c.errno)}
+	}
+	n, err := c.TCPConn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		c.late += n
+	}
+	return n, err
+}
+
+func (c *faultyConn) Write(b []byte) (n int, err error) {
+	c.mu.Lock()
+	fails := c.writes > 0
+	c.writes--
+	c.mu.Unlock()
+	if !fails {
+		return c.TCPConn.Write(b)
+	}
+	if len(b) > 1 {
+		n, _ = c.TCPConn.Write(b[:1])
+	}
+	return n, &net.OpError{Op: "write", Err: os.NewSyscallError("write", c.errno)}
+}
+
+func (c *faultyConn) CloseWrite() error {
+	c.mu.Lock()
+	c.shut = true
+	c.mu.Unlock()
+	return c.TCPConn.CloseWrite()
+}
+
+// faultyListener hands out faulty connections, after so many failures.
+type faultyListener struct {
+	net.Listener
+	mu    sync.Mutex
+	errno syscall.Errno
+	fails int
+	wrap  func(*net.TCPConn) net.Conn
+}
+
+func (l *faultyListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	fails := l.fails > 0
+	l.fails--
+	l.mu.Unlock()
+	if fails {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", l.errno)}
+	}
+	conn, err := l.Listener.Accept()
+	if err == nil && l.wrap != nil {
+		conn = l.wrap(conn.(*net.TCPConn))
+	}
+	return conn, err
+}
+
+// Guards against connections of clients that are closed with no answer because a read or a write failed for a moment.
+func TestAClientHearsItsAnswerThoughCallsFailForAMoment(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR} {
+		w := newWorld(t)
+		w.endpoint(1, say(answerOf("200 OK", "", "")))
+		w.prepare = func(n *Node) {
+			n.clients.listener.Listener = &faultyListener{Listener: n.clients.listener.Listener,
+				wrap: func(c *net.TCPConn) net.Conn { return &faultyConn{TCPConn: c, errno: errno, reads: 5, writes: 5} }}
+		}
+		w.run()
+		c := w.dial()
+		for i := range 2 {
+			if status, _ := c.hand(request(fmt.Sprint("x", i), "charge", "1", 8000, "body")); status != statusTaken {
+				t.Errorf("%v: answered %d", errno, status)
+			}
+		}
+	}
+}
+
+// Guards against attempts that count as failed by their endpoint because a call here failed for a moment.
+func TestAnAttemptOutlastsCallsThatFailForAMoment(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EINTR} {
+		at := newPeer(t, say(answerOf("200 OK", "", "")))
+		p := newEndpoints(t, at.Addr().String())
+		usual, fails := p.dial, 3
+		p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if fails--; fails >= 0 {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+			}
+			conn, err := usual(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &faultyConn{TCPConn: conn.(*net.TCPConn), errno: errno, reads: 3, writes: 3}, nil
+		}
+		if ends, _ := deliver(t, p, 5*time.Second); ends[0].how != port.Acked {
+			t.Errorf("%v: ended as %v", errno, ends[0].how)
+		}
+		if calls, _ := at.calls(); calls != 1 {
+			t.Errorf("%v: %d calls", errno, calls)
+		}
+	}
+}
+
+// Guards against an endpoint that counts as silent because this machine could not connect anywhere.
+func TestALocalFailureIsNotChargedToTheEndpoint(t *testing.T) {
+	p := newEndpoints(t, "127.0.0.1:9")
+	p.dial = func(context.Context, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.ENFILE)}
+	}
+	if ends, _ := deliver(t, p, 300*time.Millisecond); ends[0].how != port.Unsent {
+		t.Errorf("ended as %v", ends[0].how)
+	}
+}
+
+// Guards against resting connections that are closed, and requests that are hurried, when accepting fails for a
+// reason that closing them does not mend.
+func TestAnAcceptThatFailsClosesNoConnection(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, syscall.ENETDOWN} {
+		w := newWorld(t)
+		w.endpoint(1, say(answerOf("200 OK", "", "")))
+		var l *faultyListener
+		w.prepare = func(n *Node) {
+			l = &faultyListener{Listener: n.clients.listener.Listener, errno: errno}
+			n.clients.listener.Listener = l
+		}
+		w.run()
+		resting, half := w.dial(), w.dial()
+		resting.hand(request("a", "charge", "1", 8000, ""))
+		text := request("b", "charge", "1", 8000, "body")
+		io.WriteString(half, text[:len(text)-1])
+		l.mu.Lock()
+		l.fails = 12
+		l.mu.Unlock()
+		next := w.dial()
+		if status, _ := next.hand(request("c", "charge", "1", 8000, "")); status != statusTaken {
+			t.Errorf("%v: the next client hears %d", errno, status)
+		}
+		w.until("accepting works again", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.fails < 0 })
+		if status, _ := resting.hand(request("d", "charge", "1", 8000, "")); status != statusTaken {
+			t.Errorf("%v: the resting one hears %d", errno, status)
+		}
+		io.WriteString(half, text[len(text)-1:])
+		if status, _ := half.hear(""); status != statusTaken {
+			t.Errorf("%v: the one that was writing hears %d", errno, status)
+		}
+	}
+}
+
+// Guards against a request that is read from a connection which can carry no answer any more.
+func TestNothingIsReadBehindTheEndOfAConnection(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	conns := make(chan *faultyConn, 10)
+	w.prepare = func(n *Node) {
+		n.clients.listener.Listener = &faultyListener{Listener: n.clients.listener.Listener,
+			wrap: func(c *net.TCPConn) net.Conn {
+				f := &faultyConn{TCPConn: c}
+				conns <- f
+				return f
+			}}
+	}
+	w.run()
+	c := w.dial()
+	c.hand(request("a", "charge", "1", 8000, ""))
+	conn := <-conns
+	w.clients.listener.dismiss()
+	w.until("it is half closed", func() bool { conn.mu.Lock(); defer conn.mu.Unlock(); return conn.shut })
+	io.WriteString(c, request("crossing", "charge", "1", 8000, ""))
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("an answer behind the end")
+	}
+	w.until("it is closed", w.clients.listener.empty)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.late > 0 {
+		t.Errorf("%d bytes of a request were read and not answered", conn.late)
+	}
+	if strings.Contains(fmt.Sprint(afterKill(t, w.folder)), "crossing") {
+		t.Error("it was taken on")
+	}
+}
--- a/node/journal.go
+++ b/node/journal.go
@@ -34,9 +34,9 @@
 // openJournal opens the folder's store and returns the events that it still owes, in the order of their
 // coming. What an older version kept is carried over. find maps the names of a stream type and a customer to
 // their indices.
-func openJournal(folder string, limitMB float64, sends int, find func(kind, owner string) (int, int, bool)) (
-	*journal, []*event, error) {
-	s, found, err := store.Open(store.Dir(folder), int64(limitMB*1e6), sends, store.Never, wall)
+func openJournal(folder string, disk store.Folder, limitMB float64, sends int,
+	find func(kind, owner string) (int, int, bool)) (*journal, []*event, error) {
+	s, found, err := store.Open(disk, int64(limitMB*1e6), sends, store.Never, wall)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/node/journal_bench_test.go
+++ b/node/journal_bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"jaspersill/port"
+	"jaspersill/store"
 )
 
 // 64 lives at once, each writing that an event is taken on, sent, acked and over.
@@ -36,7 +37,7 @@
 		wg.Wait()
 		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
 	}
-	j, _, err := openJournal(b.TempDir(), 64, 6, anyName)
+	j, _, err := openJournal(b.TempDir(), store.Dir(b.TempDir()), 64, 6, anyName)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 
 	"jaspersill/port"
 	"jaspersill/start"
+	"jaspersill/store"
 )
 
 // Place is where a delivery node stands: its addresses and its folder.
@@ -18,6 +19,8 @@
 	PeerListen, PeersAll      string
 	Peers                     []string
 	Known                     []byte // the list of endpoints as it was last had
+
+	disk store.Folder // tests put one that fails in place of Folder
 }
 
 // ClientTimes is how long clients' connections may take; 0 for the usual time.
@@ -72,7 +75,10 @@
 	n.Drain(drainRest, drainChoose, drainEnd)
 	n.enter(Starting)
 	var err error
-	if n.journal, n.owed, err = openJournal(at.Folder, most.DiskMB, s.Room.Sends, n.find); err != nil {
+	if at.disk == nil {
+		at.disk = store.Dir(at.Folder)
+	}
+	if n.journal, n.owed, err = openJournal(at.Folder, at.disk, most.DiskMB, s.Room.Sends, n.find); err != nil {
 		return nil, err
 	}
 	sockets := most.Sockets
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -22,6 +22,7 @@
 	"jaspersill/choice"
 	"jaspersill/port"
 	"jaspersill/start"
+	"jaspersill/store"
 )
 
 func TestMain(m *testing.M) {
@@ -49,6 +50,8 @@
 	diskMB  float64 // of the folder
 	hosts   []string
 	balk    int // so many notices are refused first
+	disk    store.Folder
+	prepare func(*Node) // before it runs
 	mu      sync.Mutex
 	notices []string
 	*Node
@@ -89,10 +92,13 @@
 	s.Directory.Asked = true
 	module := choice.New(1, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	w.Node, err = Open(Place{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), Folder: w.folder,
-		Known: []byte(list)}, Limits{DiskMB: w.diskMB}, ClientTimes{}, s, module)
+		Known: []byte(list), disk: w.disk}, Limits{DiskMB: w.diskMB}, ClientTimes{}, s, module)
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if w.prepare != nil {
+		w.prepare(w.Node)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop, w.done = stop, make(chan error, 1)
 	go func() { w.done <- w.Run(ctx) }()
