Try reads, writes, connects and accepts again that fail for a reason of this machine

Callers saw: requests with no complete answer, an answer of 400, and a node that then refused most requests for seconds, after read or write on its sockets had failed with ENOBUFS for 0.1 s.

Cause: any error of a read or write ended the connection, a client's or an endpoint's; any failed connect counted against the endpoint, which was then set aside; any failed accept closed resting connections and hurried requests under way. Why this works: package errclass is the one table that says whether an error is of this machine and passes. Such a read or write loses nothing, so retryConn tries it again, and goes on with what went out in part, until the connection's deadline or its closing; dialAgain does so for connecting to endpoints, discovery and the platform. accept makes room only for EMFILE, which closing mends. The datagrams' reader rests after an error where it used to spin. Counted in jaspersill_momentary_failures_total.

--- a/node/directory.go
+++ b/node/directory.go
@@ -136,8 +136,13 @@
 
 // follow makes one call and hands in each list that it brings, until it ends.
 func (d *directory) follow(ctx context.Context, w *watch, address, path string, silence time.Duration) error {
-	dialer := net.Dialer{Timeout: min(connectTo, silence), KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	connecting, connected := context.WithTimeout(ctx, min(connectTo, silence))
+	defer connected()
+	dialer := net.Dialer{KeepAlive: -1}
+	connect := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	conn, err := dialAgain(connecting, connect, address)
 	if err != nil {
 		return err
 	}
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -20,7 +20,7 @@
 type endpoints struct {
 	clock    clock
 	journal  *journal
-	dial     func(ctx context.Context, address string) (net.Conn, error)
+	dial     dialFunc
 	idleFor  int64 // ns after which an endpoint closes an idle connection
 	mostIdle int   // idle connections in all
 
@@ -175,7 +175,7 @@
 
 // connect opens a connection, for as long as ctx lasts.
 func (p *endpoints) connect(ctx context.Context, address string) (*link, error) {
-	conn, err := p.dial(ctx, address)
+	conn, err := dialAgain(ctx, p.dial, address)
 	if err != nil {
 		return nil, err
 	}
@@ -183,7 +183,7 @@
 }
 
 // dialer connects for so long, 0 for no limit but the call's own.
-func dialer(within int64) func(context.Context, string) (net.Conn, error) {
+func dialer(within int64) dialFunc {
 	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(within)}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
@@ -203,5 +203,3 @@
 		}
 	}
 }
-
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/node/listener.go
+++ b/node/listener.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"jaspersill/errclass"
 )
 
 const (
@@ -63,24 +64,27 @@
 	return d
 }
 
-// accept returns the next connection. It waits while there is no room for one.
+// accept returns the next connection. It waits while there is no room for one. An error is that of a closed listener:
+// any other says nothing of the listener, or concerns one connection that broke before it was accepted.
 func (d *listener) accept() (*clientConn, error) {
 	c, err := d.Listener.Accept()
 	for err != nil {
-		if errors.Is(err, net.ErrClosed) {
+		if errclass.Socket(err) == errclass.Closed {
 			return nil, err
 		}
-		// Danger: out of descriptors, or a connection that broke before it was accepted, must not end the serving.
 		d.accepts.note(err)
-		d.mu.Lock()
-		d.makeRoom(time.Now())
-		d.mu.Unlock()
+		momentaryFailures["accept"].Add()
+		if errclass.ShortOfDescriptors(err) {
+			d.mu.Lock()
+			d.makeRoom(time.Now())
+			d.mu.Unlock()
+		}
 		time.Sleep(acceptAgain)
 		c, err = d.Listener.Accept()
 	}
 	d.accepts.note(nil)
 	now := time.Now()
-	g := &clientConn{Conn: c, listener: d, came: now, since: now}
+	g := &clientConn{Conn: retryConn{c}, listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -69,9 +69,14 @@
 // open replaces the client and its connections.
 func (o *outcomes) open(address string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	dialer := net.Dialer{Timeout: o.within, KeepAlive: -1}
+	dialer, most := net.Dialer{KeepAlive: -1}, o.within
 	dial := func(addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		within, cancel := context.WithTimeout(ctx, most)
+		defer cancel()
+		connect := func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+		conn, err := dialAgain(within, connect, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"time"
 
+	"jaspersill/errclass"
 	"jaspersill/logs"
 	"jaspersill/note"
 	"jaspersill/port"
@@ -46,10 +48,11 @@
 	for {
 		size, from, err := p.socket.ReadFromUDPAddrPort(buf[:])
 		if err != nil {
-			if isClosed(err) {
+			if errclass.Socket(err) == errclass.Closed {
 				return
 			}
-			continue // an answer that a peer's port is shut: it is restarting
+			time.Sleep(callAgainMost) // a peer's port is shut while it restarts; or this machine is short of something
+			continue
 		}
 		peer, known := p.number[from.String()]
 		host, ok := note.ReadGoodHost(buf[:size])
