Read nothing from a client's connection that can carry no answer any more

Callers saw: a request that was read, and its connection closed with no answer.

Evidence: TestNothingIsReadBehindTheEndOfAConnection: 178 bytes read behind the half close; now none. Why this works: a look that takes no byte off the connection tells the client's end from a request that crosses. The latter stays unread for the 0.3 s that answers on their way need, and then the close tells its client to hand it in once more. Only behind bytes that are no request is read out, as before, for a client that is still writing them would not hear what is wrong.

--- a/node/clients.go
+++ b/node/clients.go
@@ -117,6 +117,7 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
 		return false // its client has left
 	default:
+		g.unframed = true
 		c.refuse(ctx, err)
 		ctx.SetConnectionClose()
 	}
@@ -155,7 +156,10 @@
 	}
 	switch {
 	case !framed:
-		// Danger: what stands behind it may be of its body, and pass for a request that nobody made.
+		// What stands behind it may be of its body, and pass for a request that nobody made.
+		if g, ok := ctx.Conn().(*clientConn); ok {
+			g.unframed = true
+		}
 		ctx.SetConnectionClose()
 		c.turnAway(ctx, fasthttp.StatusBadRequest, "the request has two lengths, or one that cannot be read")
 	case path == pathReady && ctx.IsGet():
--- a/node/listener.go
+++ b/node/listener.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"jaspersill/errclass"
@@ -14,6 +16,7 @@
 	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
 	idleGrace   = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
 	endWithin   = 300 * time.Millisecond // a client that heard of the end closes too: there and back
+	endLook     = 10 * time.Millisecond
 )
 
 // listener accepts clients' connections, up to a limit. When short it closes first those that never asked for
@@ -44,6 +47,7 @@
 	woken    [1]byte   // the first byte of a request
 	holds    bool      // that byte was not read on yet
 	wrote    bool      // something was answered
+	unframed bool      // what was read last is no request: what follows it is none either
 
 	busy    bool // bytes of a request have been read and its answer is not written
 	whole   bool // all of them
@@ -271,9 +275,10 @@
 	return g.Conn.Write(b)
 }
 
-// end closes a connection whose answers are written. Danger: closed over unread bytes it is reset, which
-// takes the answers along that are still on their way. It is half closed, and what comes is read out until
-// the client closes too: a request that crossed the end was not answered, and its client hands it in again.
+// end closes a connection whose answers are written. Closed over unread bytes it is reset, which takes along the
+// answers that are still on their way. So it is half closed, and stays until the client closes too or has had time to
+// read. Nothing is read from it any more: a request that crosses the end, unread, is handed in again by its client.
+// Only what follows bytes that are no request is read out, since no request can be told from it.
 func (g *clientConn) end() {
 	g.listener.mu.Lock()
 	g.busy, g.leaving, g.ending, g.since = false, true, true, time.Now()
@@ -281,11 +286,10 @@
 	gently := g.wrote && !g.hurried
 	g.listener.mu.Unlock()
 	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && gently && half.CloseWrite() == nil {
-		var rest [512]byte
-		for {
-			if _, err := g.Conn.Read(rest[:]); err != nil {
-				break
-			}
+		if g.unframed {
+			g.readOut()
+		} else {
+			g.awaitEnd()
 		}
 	}
 	g.Conn.Close()
@@ -294,3 +298,43 @@
 	delete(g.listener.open, g)
 	g.listener.freed.Signal()
 }
+
+func (g *clientConn) readOut() {
+	var rest [512]byte
+	for {
+		if _, err := g.Conn.Read(rest[:]); err != nil {
+			return
+		}
+	}
+}
+
+// awaitEnd waits until the client has closed its side, or has no more time. It takes no byte off the connection.
+func (g *clientConn) awaitEnd() {
+	for g.peek() {
+		if time.Since(g.since) >= endWithin || g.isHurried() {
+			return
+		}
+		time.Sleep(endLook)
+	}
+}
+
+// peek waits until something can be read, and tells whether it is bytes, which it leaves there.
+func (g *clientConn) peek() (unread bool) {
+	raw, err := g.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0 || errclass.Socket(err) == errclass.Momentary
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	return unread
+}
+
+func (g *clientConn) isHurried() bool {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	return g.hurried
+}
