Decide in one place what may be done with a request, and tell its end only when a restart would respect it

Cause: a request's goroutine posted the notice, or answered its client with a refusal, whether or not the record of that end could be written; after a kill the request was pending and was forwarded. Change: package lifecycle holds the states of a request (received, pending, recording, in flight, ending, ended) and of a client's connection, with a method for each transition that checks the state it starts from. A crossing is a denial, a wrong order of the program a violation; both are counted at /metrics, and violations are logged with the request's id. node/life.go asks it. Why this works: an end is told once its record is written, or once its deadline has passed, for no restart sends anything after that; so a notice is never overdue because of the disk. A client whose refusal cannot be written within 0.2 s hears that its request is taken on, which is true, and the platform hears of its end. The drain waits for ends that are decided and not yet told or written.

--- /dev/null
+++ b/lifecycle/lifecycle.go
@@ -0,0 +1,233 @@
+// Package lifecycle is the one place that decides what may be done with a request and with a client's connection:
+// started, sent, repeated, ended, told and closed. Each transition is a method that checks the state it starts from.
+// What was asked for and not allowed is counted; where the program itself is at fault it is a violation.
+//
+// The invariant of a request: its end is told, or acted on, only once every crash from then on recovers to a state in
+// which nothing more is sent for it. That is so when the record of the end is written, when its deadline has passed,
+// or when it was never stored.
+package lifecycle
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"jaspersill/logs"
+	"jaspersill/metrics"
+)
+
+// Denial is why something may not be done with a request, though nobody is at fault: two things crossed.
+type Denial struct{ Reason string }
+
+func (d *Denial) Error() string { return "lifecycle: " + d.Reason }
+
+// The denials.
+var (
+	ErrDeadline = &Denial{"its deadline has passed"}
+	ErrEnded    = &Denial{"its end is decided"}
+)
+
+// ErrViolation tells that the program asked for what its own state forbids.
+var ErrViolation = errors.New("lifecycle: violation")
+
+const (
+	transitionAttempt = "attempt"
+	transitionSend    = "send"
+	transitionOutcome = "outcome"
+	transitionTell    = "tell"
+	transitionStore   = "store"
+	transitionClose   = "close"
+	denialsName       = "jaspersill_denied_transitions_total"
+	denialsHelp       = "Transitions of requests that were not allowed because something else came first."
+	violationsName    = "jaspersill_violations_total"
+	violationsHelp    = "Transitions that the program asked for and its own state forbids: each one is a fault of the program."
+	logPart           = "node"
+	deniedByDeadline  = "deadline"
+	deniedByEnd       = "ended"
+)
+
+var (
+	violations = newViolations()
+	denials    = map[*Denial]*metrics.Counter{
+		ErrDeadline: metrics.NewLabelled(denialsName, denialsHelp, "reason", deniedByDeadline),
+		ErrEnded:    metrics.NewLabelled(denialsName, denialsHelp, "reason", deniedByEnd),
+	}
+)
+
+func newViolations() map[string]*metrics.Counter {
+	counters := map[string]*metrics.Counter{}
+	for _, name := range []string{transitionAttempt, transitionSend, transitionOutcome, transitionTell, transitionStore,
+		transitionClose} {
+		counters[name] = metrics.NewLabelled(violationsName, violationsHelp, "transition", name)
+	}
+	return counters
+}
+
+// Violations is how many there were in this process.
+func Violations() (total int64) {
+	for _, c := range violations {
+		total += c.Count()
+	}
+	return total
+}
+
+// violate counts a violation and logs it with what it concerns.
+func violate(transition, id, reason string) error {
+	violations[transition].Add()
+	logs.Event(logPart, id).WithFields(logrus.Fields{"transition": transition, "reason": reason}).Error("violation")
+	return fmt.Errorf("%w: %s: %s", ErrViolation, transition, reason)
+}
+
+func deny(d *Denial) error {
+	denials[d].Add()
+	return d
+}
+
+// State is how far a request has come.
+type State uint8
+
+// The states of a request.
+const (
+	Received  State = iota // read from its client
+	Pending                // stored: it is owed its end, and no attempt is out
+	Recording              // an attempt is chosen, and its record is being written
+	InFlight               // bytes of an attempt may have gone out
+	Ending                 // its end is decided
+	Ended                  // its end is told
+)
+
+func (s State) String() string {
+	return [...]string{"received", "pending", "recording", "in flight", "ending", "ended"}[s]
+}
+
+// Request is the state of one request. It may be used by any goroutine.
+type Request struct {
+	mu         sync.Mutex
+	id         string
+	deadline   int64 // on the clock of those who call
+	repeatable bool
+	state      State
+	attempt    State // Pending, Recording or InFlight: how far the newest attempt is, whatever became of the request
+	mayHaveRun bool
+	stored     bool
+	refused    bool
+}
+
+// NewRequest is a request that was read. It may be repeated after an attempt that may have run if repeatable.
+func NewRequest(id string, deadline int64, repeatable bool) *Request {
+	return &Request{id: id, deadline: deadline, repeatable: repeatable, attempt: Pending}
+}
+
+// RestoredRequest is one that a restart found pending.
+func RestoredRequest(id string, deadline int64, repeatable, mayHaveRun bool) *Request {
+	r := NewRequest(id, deadline, repeatable)
+	r.state, r.stored, r.mayHaveRun = Pending, true, mayHaveRun
+	return r
+}
+
+// State is how far the request has come.
+func (r *Request) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// Store notes that the request stands in the log.
+func (r *Request) Store() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Received {
+		return violate(transitionStore, r.id, "it is "+r.state.String())
+	}
+	r.state, r.stored = Pending, true
+	return nil
+}
+
+// StartAttempt allows an attempt's record to be written.
+func (r *Request) StartAttempt(now int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.state == Ending || r.state == Ended:
+		return deny(ErrEnded)
+	case now >= r.deadline:
+		return deny(ErrDeadline)
+	case !r.stored:
+		return violate(transitionAttempt, r.id, "it is not stored")
+	case r.attempt != Pending:
+		return violate(transitionAttempt, r.id, "another one is "+r.attempt.String())
+	case r.mayHaveRun && !r.repeatable:
+		return violate(transitionAttempt, r.id, "it may have run and may not be repeated")
+	}
+	r.state, r.attempt = Recording, Recording
+	return nil
+}
+
+// SendAttempt allows the first byte of an attempt whose record is written.
+func (r *Request) SendAttempt(now int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.attempt != Recording:
+		return violate(transitionSend, r.id, "its attempt is "+r.attempt.String())
+	case r.state == Ending || r.state == Ended:
+		return deny(ErrEnded)
+	case now >= r.deadline:
+		return deny(ErrDeadline)
+	}
+	r.state, r.attempt = InFlight, InFlight
+	return nil
+}
+
+// FinishAttempt notes that an attempt is over, or was not sent after all. One that never started has nothing to note.
+func (r *Request) FinishAttempt(mayHaveRun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if mayHaveRun && r.attempt != InFlight {
+		violate(transitionOutcome, r.id, "it may have run though it is "+r.attempt.String())
+	}
+	r.mayHaveRun = r.mayHaveRun || mayHaveRun
+	r.attempt = Pending
+	if r.state == Recording || r.state == InFlight {
+		r.state = Pending
+	}
+}
+
+// Decide notes how the request ends: delivered, or by a notice or a refusal that is still to be told. It tells false
+// where that was decided before.
+func (r *Request) Decide() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == Ending || r.state == Ended {
+		return false
+	}
+	r.state = Ending
+	return true
+}
+
+// MayTell tells whether the end may be told now: no restart would send anything for the request any more.
+func (r *Request) MayTell(now int64, written bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayTell(now, written)
+}
+
+func (r *Request) mayTell(now int64, written bool) bool {
+	return written || now >= r.deadline || !r.stored
+}
+
+// Tell notes that the end is told now, to the client or to the platform.
+func (r *Request) Tell(now int64, written bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.state != Ending:
+		return violate(transitionTell, r.id, "it is "+r.state.String())
+	case !r.mayTell(now, written):
+		return violate(transitionTell, r.id, "a restart would still send it")
+	}
+	r.state = Ended
+	return nil
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -16,7 +16,9 @@
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
+	"jaspersill/lifecycle"
 	"jaspersill/logs"
+	"jaspersill/metrics"
 )
 
 const (
@@ -32,6 +34,8 @@
 	typePlain    = "text/plain; charset=utf-8"
 	pathReady    = "/up"
 	pathHandIn   = "/api"
+	pathMetrics  = "/metrics"
+	typeMetrics  = "text/plain; version=0.0.4; charset=utf-8"
 	envelopeDest = "dest"
 )
 
@@ -129,10 +133,12 @@
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
 	if _, err := ctx.Response.WriteTo(out); err != nil {
+		logs.Part("clients").WithError(err).Error("an answer cannot be written as HTTP")
 		return false
 	}
 	g.SetWriteDeadline(time.Now().Add(writeWithin))
 	_, err := g.Write(out.B)
+	g.state.Answer() // whole, or its client has gone
 	return err == nil && !ctx.Response.ConnectionClose()
 }
 
@@ -170,6 +176,9 @@
 		}
 	case path == pathHandIn && ctx.IsPost():
 		c.handIn(ctx)
+	case path == pathMetrics && ctx.IsGet():
+		ctx.SetContentType(typeMetrics)
+		metrics.Write(ctx)
 	case path == pathReady || path == pathHandIn:
 		c.turnAway(ctx, fasthttp.StatusMethodNotAllowed, "wrong method")
 	default:
@@ -273,6 +282,7 @@
 	}
 	e.body = append([]byte(nil), ctx.PostBody()...)
 	e.due, e.deadline = n.clock.now()+int64(left)*1e6, wall()+int64(left)*1e6
+	e.request = lifecycle.NewRequest(e.id, e.due, n.repeatable(e.typ))
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
 	return e, 0, ""
 }
--- a/node/clock.go
+++ b/node/clock.go
@@ -8,3 +8,6 @@
 func (c clock) now() int64 { return int64(time.Since(c.start)) }
 
 func wall() int64 { return time.Now().UnixNano() }
+
+// day is the time of day, as what is written into the journal has it.
+func (c clock) day() int64 { return wall() }
--- a/node/event.go
+++ b/node/event.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"slices"
+
+	"jaspersill/lifecycle"
 	"jaspersill/port"
 	"jaspersill/store"
 )
 
-// event is one event that the delivery node has in hand. Its life owns it; the desk keeps its index.
+// event is one event that the delivery node has in hand. Its life owns it; the desk keeps its index. What may be done
+// with it is asked of its request.
 type event struct {
 	id, mark      string // mark: what repeats are known by, where its stream type has one
 	typ, customer int
@@ -19,10 +23,16 @@
 	past          []store.Send // sends before a restart, in order
 	came          uint64       // by which the journal tells it from another of its id
 	sends         int          // how many in all; the desk's
-	verdict       verdict      // an end that was decided before a restart
+	request       *lifecycle.Request
+	verdict       verdict // an end that was decided before a restart
 	comeBack      int64
 }
 
+// mayHaveRun tells whether an attempt before a restart may have taken effect.
+func (e *event) mayHaveRun() bool {
+	return slices.ContainsFunc(e.past, func(s store.Send) bool { return s.MayHaveRun() })
+}
+
 // answer is what a client hears: a status, and when to come back, 0 for nothing told.
 type answer struct {
 	status   int
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -129,8 +129,14 @@
 	w.directory.mu.Lock()
 	w.directory.dests[9] = struct{}{} // listed once, and nobody is there
 	w.directory.mu.Unlock()
-	status, _ := w.dial().hand(request("refused", "alert", "9", 0, ""))
-	if _, found := afterKill(t, w.folder)["refused"]; found && status == statusDeclined {
+	const left = 18 * time.Millisecond // so little that it is refused at once
+	sent := time.Now()
+	status, _ := w.dial().hand(request("refused", "alert", "9", left.Milliseconds(), ""))
+	heard := time.Since(sent)
+	if status != statusDeclined {
+		t.Errorf("answered %d", status)
+	}
+	if _, found := afterKill(t, w.folder)["refused"]; found && heard < left {
 		t.Error("refused, and a restart would forward it")
 	}
 	w.until("nothing is owed", w.journal.empty)
--- a/node/journal.go
+++ b/node/journal.go
@@ -156,6 +156,9 @@
 // empty tells whether nothing is owed.
 func (j *journal) empty() bool { return j.store.Empty() }
 
+// settled tells whether all that is known is written.
+func (j *journal) settled() bool { return j.store.Unwritten() == 0 }
+
 // hasJournal tells whether a folder holds what a node owes, in either form.
 func hasJournal(folder string) bool {
 	segments, _ := filepath.Glob(filepath.Join(folder, "seg-*"))
--- a/node/life.go
+++ b/node/life.go
@@ -2,98 +2,228 @@
 
 import (
 	"errors"
+	"time"
 
+	"jaspersill/lifecycle"
+	"jaspersill/logs"
+	"jaspersill/metrics"
 	"jaspersill/port"
+	"jaspersill/store"
 )
 
-// life carries one event from its coming to its end. Every choice is the module's, asked through the desk.
+// refusalWithin is how long a client may wait for the record of its refusal. It waits 400 ms in all; after this it
+// hears that its request is taken on, which is true, and the refusal goes to the platform.
+const refusalWithin = 200 * time.Millisecond
+
+var (
+	refusedFull = newRefusal("full")
+	refusedDisk = newRefusal("disk")
+	refusedNow  = newRefusal("policy")
+)
+
+func newRefusal(reason string) *metrics.Counter {
+	return metrics.NewLabelled("jaspersill_refused_requests_total", "Requests that their clients heard to be refused, by reason.",
+		"reason", reason)
+}
+
+// life carries one event from its coming to its end. Every choice is the module's, asked through the desk; what may
+// be done when is asked of the event's request.
+type life struct {
+	node *Node
+	*event
+	client  bool // still waits for its answer
+	out     int  // attempts that did not end yet
+	over    bool // nothing more is decided for it
+	end     pendingEnd
+	timer   *time.Timer
+	waiting bool // the end is decided and not told
+}
+
+// pendingEnd is an end that is decided and may not be told yet.
+type pendingEnd struct {
+	record   *store.Receipt
+	written  <-chan struct{} // nil once it is told
+	toClient bool            // by a refusal, while its client waits
+	handOver <-chan time.Time
+}
+
+// life runs an event's life.
 func (n *Node) life(e *event) {
-	told := e.answer == nil
-	tell := func(status int, comeBack int64) {
-		if !told {
-			told = true
-			e.answer <- answer{status: status, comeBack: comeBack}
-		}
-	}
-	if e.answer != nil {
-		if err := n.journal.take(e, n.typeNames[e.typ], n.owner(e.customer)); err != nil {
-			n.held.Add(-1)
-			switch {
-			case errors.Is(err, errKnown): // it came twice: it is owed already
-				tell(statusTaken, 0)
-			case errors.Is(err, errFull):
-				tell(statusDeclined, n.desk.full())
-			default:
-				n.journal.disk.note(err)
-				tell(statusDeclined, n.desk.full())
-			}
-			return
-		}
+	l := &life{node: n, event: e, client: e.answer != nil}
+	if l.client && !l.accept() {
+		return
 	}
 	if e.verdict != open { // decided before a restart: only the notice is owed
-		n.held.Add(-1)
-		n.outcomes.post(e)
-		<-e.steps
-		n.journal.over(e)
+		l.tellFormer()
 		return
 	}
-
-	if e.answer != nil { // one restored was handed in before, in the order of their coming
+	if l.client { // one restored was handed in before, in the order of their coming
 		n.desk.take(e)
 	}
-	out, over, noticed := 0, false, true
-	finish := func() {
-		if !over {
-			over = true
-			n.held.Add(-1)
-		}
+	l.run()
+	n.desk.leave(e)
+}
+
+// accept stores the event. It tells false where its client was refused, or handed in what is owed already.
+func (l *life) accept() bool {
+	err := l.node.journal.take(l.event, l.node.typeNames[l.typ], l.node.owner(l.customer))
+	if err == nil {
+		l.request.Store()
+		return true
 	}
-	end := func(v verdict, comeBack int64) {
-		finish()
-		if !told && v == declined { // its client still waits: it is told at once, and nothing more is owed
-			n.journal.over(e)
-			tell(statusDeclined, comeBack)
-			return
-		}
-		tell(statusTaken, 0)
-		noticed = false
-		e.verdict, e.comeBack = v, comeBack
-		n.journal.decide(e)
-		n.outcomes.post(e)
-	}
-	shut := n.desk.done
-	for !over || !noticed || out > 0 {
-		var s step
+	l.node.held.Add(-1)
+	switch {
+	case errors.Is(err, errKnown): // it came twice: it is owed already
+		l.answerClient(statusTaken, 0)
+		return false
+	case errors.Is(err, errFull):
+		refusedFull.Add()
+	default:
+		refusedDisk.Add()
+		l.node.journal.disk.note(err)
+		logs.Event("clients", l.id).WithError(err).Debug("refused: it cannot be stored")
+	}
+	l.answerClient(statusDeclined, l.node.desk.full())
+	return false
+}
+
+func (l *life) answerClient(status int, comeBack int64) {
+	if l.client {
+		l.client = false
+		l.answer <- answer{status: status, comeBack: comeBack}
+	}
+}
+
+// tellFormer tells the platform of an end that a former process decided and recorded.
+func (l *life) tellFormer() {
+	l.finish()
+	l.request.Decide()
+	l.request.Tell(l.node.clock.now(), true)
+	l.node.outcomes.post(l.event)
+	<-l.steps
+	l.node.journal.over(l.event)
+}
+
+// run takes one step after another until nothing more is owed and no attempt is out.
+func (l *life) run() {
+	shut := l.node.desk.done
+	for !l.over || l.waiting || l.out > 0 {
 		select {
-		case s = <-e.steps:
-		case <-shut: // danger: its client must hear, though nothing is decided any more; the journal has it
+		case s := <-l.steps:
+			l.step(s)
+		case <-l.end.written:
+			l.tellEnd(true)
+		case <-l.deadlinePassed():
+			l.tellEnd(false)
+		case <-l.end.handOver:
+			l.handOverEnd()
+		case <-shut: // its client must hear, though nothing is decided any more: the journal has it
 			shut = nil
-			tell(statusTaken, 0)
-			continue
-		}
-		switch s.what {
-		case stepHeld:
-			tell(statusTaken, 0)
-		case stepBegun:
-			out++
-		case stepOutcome:
-			out--
-			n.journal.ended(e, s.send.number, s.result.how)
-			if s.result.how == port.Acked || s.result.over {
-				if !over {
-					n.journal.over(e)
-				}
-				finish()
+			if l.end.written == nil {
+				l.answerClient(statusTaken, 0)
 			}
-			n.desk.tell(e, s.send, s.result)
-		case stepDecline:
-			end(declined, s.comeBack)
-		case stepDiscard:
-			end(discarded, 0)
-		case stepNoticed:
-			noticed = true
-			n.journal.over(e)
 		}
 	}
-	n.desk.leave(e)
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+func (l *life) step(s step) {
+	switch s.what {
+	case stepHeld:
+		l.answerClient(statusTaken, 0)
+	case stepBegun:
+		l.out++
+	case stepOutcome:
+		l.out--
+		l.node.journal.ended(l.event, s.send.number, s.result.how)
+		if s.result.how == port.Acked || s.result.over {
+			l.complete()
+		}
+		l.node.desk.tell(l.event, s.send, s.result)
+	case stepDecline:
+		l.decide(declined, s.comeBack)
+	case stepDiscard:
+		l.decide(discarded, 0)
+	case stepNoticed:
+		l.waiting = false
+		l.node.ending.Add(-1)
+		l.node.journal.over(l.event)
+	}
+}
+
+// finish gives back the event's place.
+func (l *life) finish() {
+	if !l.over {
+		l.over = true
+		l.node.held.Add(-1)
+	}
+}
+
+// complete ends an event of which the endpoint's side says that it is over. What an attempt brings after another end
+// changes nothing.
+func (l *life) complete() {
+	if l.over {
+		return
+	}
+	l.finish()
+	l.answerClient(statusTaken, 0)
+	l.request.Decide()
+	l.node.journal.over(l.event)
+	l.request.Tell(l.node.clock.now(), true) // the endpoint knows
+}
+
+// decide ends an event that is not delivered. Where its client still waits, a refusal is all it needs to hear; else
+// the platform hears of it. Both only once a restart would respect it.
+func (l *life) decide(v verdict, comeBack int64) {
+	l.finish()
+	if !l.request.Decide() {
+		return
+	}
+	l.verdict, l.comeBack = v, comeBack
+	l.waiting = true
+	l.node.ending.Add(1)
+	if l.client && v == declined {
+		l.end = pendingEnd{record: l.node.journal.over(l.event), toClient: true, handOver: time.After(refusalWithin)}
+	} else {
+		l.answerClient(statusTaken, 0)
+		l.end = pendingEnd{record: l.node.journal.decide(l.event)}
+	}
+	l.end.written = l.end.record.Written()
+	if l.request.MayTell(l.node.clock.now(), false) {
+		l.tellEnd(false)
+		return
+	}
+	l.timer = time.NewTimer(time.Duration(l.due - l.node.clock.now()))
+}
+
+// deadlinePassed tells when the event's deadline makes its end safe to tell; nil for an end that is told.
+func (l *life) deadlinePassed() <-chan time.Time {
+	if l.end.written == nil || l.timer == nil {
+		return nil
+	}
+	return l.timer.C
+}
+
+// tellEnd tells the end that is pending, to the client or to the platform.
+func (l *life) tellEnd(written bool) {
+	if err := l.request.Tell(l.node.clock.now(), written); errors.Is(err, lifecycle.ErrViolation) {
+		return
+	}
+	l.end.written, l.end.handOver = nil, nil
+	if !l.end.toClient {
+		l.node.outcomes.post(l.event)
+		return
+	}
+	refusedNow.Add()
+	l.answerClient(statusDeclined, l.comeBack)
+	l.waiting = false
+	l.node.ending.Add(-1)
+}
+
+// handOverEnd has the platform hear of a refusal whose record takes too long for its client to wait.
+func (l *life) handOverEnd() {
+	l.end.toClient, l.end.handOver = false, nil
+	l.answerClient(statusTaken, 0)
 }
--- a/node/listener.go
+++ b/node/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jaspersill/errclass"
+	"jaspersill/lifecycle"
 )
 
 const (
@@ -42,6 +43,7 @@
 type clientConn struct {
 	net.Conn
 	listener *listener
+	state    lifecycle.Connection
 	came     time.Time
 	since    time.Time // of its first byte, or of its last answer
 	woken    [1]byte   // the first byte of a request
@@ -239,6 +241,7 @@
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
 	g.whole, g.asked = true, g.asked || good
+	g.state.ReadRequest()
 }
 
 // trim closes the connection idle longest when more wait between requests than are kept. Danger: clients may
@@ -292,6 +295,7 @@
 			g.awaitEnd()
 		}
 	}
+	g.state.Close(g.RemoteAddr().String())
 	g.Conn.Close()
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"jaspersill/lifecycle"
 	"jaspersill/port"
 	"jaspersill/start"
 	"jaspersill/store"
@@ -50,6 +51,7 @@
 	clock     clock
 	phase     atomic.Int32
 	held      atomic.Int64 // events taken on and not ended
+	ending    atomic.Int64 // ends that are decided and not told
 	deskShut  atomic.Bool  // nothing more is decided
 	most      int64        // events held at most
 	typeNames []string
@@ -143,7 +145,9 @@
 func (n *Node) restore() {
 	n.held.Add(int64(len(n.owed)))
 	for _, e := range n.owed {
-		if e.due = n.clock.now() + e.deadline - wall(); e.verdict == open {
+		e.due = n.clock.now() + e.deadline - n.clock.day()
+		e.request = lifecycle.RestoredRequest(e.id, e.due, n.repeatable(e.typ), e.mayHaveRun())
+		if e.verdict == open {
 			n.desk.take(e)
 		}
 		go n.life(e)
@@ -176,5 +180,10 @@
 	return ""
 }
 
+// repeatable tells whether an event of a stream type may be sent again after an attempt that may have run.
+func (n *Node) repeatable(typ int) bool {
+	return typ >= len(n.types) || n.types[typ].Safety != port.NonIdempotent
+}
+
 // marked tells whether events of a stream type carry a mark.
 func (n *Node) marked(typ int) bool { return n.types[typ].Safety == port.Deduplicated }
--- a/node/phases.go
+++ b/node/phases.go
@@ -95,7 +95,8 @@
 // unowed tells whether nothing is owed, nor about to be.
 func (n *Node) unowed() bool { return n.held.Load() == 0 && n.journal.empty() }
 
-// quiet tells whether nothing is left that ends by itself. What is owed beyond that waits for the next start.
+// quiet tells whether nothing is left that ends by itself: no attempt is out, every end that is decided is told and
+// written. What is owed beyond that waits for the next start.
 func (n *Node) quiet() bool {
-	return n.unowed() || (n.endpoints.out.Load() == 0 && n.outcomes.empty())
+	return n.unowed() || (n.endpoints.out.Load() == 0 && n.ending.Load() == 0 && n.journal.settled())
 }
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"jaspersill/lifecycle"
 	"jaspersill/port"
 )
 
@@ -109,7 +111,8 @@
 
 func newSend(t *testing.T, c *call, id string, timeout time.Duration) *send {
 	t.Helper()
-	e := &event{id: id, mark: "mark", body: []byte("a\r\nb"), steps: make(chan step, maxSteps)}
+	e := &event{id: id, mark: "mark", body: []byte("a\r\nb"), due: math.MaxInt64, steps: make(chan step, maxSteps)}
+	e.request = lifecycle.RestoredRequest(id, e.due, true, false)
 	if err := c.of.journal.take(e, "alert", ""); err != nil {
 		t.Fatal(err)
 	}
@@ -237,10 +240,12 @@
 	at := newPeer(t, say(answerOf("200 OK", "", "")))
 	p := newEndpoints(t, at.Addr().String())
 	c := &call{of: p}
-	e := &event{id: "x", steps: make(chan step, maxSteps)}
-	c.sends = []*send{{event: e, timeout: int64(long), began: p.clock.now(), call: c}}
+	e := &event{id: "x", due: math.MaxInt64, steps: make(chan step, maxSteps)}
+	e.request = lifecycle.RestoredRequest(e.id, e.due, true, false)
+	s := &send{event: e, timeout: int64(long), began: p.clock.now(), call: c}
+	c.sends = []*send{s}
 	p.carry(c) // nothing is owed for it: it is over
-	if r := ending(t, c.sends[0]); r.how != port.Unsent {
+	if r := ending(t, s); r.how != port.Unsent {
 		t.Errorf("a send of an event that is over: %+v", r)
 	}
 	if err := p.journal.take(e, "alert", ""); err != nil {
