Record attempts with nothing locked, and look again before their first byte

Cause: an attempt's record was written with the call's lock held. Whoever gives a call up or recalls an attempt takes that lock, and the event loop does both; and once the record was written the bytes went out, however late it was. A connect that failed on this machine (ENFILE, EADDRNOTAVAIL) ended the attempt as its endpoint's failure. Change: while records are written the call has a state of its own; giving up and recalling only mark it. The first byte needs the request's leave (lifecycle.SendAttempt: deadline, end, record). While the log cannot be written the record is tried again, for as long as the attempt is wanted. What kept an attempt here ends it as unsent.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"jaspersill/errclass"
 )
 
 const (
@@ -173,9 +175,15 @@
 	return ok && err == nil
 }
 
-// connect opens a connection, for as long as ctx lasts.
-func (p *endpoints) connect(ctx context.Context, address string) (*link, error) {
-	conn, err := dialAgain(ctx, p.dial, address)
+// connect opens a connection, for as long as ctx lasts. local tells meanwhile whether this machine is what keeps it
+// from coming up.
+func (p *endpoints) connect(ctx context.Context, address string, local *atomic.Bool) (*link, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := p.dial(ctx, address)
+		local.Store(errclass.Socket(err) == errclass.Momentary)
+		return conn, err
+	}
+	conn, err := dialAgain(ctx, dial, address)
 	if err != nil {
 		return nil, err
 	}
--- a/node/sends.go
+++ b/node/sends.go
@@ -5,10 +5,12 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/bytebufferpool"
 
+	"jaspersill/errclass"
 	"jaspersill/logs"
 	"jaspersill/port"
 )
@@ -21,6 +23,7 @@
 	began    int64
 	timeout  int64
 	call     *call
+	recalled bool // while its record was being written
 }
 
 // call is one exchange with an endpoint, of one send or of several. It ends once, for all of them.
@@ -35,17 +38,25 @@
 	link   *link
 	bytes  progress
 	ended  bool
-	gaveUp bool         // while being written: the writer ends it
+	gaveUp bool         // while its records or its bytes are being written: the writer ends it
 	how    port.Outcome // when given up
+	late   bool         // its records took long to write
+	local  atomic.Bool  // connecting fails for a reason of this machine
 }
 
 // progress is how much of a call has gone out.
 type progress uint8
 
 const (
-	none progress = iota // connecting
-	some                 // being written: the writer will know
-	all                  // its last byte has gone, or may have
+	none      progress = iota // connecting
+	recording                 // the records of its attempts are being written
+	some                      // being written: the writer will know
+	all                       // its last byte has gone, or may have
+)
+
+const (
+	recordAgain  = 10 * time.Millisecond // while the log cannot be written, before the next try
+	recordedSoon = 50 * time.Millisecond // after which the connection is looked at again
 )
 
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
@@ -63,12 +74,12 @@
 	l, dial := p.kept(c.endpoint)
 	if l == nil {
 		var err error
-		if l, err = p.connect(ctx, dial); err != nil {
-			c.finish(result{how: port.ConnectFailed})
+		if l, err = p.connect(ctx, dial, &c.local); err != nil {
+			c.finish(result{how: connectOutcome(err)})
 			return
 		}
 	}
-	if !c.leave(l) {
+	if !c.recordAttempts() || !c.leave(l) {
 		l.Close()
 		return
 	}
@@ -115,24 +126,98 @@
 	return max(timeout, 1)
 }
 
-// leave writes down that the sends of a call go out, just before their bytes do; it tells false if nothing
-// may go. Danger: the process may end while a send is out, and one that a restart finds connecting has not
-// run. Written while no one can give the call up, the beginning of a send stands before its end.
+// connectOutcome is how an attempt ended whose connection did not come up. A reason of this machine is not the
+// endpoint's.
+func connectOutcome(err error) port.Outcome {
+	if errclass.Socket(err) == errclass.Momentary {
+		return port.Unsent
+	}
+	return port.ConnectFailed
+}
+
+// recordAttempts writes that the call's attempts go out, just before their bytes do: the process may end while one is
+// out, and one that a restart finds connecting has not run. Nothing is locked meanwhile, for the disk may be slow; who
+// gives the call up or recalls an attempt leaves it to this goroutine. It tells false if the call has ended.
+func (c *call) recordAttempts() bool {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return false
+	}
+	c.bytes = recording
+	sends := slices.Clone(c.sends)
+	c.mu.Unlock()
+	began := c.of.clock.now()
+	recorded := make(map[*send]bool, len(sends))
+	for _, s := range sends {
+		recorded[s] = c.recordAttempt(s)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range sends {
+		if !recorded[s] || s.recalled {
+			c.drop(s)
+		}
+	}
+	c.late = time.Duration(c.of.clock.now()-began) > recordedSoon
+	return !c.ended
+}
+
+// recordAttempt writes that one attempt goes out, for as long as it may. It tells whether that is written.
+func (c *call) recordAttempt(s *send) bool {
+	if s.event.request.StartAttempt(c.of.clock.now()) != nil {
+		return false
+	}
+	for {
+		err := c.of.journal.began(s.event, s.number, c.of.clock.day(), c.of.site(c.endpoint))
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, errOver) || !c.awaitsRecord(s) {
+			return false
+		}
+		c.of.journal.disk.note(err)
+		time.Sleep(recordAgain)
+	}
+}
+
+// awaitsRecord tells whether an attempt is still wanted while its record cannot be written.
+func (c *call) awaitsRecord(s *send) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.gaveUp && !s.recalled && c.of.clock.now() < s.event.due
+}
+
+// drop takes an attempt out of a call that has sent nothing; the lock is held.
+func (c *call) drop(s *send) {
+	if i := slices.Index(c.sends, s); i >= 0 {
+		c.sends = slices.Delete(c.sends, i, i+1)
+		c.report(s, result{how: port.Unsent})
+	}
+	if c.ended = c.ended || len(c.sends) == 0; c.ended && c.abort != nil {
+		c.abort()
+	}
+}
+
+// leave lets the call's bytes go out on a connection; it tells false if none may.
 func (c *call) leave(l *link) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
-	var err error
-	for _, s := range c.sends {
-		err = errors.Join(err, c.of.journal.began(s.event, s.number, wall(), c.of.site(c.endpoint)))
+	if c.gaveUp || (c.late && !alive(l.Conn)) {
+		c.gaveUp, c.how = true, port.Unsent
+		c.end(nil)
+		return false
 	}
-	if err != nil {
-		if !errors.Is(err, errOver) {
-			c.of.journal.disk.note(err)
+	now := c.of.clock.now()
+	for _, s := range slices.Clone(c.sends) {
+		if s.recalled || s.event.request.SendAttempt(now) != nil {
+			c.drop(s)
 		}
-		c.end([]result{{how: port.Unsent}})
+	}
+	if c.ended {
 		return false
 	}
 	c.link, c.bytes = l, some
@@ -165,7 +250,7 @@
 	if c.link != nil {
 		c.link.Close()
 	}
-	if c.bytes != some { // danger: told now, it might be called unsent with its last byte gone
+	if c.bytes != some && c.bytes != recording { // told now, it might be called unsent with its last byte gone
 		c.end(nil)
 	}
 }
@@ -174,14 +259,12 @@
 func (c *call) recall(s *send) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := slices.Index(c.sends, s)
-	if c.ended || c.bytes != none || i < 0 {
-		return
-	}
-	c.sends = slices.Delete(c.sends, i, i+1)
-	c.report(s, result{how: port.Unsent})
-	if c.ended = len(c.sends) == 0; c.ended && c.abort != nil {
-		c.abort()
+	switch {
+	case c.ended:
+	case c.bytes == recording:
+		s.recalled = true
+	case c.bytes == none:
+		c.drop(s)
 	}
 }
 
@@ -202,8 +285,8 @@
 	c.ended = true
 	how := c.how
 	switch {
-	case c.bytes != none:
-	case how == port.TimedOut:
+	case c.bytes == some || c.bytes == all:
+	case how == port.TimedOut && c.bytes == none && !c.local.Load():
 		how = port.ConnectFailed
 	default:
 		how = port.Unsent
@@ -220,5 +303,6 @@
 // report tells a send's life how it ended.
 func (c *call) report(s *send, r result) {
 	r.took = c.of.clock.now() - s.began
+	s.event.request.FinishAttempt(r.how.MayHaveRun() && c.bytes != none && c.bytes != recording)
 	s.event.steps <- step{what: stepOutcome, send: s, result: r}
 }
