Have the soak read what nodes count of their own violations

Cause: the oracle saw only what left a node. Change: each node's metrics are read before it is ended and at the end of a run, and a violation counted there breaks the run.

--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -42,9 +42,10 @@
 	RuleDrain     Rule = "drain"      // nothing new for an endpoint that drains
 	RuleSlowStart Rule = "slow-start" // an endpoint that returns gets few calls
 	RuleWait      Rule = "retry-after"
-	RuleUntried   Rule = "untried" // what a restart finds untried is tried
-	RuleCrash     Rule = "crash"   // no process ends unasked or is not ready in time
-	RuleRecovers  Rule = "recovers"
+	RuleUntried   Rule = "untried"  // what a restart finds untried is tried
+	RuleCrash     Rule = "crash"    // no process ends unasked or is not ready in time
+	RuleRecovers  Rule = "recovers" // no node refuses everything for long
+	RuleInternal  Rule = "internal" // no node counts a violation of its own
 )
 
 // attempt is one call of a request that an endpoint read whole.
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -255,6 +255,7 @@
 		return
 	}
 	defer p.restarting.Store(false)
+	r.readViolations(ctx, p)
 	r.ledger.did("node %d: is ended", node)
 	end(p)
 	from := r.ledger.now()
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -184,6 +186,33 @@
 	return fmt.Errorf("it is not ready after %v", readyWithin)
 }
 
+// violations reads how many violations the process has counted, by what its metrics say of them.
+func (p *process) violations(ctx context.Context) (lines []string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, connectPatience)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.listen+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	call.Close = true
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, violationsMetric) && !strings.HasSuffix(line, " 0") {
+			lines = append(lines, line)
+		}
+	}
+	return lines, err
+}
+
+// violationsMetric counts what a node itself sees of its own faults.
+const violationsMetric = "jaspersill_violations_total"
+
 func (p *process) accepts() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -96,6 +96,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	for _, p := range r.processes {
+		r.readViolations(ctx, p)
+	}
 	r.ledger.judge(keyedWindow)
 	r.ledger.judgeUntried(r.restarts)
 	l := r.ledger
@@ -157,6 +160,18 @@
 	}
 }
 
+// readViolations takes in what a node counted of its own faults.
+func (r *run) readViolations(ctx context.Context, p *process) {
+	lines, err := p.violations(ctx)
+	if err != nil {
+		r.ledger.count("metrics not read")
+		return
+	}
+	for _, line := range lines {
+		r.ledger.broke(RuleInternal, "node %d: %s", p.number, line)
+	}
+}
+
 func (r *run) close() {
 	for _, p := range r.processes {
 		p.mu.Lock()
