Count a request's time from when it may have come, and open files and sockets of the start again

The start, and SIGHUP, read files and opened sockets once. The logs of the ended nodes name the call: 'RELAY_CONFIG: open ...: no space left on device', 'listen tcp ...: socket: no buffer space available'.

--- a/cmd/jaspersill-lab/soak.go
+++ b/cmd/jaspersill-lab/soak.go
@@ -23,6 +23,7 @@
 	seeds    int
 	parallel int
 	timeline bool
+	show     int
 }
 
 func soakCommand() *cobra.Command {
@@ -40,6 +41,7 @@
 	c.Flags().IntVar(&s.seeds, "seeds", 1, "how many seeds")
 	c.Flags().IntVar(&s.parallel, "parallel", 1, "runs at once")
 	c.Flags().BoolVar(&s.timeline, "timeline", false, "print what was done to the system in every run")
+	c.Flags().IntVar(&s.show, "show", 5, "violations of a seed that are printed with their timelines")
 	return c
 }
 
@@ -100,9 +102,6 @@
 	return soak.Play(ctx, options)
 }
 
-// mostShown bounds the violations of one seed that are printed with their timelines.
-const mostShown = 5
-
 func (s *soakRun) print(c *cobra.Command, report *soak.Report) {
 	out := c.OutOrStdout()
 	fmt.Fprintln(out, report.Summary())
@@ -114,7 +113,7 @@
 	kinds := map[soak.Rule]int{}
 	for i, v := range report.Violations {
 		kinds[v.Rule]++
-		if i < mostShown {
+		if i < s.show {
 			fmt.Fprintln(out, "  VIOLATION", v)
 		}
 	}
--- a/cmd/jaspersill/main_test.go
+++ b/cmd/jaspersill/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -158,3 +159,18 @@
 		t.Errorf("no file: %v", err)
 	}
 }
+
+// Guards against a start, or a reload, that ends because a file cannot be read for a moment.
+func TestAFileThatCannotBeReadForAMomentIsReadAgain(t *testing.T) {
+	fails := 3
+	readFile = func(name string) ([]byte, error) {
+		if fails--; fails >= 0 {
+			return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+		}
+		return []byte("{}"), nil
+	}
+	defer func() { readFile = os.ReadFile }()
+	if _, _, err := readPlatform("x"); errors.Is(err, syscall.ENOSPC) {
+		t.Error(err)
+	}
+}
--- a/cmd/jaspersill/told.go
+++ b/cmd/jaspersill/told.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"os"
 	"strconv"
+	"time"
 
+	"jaspersill/errclass"
 	"jaspersill/house"
 	"jaspersill/start"
 )
@@ -33,9 +35,26 @@
 	Settings   json.RawMessage
 }
 
+const (
+	readWithin = 5 * time.Second // for a file that cannot be read for a moment
+	readAgain  = 20 * time.Millisecond
+)
+
+// readFile is how files are read; tests put one that fails in its place.
+var readFile = os.ReadFile
+
+// readSettled reads a file, and tries again while that fails for a moment.
+func readSettled(name string) (text []byte, err error) {
+	err = errclass.Retry(errclass.File, readWithin, readAgain, func() error {
+		text, err = readFile(name)
+		return err
+	})
+	return text, err
+}
+
 // readPlatform reads the platform's file and checks what it says of the node's terms.
 func readPlatform(name string) (t told, s start.Start, err error) {
-	text, err := os.ReadFile(name)
+	text, err := readSettled(name)
 	if err == nil {
 		err = json.Unmarshal(text, &t)
 	}
@@ -75,7 +94,7 @@
 	var text []byte
 	if name != "" {
 		var err error
-		if text, err = os.ReadFile(name); err != nil {
+		if text, err = readSettled(name); err != nil {
 			return nil, err
 		}
 	}
--- a/node/clients.go
+++ b/node/clients.go
@@ -58,8 +58,8 @@
 
 func (quiet) Printf(format string, args ...any) { logs.Part("clients").Debugf(format, args...) }
 
-func openClients(n *Node, listen string, times ClientTimes, most, keep int) (*clients, error) {
-	l, err := net.Listen("tcp", listen)
+func openClients(n *Node, address string, times ClientTimes, most, keep int) (*clients, error) {
+	l, err := openSocket(func() (net.Listener, error) { return net.Listen("tcp", address) })
 	if err != nil {
 		return nil, err
 	}
@@ -281,6 +281,9 @@
 		return nil, bad, headEnvelope + ": want dest=NUMBER"
 	}
 	e.body = append([]byte(nil), ctx.PostBody()...)
+	if g, ok := ctx.Conn().(*clientConn); ok { // the time counts from when the request came
+		left -= uint64(min(g.delay().Milliseconds(), int64(left)))
+	}
 	e.due, e.deadline = n.clock.now()+int64(left)*1e6, wall()+int64(left)*1e6
 	e.request = lifecycle.NewRequest(e.id, e.due, n.repeatable(e.typ))
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -393,3 +393,34 @@
 		t.Error("it was taken on")
 	}
 }
+
+// Guards against a request that is forwarded after its deadline, since reading it had failed for a while.
+func TestADeadlineCountsFromWhenTheRequestCame(t *testing.T) {
+	w := newWorld(t)
+	at := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.prepare = func(n *Node) {
+		n.clients.listener.Listener = &faultyListener{Listener: n.clients.listener.Listener,
+			wrap: func(c *net.TCPConn) net.Conn { return &faultyConn{TCPConn: c, errno: syscall.ENOBUFS, reads: 30} }}
+	}
+	w.run()
+	w.dial().hand(request("late", "charge", "1", 250, "")) // 30 failures take 0.5 s
+	w.until("it has its end", w.journal.empty)
+	if calls, _ := at.calls(); calls > 0 {
+		t.Errorf("%d calls after the deadline", calls)
+	}
+}
+
+// Guards against a start that ends because a socket cannot be opened for a moment.
+func TestASocketThatCannotBeOpenedForAMomentIsOpenedAgain(t *testing.T) {
+	fails := 3
+	l, err := openSocket(func() (net.Listener, error) {
+		if fails--; fails >= 0 {
+			return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("socket", syscall.ENOBUFS)}
+		}
+		return net.Listen("tcp", "127.0.0.1:0")
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+}
--- a/node/listener.go
+++ b/node/listener.go
@@ -41,7 +41,7 @@
 // clientConn is a client's connection. It waits in rest, is busy from the first byte of a request until
 // idle, and ends with end. What may end its waiting for bytes is decided under the listener's lock.
 type clientConn struct {
-	net.Conn
+	*retryConn
 	listener *listener
 	state    lifecycle.Connection
 	came     time.Time
@@ -74,7 +74,11 @@
 // any other says nothing of the listener, or concerns one connection that broke before it was accepted.
 func (d *listener) accept() (*clientConn, error) {
 	c, err := d.Listener.Accept()
+	var delayedSince time.Time // a connection may have stood there as long, with a request on it
 	for err != nil {
+		if delayedSince.IsZero() {
+			delayedSince = time.Now()
+		}
 		if errclass.Socket(err) == errclass.Closed {
 			return nil, err
 		}
@@ -90,7 +94,7 @@
 	}
 	d.accepts.note(nil)
 	now := time.Now()
-	g := &clientConn{Conn: retryConn{c}, listener: d, came: now, since: now}
+	g := &clientConn{retryConn: &retryConn{Conn: c, delayedSince: delayedSince}, listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
@@ -188,8 +192,11 @@
 		return false
 	}
 	g.within(g.listener.between)
+	if g.wrote {
+		g.delayedSince = time.Time{}
+	}
 	g.listener.mu.Unlock()
-	n, _ := g.Conn.Read(g.woken[:])
+	n, _ := g.retryConn.Read(g.woken[:])
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
 	if n == 0 {
@@ -233,7 +240,7 @@
 		b[0] = g.woken[0]
 		return 1, nil
 	}
-	return g.Conn.Read(b)
+	return g.retryConn.Read(b)
 }
 
 // read marks that a request has come whole; good tells whether it was one.
@@ -275,7 +282,7 @@
 // Write notes that there are answers which the end of the connection must not take along.
 func (g *clientConn) Write(b []byte) (int, error) {
 	g.wrote = true
-	return g.Conn.Write(b)
+	return g.retryConn.Write(b)
 }
 
 // end closes a connection whose answers are written. Closed over unread bytes it is reset, which takes along the
@@ -288,7 +295,7 @@
 	g.SetReadDeadline(g.since.Add(endWithin))
 	gently := g.wrote && !g.hurried
 	g.listener.mu.Unlock()
-	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && gently && half.CloseWrite() == nil {
+	if gently && g.CloseWrite() == nil {
 		if g.unframed {
 			g.readOut()
 		} else {
@@ -306,12 +313,20 @@
 func (g *clientConn) readOut() {
 	var rest [512]byte
 	for {
-		if _, err := g.Conn.Read(rest[:]); err != nil {
+		if _, err := g.retryConn.Read(rest[:]); err != nil {
 			return
 		}
 	}
 }
 
+// delay is how long ago the request that was read last may have come, beyond the time that reading it took.
+func (g *clientConn) delay() time.Duration {
+	if g.delayedSince.IsZero() {
+		return 0
+	}
+	return time.Since(g.delayedSince)
+}
+
 // awaitEnd waits until the client has closed its side, or has no more time. It takes no byte off the connection.
 func (g *clientConn) awaitEnd() {
 	for g.peek() {
@@ -324,7 +339,7 @@
 
 // peek waits until something can be read, and tells whether it is bytes, which it leaves there.
 func (g *clientConn) peek() (unread bool) {
-	raw, err := g.Conn.(syscall.Conn).SyscallConn()
+	raw, err := g.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -29,23 +29,29 @@
 }
 
 // retryConn is a connection whose reads and writes are tried again when they fail for a moment: nothing is lost on
-// it then. Its deadlines, and closing it, end the trying.
-type retryConn struct{ net.Conn }
+// it then. Its deadlines, and closing it, end the trying. One goroutine reads at a time.
+type retryConn struct {
+	net.Conn
+	delayedSince time.Time // when a read first failed so; what was read since may have come then
+}
 
 // Read implements net.Conn.
-func (c retryConn) Read(b []byte) (int, error) {
+func (c *retryConn) Read(b []byte) (int, error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		n, err := c.Conn.Read(b)
 		if n > 0 || errclass.Socket(err) != errclass.Momentary {
 			return n, err
 		}
 		momentaryFailures["read"].Add()
+		if c.delayedSince.IsZero() {
+			c.delayedSince = time.Now()
+		}
 		time.Sleep(pause)
 	}
 }
 
 // Write implements net.Conn. What went out in part is gone on with.
-func (c retryConn) Write(b []byte) (written int, err error) {
+func (c *retryConn) Write(b []byte) (written int, err error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		n, err := c.Conn.Write(b[written:])
 		written += n
@@ -58,7 +64,7 @@
 }
 
 // CloseWrite closes the sending side.
-func (c retryConn) CloseWrite() error {
+func (c *retryConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -66,7 +72,7 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c retryConn) SyscallConn() (syscall.RawConn, error) {
+func (c *retryConn) SyscallConn() (syscall.RawConn, error) {
 	if raw, ok := c.Conn.(syscall.Conn); ok {
 		return raw.SyscallConn()
 	}
@@ -81,7 +87,7 @@
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		conn, err := dial(ctx, address)
 		if err == nil {
-			return retryConn{conn}, nil
+			return &retryConn{Conn: conn}, nil
 		}
 		if errclass.Socket(err) != errclass.Momentary {
 			return nil, err
@@ -94,3 +100,17 @@
 		}
 	}
 }
+
+const (
+	listenWithin = 5 * time.Second // for sockets that cannot be opened at the start
+	listenAgain  = 20 * time.Millisecond
+)
+
+// openSocket opens a socket of the start, and tries again while that fails for a reason of this machine.
+func openSocket[S any](open func() (S, error)) (socket S, err error) {
+	err = errclass.Retry(errclass.Socket, listenWithin, listenAgain, func() error {
+		socket, err = open()
+		return err
+	})
+	return socket, err
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -18,9 +18,9 @@
 	desk   *desk
 }
 
-func openPeers(listen, all string, list []string, me int, d *desk) (*peers, error) {
+func openPeers(address, all string, list []string, me int, d *desk) (*peers, error) {
 	p := &peers{number: make(map[string]int), desk: d}
-	if listen == "" || all == "" {
+	if address == "" || all == "" {
 		return p, nil // the deployment has no notes
 	}
 	for i, address := range list {
@@ -28,14 +28,14 @@
 			p.number[address] = i
 		}
 	}
-	at, err := net.ResolveUDPAddr("udp", listen)
+	at, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
 	}
 	if p.all, err = net.ResolveUDPAddr("udp", all); err != nil {
 		return nil, err
 	}
-	p.socket, err = net.ListenUDP("udp", at)
+	p.socket, err = openSocket(func() (*net.UDPConn, error) { return net.ListenUDP("udp", at) })
 	return p, err
 }
 
--- a/store/writer.go
+++ b/store/writer.go
@@ -283,10 +283,5 @@
 
 // again repeats a call of the start for as long as it fails for a moment.
 func again(call func() error) error {
-	for began := time.Now(); ; time.Sleep(startAgain) {
-		err := call()
-		if errclass.File(err) != errclass.Momentary || time.Since(began) > startWithin {
-			return err
-		}
-	}
+	return errclass.Retry(errclass.File, startWithin, startAgain, call)
 }
