Ask again whether an attempt may go out when its first byte could not be written

Cause: an attempt was allowed once; then its write was tried until it succeeded, though the window, a wait or the deadline had ended. And the standard library hides EINTR, so that neither a write nor a read that was interrupted for long could be told. Evidence: TestAnAttemptThatCannotBeWrittenIsStillRecalled fails on the code before in all three cases (2 calls went out). Change: while no byte has gone, the attempt is held (lifecycle.HoldAttempt): it can be given up and recalled, and needs leave again before the next try. Reads and writes on TCP are made by the call itself, so that EINTR counts as a failure that passes. Each attempt's end is logged at level debug with the request's id. Measured: node and lifecycle tests pass.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -181,6 +181,18 @@
 	return nil
 }
 
+// HoldAttempt notes that no byte of an attempt went out after all. SendAttempt is asked again before the next try.
+func (r *Request) HoldAttempt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.attempt == InFlight {
+		r.attempt = Recording
+	}
+	if r.state == InFlight {
+		r.state = Recording
+	}
+}
+
 // FinishAttempt notes that an attempt is over, or was not sent after all. One that never started has nothing to note.
 func (r *Request) FinishAttempt(mayHaveRun bool) {
 	r.mu.Lock()
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -38,7 +38,7 @@
 
 // link is a connection to an endpoint.
 type link struct {
-	net.Conn
+	*retryConn
 	in   *replyReader
 	dial string
 	used int64 // when its last call ended
@@ -108,7 +108,7 @@
 	for ep, list := range p.idle {
 		keep := list[:0]
 		for _, l := range list {
-			if p.stale(l, now) || !alive(l.Conn) {
+			if p.stale(l, now) || !alive(l) {
 				l.Close()
 				p.idles--
 			} else {
@@ -132,7 +132,7 @@
 		p.idle[ep] = p.idle[ep][:n-1]
 		p.idles--
 		// Danger: a call on a connection that the endpoint has closed may have run, for all that is known.
-		if !p.stale(l, p.clock.now()) && alive(l.Conn) {
+		if !p.stale(l, p.clock.now()) && alive(l) {
 			return l, l.dial
 		}
 		l.Close()
@@ -187,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{Conn: conn, in: newReplyReader(conn), dial: address}, nil
+	return &link{retryConn: conn, in: newReplyReader(conn), dial: address}, nil
 }
 
 // dialer connects for so long, 0 for no limit but the call's own.
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"jaspersill/lifecycle"
 	"jaspersill/port"
 	"jaspersill/store"
 )
@@ -203,8 +204,9 @@
 	*net.TCPConn
 	errno  syscall.Errno
 	mu     sync.Mutex
-	reads  int // so many fail
-	writes int // so many fail, the first after a byte
+	reads  int  // so many fail
+	writes int  // so many fail, the first after a byte
+	none   bool // not even that byte
 	shut   bool
 	late   int // bytes that were read after the half close
 }
@@ -234,7 +236,7 @@
 	if !fails {
 		return c.TCPConn.Write(b)
 	}
-	if len(b) > 1 {
+	if len(b) > 1 && !c.none {
 		n, _ = c.TCPConn.Write(b[:1])
 	}
 	return n, &net.OpError{Op: "write", Err: os.NewSyscallError("write", c.errno)}
@@ -424,3 +426,39 @@
 	}
 	l.Close()
 }
+
+// Guards against an attempt that goes out late, after a wait, its window or its deadline, because writing it failed.
+func TestAnAttemptThatCannotBeWrittenIsStillRecalled(t *testing.T) {
+	for name, callOff := range map[string]func(*call){
+		"given up": func(c *call) { c.giveUp(port.TimedOut) },
+		"recalled": func(c *call) { c.recall(c.sends[0]) },
+		"late":     func(c *call) {},
+	} {
+		at := newPeer(t, say(answerOf("200 OK", "", "")))
+		p := newEndpoints(t, at.Addr().String())
+		usual := p.dial
+		p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := usual(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &faultyConn{TCPConn: conn.(*net.TCPConn), errno: syscall.ENOBUFS, writes: 20, none: true}, nil
+		}
+		c := &call{of: p}
+		s := newSend(t, c, name, 10*time.Second)
+		if name == "late" {
+			s.event.request = lifecycle.RestoredRequest(name, p.clock.now()+int64(200*time.Millisecond), true, false)
+		}
+		c.sends = []*send{s}
+		go p.carry(c)
+		time.Sleep(50 * time.Millisecond)
+		callOff(c)
+		if r := ending(t, s); r.how != port.Unsent {
+			t.Errorf("%s: ended as %v", name, r.how)
+		}
+		time.Sleep(400 * time.Millisecond) // 20 failures take 0.3 s
+		if calls, _ := at.calls(); calls > 0 {
+			t.Errorf("%s: %d calls went out", name, calls)
+		}
+	}
+}
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -38,7 +40,7 @@
 // Read implements net.Conn.
 func (c *retryConn) Read(b []byte) (int, error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
-		n, err := c.Conn.Read(b)
+		n, err := c.readOnce(b)
 		if n > 0 || errclass.Socket(err) != errclass.Momentary {
 			return n, err
 		}
@@ -53,14 +55,80 @@
 // Write implements net.Conn. What went out in part is gone on with.
 func (c *retryConn) Write(b []byte) (written int, err error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
-		n, err := c.Conn.Write(b[written:])
+		n, err := c.writeOnce(b[written:])
 		written += n
-		if written == len(b) || errclass.Socket(err) != errclass.Momentary {
+		if written == len(b) || (err != nil && errclass.Socket(err) != errclass.Momentary) {
 			return written, err
 		}
-		momentaryFailures["write"].Add()
-		time.Sleep(pause)
+		if n == 0 {
+			momentaryFailures["write"].Add()
+			time.Sleep(pause)
+		}
+	}
+}
+
+// WriteUnlessFailing writes all or, where its first write fails for a moment, nothing: then the error says so, and
+// the caller decides whether what it wanted to write is still wanted.
+func (c *retryConn) WriteUnlessFailing(b []byte) (written int, err error) {
+	written, err = c.writeOnce(b)
+	if written == 0 || written == len(b) || (err != nil && errclass.Socket(err) != errclass.Momentary) {
+		return written, err
+	}
+	rest, err := c.Write(b[written:])
+	return written + rest, err
+}
+
+// readOnce makes one read that does not wait in vain: the standard library hides that a call was interrupted, and
+// with it how long the bytes may have stood there.
+func (c *retryConn) readOnce(b []byte) (n int, err error) {
+	raw := c.raw()
+	if raw == nil || len(b) == 0 {
+		return c.Conn.Read(b)
+	}
+	var failure error
+	err = raw.Read(func(descriptor uintptr) bool {
+		n, failure = syscall.Read(int(descriptor), b)
+		return failure != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failure != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", failure)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// writeOnce makes one write, of a part if there is no room for all.
+func (c *retryConn) writeOnce(b []byte) (n int, err error) {
+	raw := c.raw()
+	if raw == nil || len(b) == 0 {
+		return c.Conn.Write(b)
+	}
+	var failure error
+	err = raw.Write(func(descriptor uintptr) bool {
+		n, failure = syscall.Write(int(descriptor), b)
+		return failure != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failure != nil:
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", failure)}
+	}
+	return n, nil
+}
+
+// raw is the descriptor of a TCP connection, nil for another kind.
+func (c *retryConn) raw() syscall.RawConn {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			return raw
+		}
 	}
+	return nil
 }
 
 // CloseWrite closes the sending side.
@@ -83,7 +151,7 @@
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 // dialAgain connects, and tries again while connecting fails for a reason of this machine.
-func dialAgain(ctx context.Context, dial dialFunc, address string) (net.Conn, error) {
+func dialAgain(ctx context.Context, dial dialFunc, address string) (*retryConn, error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		conn, err := dial(ctx, address)
 		if err == nil {
--- a/node/sends.go
+++ b/node/sends.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/bytebufferpool"
 
 	"jaspersill/errclass"
@@ -92,10 +93,12 @@
 		c.finish(result{how: port.Unsent})
 		return
 	}
-	size, err := l.Write(out.B)
+	size, err := c.write(l, out.B)
 	if gaveUp := c.wrote(size == out.Len()); gaveUp || err != nil {
 		l.Close()
-		if size < out.Len() { // the call's last byte was not written: it never ran
+		if errclass.Socket(err) == errclass.Momentary { // of this machine, and nothing went out
+			c.finish(result{how: port.Unsent})
+		} else if size < out.Len() { // the call's last byte was not written: it never ran
 			c.finish(result{how: port.ConnectFailed})
 		} else {
 			c.finish(result{how: port.Reset})
@@ -206,7 +209,7 @@
 	if c.ended {
 		return false
 	}
-	if c.gaveUp || (c.late && !alive(l.Conn)) {
+	if c.gaveUp || (c.late && !alive(l)) {
 		c.gaveUp, c.how = true, port.Unsent
 		c.end(nil)
 		return false
@@ -224,6 +227,40 @@
 	return true
 }
 
+// write writes a call. While nothing of it can be written, for a reason of this machine, it asks each time whether the
+// call may still go out.
+func (c *call) write(l *link, text []byte) (size int, err error) {
+	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
+		size, err = l.WriteUnlessFailing(text)
+		if size > 0 || errclass.Socket(err) != errclass.Momentary {
+			return size, err
+		}
+		momentaryFailures["write"].Add()
+		c.local.Store(true)
+		if !c.hold() {
+			return 0, err
+		}
+		time.Sleep(pause)
+		if !c.leave(l) {
+			return 0, err
+		}
+	}
+}
+
+// hold notes that no byte of a call has gone out, so that it can be given up and its attempts recalled.
+func (c *call) hold() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.gaveUp {
+		return false
+	}
+	c.bytes = recording
+	for _, s := range c.sends {
+		s.event.request.HoldAttempt()
+	}
+	return true
+}
+
 // wrote notes whether a call was written to its last byte, and tells whether it was given up meanwhile.
 func (c *call) wrote(whole bool) bool {
 	c.mu.Lock()
@@ -303,6 +340,8 @@
 // report tells a send's life how it ended.
 func (c *call) report(s *send, r result) {
 	r.took = c.of.clock.now() - s.began
+	logs.Event("endpoints", s.event.id).WithFields(logrus.Fields{"attempt": s.number, "endpoint": c.endpoint, "outcome": r.how,
+		"took_ms": r.took / 1e6}).Debug("an attempt ended")
 	s.event.request.FinishAttempt(r.how.MayHaveRun() && c.bytes != none && c.bytes != recording)
 	s.event.steps <- step{what: stepOutcome, send: s, result: r}
 }
