Serve a request that stands on a connection which is asked to close

Cause: a connection that is asked to close has its deadline set to the past, and a read past its deadline takes no look: bytes that stood there already were closed over. Change: the goroutine looks once more, without waiting, before it closes; a request that came is served.

--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -14,6 +14,7 @@
 const (
 	answerPatience = 400 * time.Millisecond  // a client waits so long for the answer to a request
 	finalGrace     = 500 * time.Millisecond  // a final answer later than its deadline by more is lost
+	noticeGrace    = 300 * time.Millisecond  // in which a notice is told that can be told
 	socketGrace    = 50 * time.Millisecond   // every limit is so much longer on sockets
 	readyGrace     = 1500 * time.Millisecond // no notice is overdue until so long after a restarted node is ready
 	crossingGrace  = 150 * time.Millisecond  // a node may be held up so long between its clock and its write
@@ -97,13 +98,14 @@
 	order      []*request
 	away       map[int][]span // by node, from its signal until it was ready again
 	deaths     map[int][]time.Duration
+	mute       map[int][]span // by node, while all writes on its sockets fail
 	violations []Violation
 	counts     map[string]int
 	events     []string // what was done to the system
 }
 
 func newLedger() *ledger {
-	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{},
+	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{},
 		counts: map[string]int{}}
 }
 
@@ -212,6 +214,13 @@
 	}
 }
 
+// mutes notes that all writes on a node's sockets fail for so long.
+func (l *ledger) mutes(node int, long time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute[node] = append(l.mute[node], span{l.now(), l.now() + long})
+}
+
 // died notes that a node's process is gone.
 func (l *ledger) died(node int) {
 	l.mu.Lock()
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -232,6 +232,9 @@
 	}
 	r.ledger.did("node %d: %s: %s for %v, share %.2f, short %v", node, f.Call, text, long.Round(time.Millisecond), f.Share, f.Short)
 	f.Until = time.Now().Add(long)
+	if f.Call == sysfault.SocketWrite && f.Share == 0 {
+		r.ledger.mutes(node, long)
+	}
 	r.processes[node].fault(f)
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -150,7 +150,7 @@
 func (r *run) hire(ctx context.Context, done *sync.WaitGroup) {
 	for number, p := range r.processes {
 		for i := range clientsOfNode {
-			c := &client{ledger: r.ledger, node: number, dests: r.plan.destinations, at: p.listen, body: r.plan.body,
+			c := &client{ledger: r.ledger, node: number, dests: r.plan.destinations, at: p.listen, body: r.plan.body, crowded: r.plan.crowded[number],
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+i)))}
 			done.Go(func() { c.run(ctx, clientInterval, p.accepts) })
 		}
--- a/node/listener.go
+++ b/node/listener.go
@@ -199,6 +199,10 @@
 	n, _ := g.retryConn.Read(g.woken[:])
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
+	if n == 0 && g.hasUnread() { // it stands there already: closed over it, its client would hear nothing
+		g.within(g.listener.request)
+		n, _ = g.retryConn.Read(g.woken[:])
+	}
 	if n == 0 {
 		g.leaving = true
 		return false
@@ -337,6 +341,20 @@
 	}
 }
 
+// hasUnread tells whether bytes can be read, without waiting and whatever the deadline is.
+func (g *clientConn) hasUnread() (unread bool) {
+	raw, err := g.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(descriptor uintptr) {
+		var one [1]byte
+		n, _, _ := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0
+	})
+	return unread
+}
+
 // peek waits until something can be read, and tells whether it is bytes, which it leaves there.
 func (g *clientConn) peek() (unread bool) {
 	raw, err := g.SyscallConn()
