Keep deadlines and the age of attempts by a clock that a step of the wall clock does not move

Callers would see: after a step of the wall clock between two starts, requests given up at once, held for an hour, sent after their end or repeated after their window.

Change: the file 'clock' in the folder says how the machine's monotonic clock and the time of day went together at the first start on a boot. Each later start on that boot, told by its boot id, goes on from there. After another boot the wall clock is believed, but never behind a time that has been. Within a process nothing reads the wall clock any more.

--- a/node/clients.go
+++ b/node/clients.go
@@ -284,7 +284,7 @@
 	if g, ok := ctx.Conn().(*clientConn); ok { // the time counts from when the request came
 		left -= uint64(min(g.delay().Milliseconds(), int64(left)))
 	}
-	e.due, e.deadline = n.clock.now()+int64(left)*1e6, wall()+int64(left)*1e6
+	e.due, e.deadline = n.clock.now()+int64(left)*1e6, n.clock.day()+int64(left)*1e6
 	e.request = lifecycle.NewRequest(e.id, e.due, n.repeatable(e.typ))
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
 	return e, 0, ""
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -166,7 +166,7 @@
 func TestCallingOffDoesNotWaitForTheDisk(t *testing.T) {
 	folder := t.TempDir()
 	disk := &faultyDisk{Dir: store.Dir(folder)}
-	j, _, err := openJournal(folder, disk, 3, 6, anyName)
+	j, _, err := openJournal(folder, disk, wall, 3, 6, anyName)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/journal.go
+++ b/node/journal.go
@@ -33,10 +33,10 @@
 
 // openJournal opens the folder's store and returns the events that it still owes, in the order of their
 // coming. What an older version kept is carried over. find maps the names of a stream type and a customer to
-// their indices.
-func openJournal(folder string, disk store.Folder, limitMB float64, sends int,
+// their indices, and day tells the time of day.
+func openJournal(folder string, disk store.Folder, day func() int64, limitMB float64, sends int,
 	find func(kind, owner string) (int, int, bool)) (*journal, []*event, error) {
-	s, found, err := store.Open(disk, int64(limitMB*1e6), sends, store.Never, wall)
+	s, found, err := store.Open(disk, int64(limitMB*1e6), sends, store.Never, day)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -21,7 +21,7 @@
 // reopen opens a folder as the next process does.
 func reopen(t *testing.T, folder string, limitMB float64) (*journal, []*event) {
 	t.Helper()
-	j, owed, err := openJournal(folder, store.Dir(folder), limitMB, 6, anyName)
+	j, owed, err := openJournal(folder, store.Dir(folder), wall, limitMB, 6, anyName)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 	if j.began(owed[0], 3, 80, "zone") != nil || !errors.Is(j.began(&event{id: "e0"}, 0, 0, ""), errOver) {
 		t.Error("a send of an owed event must begin, and one of an event that is over must not")
 	}
-	if _, _, err := openJournal(folder, store.Dir(folder), 3, 6, anyName); err == nil {
+	if _, _, err := openJournal(folder, store.Dir(folder), wall, 3, 6, anyName); err == nil {
 		t.Error("a second process may open the folder")
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,8 @@
 	Peers                     []string
 	Known                     []byte // the list of endpoints as it was last had
 
-	disk store.Folder // tests put one that fails in place of Folder
+	disk    store.Folder // tests put one that fails in place of Folder
+	machine *machine     // and one whose wall clock steps in place of this one
 }
 
 // ClientTimes is how long clients' connections may take; 0 for the usual time.
@@ -71,7 +72,11 @@
 
 // Open opens the journal and the sockets of a delivery node; Run starts it.
 func Open(at Place, most Limits, times ClientTimes, s start.Start, module port.Decider) (*Node, error) {
-	c := clock{start: time.Now()}
+	if at.machine == nil {
+		m := thisMachine()
+		at.machine = &m
+	}
+	c := startClock(at.Folder, *at.machine)
 	n := &Node{clock: c, most: int64(s.Room.Events), types: s.Types, typeNames: s.TypeNames,
 		owners: s.CustomerNames}
 	n.Drain(drainRest, drainChoose, drainEnd)
@@ -80,7 +85,7 @@
 	if at.disk == nil {
 		at.disk = store.Dir(at.Folder)
 	}
-	if n.journal, n.owed, err = openJournal(at.Folder, at.disk, most.DiskMB, s.Room.Sends, n.find); err != nil {
+	if n.journal, n.owed, err = openJournal(at.Folder, at.disk, c.day, most.DiskMB, s.Room.Sends, n.find); err != nil {
 		return nil, err
 	}
 	sockets := most.Sockets
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,6 +51,7 @@
 	hosts   []string
 	balk    int // so many notices are refused first
 	disk    store.Folder
+	machine *machine
 	prepare func(*Node) // before it runs
 	mu      sync.Mutex
 	notices []string
@@ -92,7 +93,7 @@
 	s.Directory.Asked = true
 	module := choice.New(1, s.Types, s.Partners, s.Room, s.Recovery, s.Directory, s.Fleet, s.OrderPause)
 	w.Node, err = Open(Place{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), Folder: w.folder,
-		Known: []byte(list), disk: w.disk}, Limits{DiskMB: w.diskMB}, ClientTimes{}, s, module)
+		Known: []byte(list), disk: w.disk, machine: w.machine}, Limits{DiskMB: w.diskMB}, ClientTimes{}, s, module)
 	if err != nil {
 		w.t.Fatal(err)
 	}
