--- a/cmd/jaspersill/told.go
+++ b/cmd/jaspersill/told.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"strconv"
-	"time"
 
 	"jaspersill/errclass"
 	"jaspersill/house"
@@ -35,26 +34,12 @@
 	Settings   json.RawMessage
 }
 
-const (
-	readWithin = 5 * time.Second // for a file that cannot be read for a moment
-	readAgain  = 20 * time.Millisecond
-)
-
 // readFile is how files are read; tests put one that fails in its place.
 var readFile = os.ReadFile
 
-// readSettled reads a file, and tries again while that fails for a moment.
-func readSettled(name string) (text []byte, err error) {
-	err = errclass.Retry(errclass.File, readWithin, readAgain, func() error {
-		text, err = readFile(name)
-		return err
-	})
-	return text, err
-}
-
 // readPlatform reads the platform's file and checks what it says of the node's terms.
 func readPlatform(name string) (t told, s start.Start, err error) {
-	text, err := readSettled(name)
+	text, err := errclass.ReadFile(readFile, name)
 	if err == nil {
 		err = json.Unmarshal(text, &t)
 	}
@@ -94,7 +79,7 @@
 	var text []byte
 	if name != "" {
 		var err error
-		if text, err = readSettled(name); err != nil {
+		if text, err = errclass.ReadFile(readFile, name); err != nil {
 			return nil, err
 		}
 	}
--- a/errclass/retry.go
+++ b/errclass/retry.go
@@ -11,3 +11,17 @@
 		}
 	}
 }
+
+const (
+	readWithin = 5 * time.Second
+	readAgain  = 20 * time.Millisecond
+)
+
+// ReadFile reads a whole file by a function such as os.ReadFile, and tries again while that fails for a moment.
+func ReadFile(read func(name string) ([]byte, error), name string) (text []byte, err error) {
+	err = Retry(File, readWithin, readAgain, func() error {
+		text, err = read(name)
+		return err
+	})
+	return text, err
+}
--- a/node/clock.go
+++ b/node/clock.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -32,7 +33,7 @@
 	clockName     = "clock" // the file that says how the machine's clock and the time of day go together
 	clockNextName = "clock.new"
 	clockMode     = 0o600
-	clockWithin   = 5 * time.Second // for a file that cannot be read or written for a moment
+	clockWithin   = 5 * time.Second // for a file that cannot be written for a moment
 	clockAgain    = 20 * time.Millisecond
 	bootIDFile    = "/proc/sys/kernel/random/boot_id"
 )
@@ -57,11 +58,7 @@
 }
 
 func bootID() string {
-	var text []byte
-	err := errclass.Retry(errclass.File, clockWithin, clockAgain, func() (err error) {
-		text, err = os.ReadFile(bootIDFile)
-		return err
-	})
+	text, err := errclass.ReadFile(os.ReadFile, bootIDFile)
 	if err != nil {
 		return ""
 	}
@@ -109,11 +106,7 @@
 }
 
 func loadAnchor(folder string) (a anchor, err error) {
-	var text []byte
-	err = errclass.Retry(errclass.File, clockWithin, clockAgain, func() (err error) {
-		text, err = os.ReadFile(folder + "/" + clockName)
-		return err
-	})
+	text, err := errclass.ReadFile(os.ReadFile, filepath.Join(folder, clockName))
 	if err != nil {
 		return anchor{}, err
 	}
@@ -121,11 +114,11 @@
 }
 
 func storeAnchor(folder string, a anchor) error {
-	next := folder + "/" + clockNextName
+	next := filepath.Join(folder, clockNextName)
 	return errclass.Retry(errclass.File, clockWithin, clockAgain, func() error {
 		if err := os.WriteFile(next, []byte(a.String()), clockMode); err != nil {
 			return err
 		}
-		return os.Rename(next, folder+"/"+clockName)
+		return os.Rename(next, filepath.Join(folder, clockName))
 	})
 }
--- a/node/journal.go
+++ b/node/journal.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"jaspersill/errclass"
 	"jaspersill/logs"
 	"jaspersill/port"
 	"jaspersill/store"
@@ -89,7 +90,11 @@
 		return list, err
 	}
 	for _, e := range old.events(damaged) {
-		came, err := j.store.Take(e)
+		var came uint64
+		err := errclass.Retry(errclass.File, carryWithin, carryAgain, func() (err error) {
+			came, err = j.store.Take(e)
+			return err
+		})
 		if errors.Is(err, errKnown) {
 			continue
 		}
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -341,3 +341,21 @@
 		t.Error("a folder that holds nothing passes for a good one")
 	}
 }
+
+// Guards against ended requests that come back from a file of the older form which could not be removed.
+func TestAnOldFileThatCannotBeRemovedKeepsItsBodies(t *testing.T) {
+	folder := t.TempDir()
+	old := &oldJournal{name: filepath.Join(folder, oldName)}
+	if err := os.MkdirAll(filepath.Join(old.name, "in the way"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(old.body(1), []byte("body"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.remove(); err == nil {
+		t.Error("it passes for removed")
+	}
+	if _, err := os.Stat(old.body(1)); err != nil {
+		t.Errorf("the body: %v", err)
+	}
+}
--- a/node/oldjournal.go
+++ b/node/oldjournal.go
@@ -8,7 +8,9 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"time"
 
+	"jaspersill/errclass"
 	"jaspersill/port"
 	"jaspersill/store"
 )
@@ -51,10 +53,15 @@
 	le       = binary.LittleEndian
 )
 
+const (
+	carryWithin = 5 * time.Second // for a step of the carrying over that fails for a moment
+	carryAgain  = 20 * time.Millisecond
+)
+
 // readOld reads a folder's old file; nil for none. damaged hears where a record is.
 func readOld(folder string, damaged func(offset int, reason string)) (*oldJournal, error) {
 	j := &oldJournal{name: filepath.Join(folder, oldName), owed: make(map[string]*oldEntry)}
-	text, err := os.ReadFile(j.name)
+	text, err := errclass.ReadFile(os.ReadFile, j.name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -74,7 +81,7 @@
 		}
 		if o.file > 0 {
 			var err error
-			if o.Body, err = os.ReadFile(j.body(o.file)); err != nil {
+			if o.Body, err = errclass.ReadFile(os.ReadFile, j.body(o.file)); err != nil {
 				damaged(0, "owed event "+o.ID+" without its body is discarded: "+err.Error())
 				o.Verdict = store.Discarded
 			}
@@ -88,15 +95,26 @@
 	return j.name + oldBody + strconv.FormatInt(number, 10)
 }
 
-// remove removes the old file, and then those of long bodies. Danger: without its file an event would be
-// discarded.
+// remove removes the old file, and only then those of long bodies: without its file an event would be discarded. While
+// the old file stands, the next start would take its events on again, also those that have ended since.
 func (j *oldJournal) remove() error {
-	err := os.Remove(j.name)
-	names, bad := filepath.Glob(j.name + ".*")
+	if err := removeSettled(j.name); err != nil {
+		return err
+	}
+	names, err := filepath.Glob(j.name + ".*")
 	for _, name := range names {
-		bad = errors.Join(bad, os.Remove(name))
+		err = errors.Join(err, removeSettled(name))
+	}
+	return err
+}
+
+// removeSettled removes a file, and tries again while that fails for a moment. One that is gone counts as removed.
+func removeSettled(name string) error {
+	err := errclass.Retry(errclass.File, carryWithin, carryAgain, func() error { return os.Remove(name) })
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
 	}
-	return errors.Join(err, bad)
+	return err
 }
 
 // replay reads the records of a file and tells where one is damaged. Only a last one that was cut off is
