Count a request's time from when accepting began to fail, for all that had gathered by then

Cause: only the first connection that was accepted after the failure was taken to have stood there; those that came behind it in the same queue were counted as new. Change: so is every connection that is accepted within 0.1 s after the last failure.

--- a/lab/sysfault/launch.go
+++ b/lab/sysfault/launch.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"runtime"
 	"syscall"
 	"unsafe"
@@ -38,6 +39,7 @@
 	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
 		return fmt.Errorf("no new privileges: %w", err)
 	}
+	signal.Ignore(syscall.SIGHUP) // as a shell does that is told to before it becomes the program
 	environment := os.Environ()
 	arguments := os.Args[1:]
 	listener, err := installFilter()
--- a/node/listener.go
+++ b/node/listener.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	acceptAgain = 20 * time.Millisecond  // a connection asked to close has gone by then
-	silentGrace = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
-	wholeGrace  = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
-	idleGrace   = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
-	endWithin   = 300 * time.Millisecond // a client that heard of the end closes too: there and back
-	endLook     = 10 * time.Millisecond
+	acceptAgain   = 20 * time.Millisecond  // a connection asked to close has gone by then
+	backlogWithin = 100 * time.Millisecond // in which all that gathered while accepting failed is accepted
+	silentGrace   = 10 * time.Millisecond  // when short: so long may a connection stand before its first byte,
+	wholeGrace    = 100 * time.Millisecond // and a request take to come: usual ones come in one piece;
+	idleGrace     = 150 * time.Millisecond // and so long is an idle one spared for one that may prove worse
+	endWithin     = 300 * time.Millisecond // a client that heard of the end closes too: there and back
+	endLook       = 10 * time.Millisecond
 )
 
 // listener accepts clients' connections, up to a limit. When short it closes first those that never asked for
@@ -31,11 +32,14 @@
 	// until the first request is whole; from a later one's first byte until it is; between two
 	first, request, between time.Duration
 
-	accepts trouble
-	mu      sync.Mutex
-	freed   sync.Cond
-	open    map[*clientConn]struct{}
-	shut    bool
+	accepts     trouble
+	failedSince time.Time // when accepting began to fail: what is accepted since may have stood there as long,
+	failedUntil time.Time // until what had gathered is accepted
+
+	mu    sync.Mutex
+	freed sync.Cond
+	open  map[*clientConn]struct{}
+	shut  bool
 }
 
 // clientConn is a client's connection. It waits in rest, is busy from the first byte of a request until
@@ -74,11 +78,11 @@
 // any other says nothing of the listener, or concerns one connection that broke before it was accepted.
 func (d *listener) accept() (*clientConn, error) {
 	c, err := d.Listener.Accept()
-	var delayedSince time.Time // a connection may have stood there as long, with a request on it
 	for err != nil {
-		if delayedSince.IsZero() {
-			delayedSince = time.Now()
+		if d.failedSince.IsZero() {
+			d.failedSince = time.Now()
 		}
+		d.failedUntil = time.Now()
 		if errclass.Socket(err) == errclass.Closed {
 			return nil, err
 		}
@@ -94,7 +98,10 @@
 	}
 	d.accepts.note(nil)
 	now := time.Now()
-	g := &clientConn{retryConn: &retryConn{Conn: c, delayedSince: delayedSince}, listener: d, came: now, since: now}
+	if now.Sub(d.failedUntil) > acceptAgain+backlogWithin {
+		d.failedSince = time.Time{}
+	}
+	g := &clientConn{retryConn: &retryConn{Conn: c, delayedSince: d.failedSince}, listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
