--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"jaspersill/lab/sysfault"
+)
+
+var program string
+
+// TestMain builds the delivery node that the runs are played with.
+func TestMain(m *testing.M) {
+	sysfault.BecomeProgramIfAsked()
+	folder, err := os.MkdirTemp("", "soak-")
+	if err == nil {
+		program = filepath.Join(folder, "jaspersill")
+		if out, bad := exec.Command("go", "build", "-o", program, "jaspersill/cmd/jaspersill").CombinedOutput(); bad != nil {
+			err = fmt.Errorf("%w: %s", bad, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// Guards against requests that are lost, ended twice or sent after their end while faults of the machine, the
+// endpoints and discovery overlap.
+func TestRulesAreKeptWhileFaultsOverlap(t *testing.T) {
+	for _, run := range []Options{
+		{Seed: 11, Nodes: 10, Length: 6 * time.Second},
+		{Seed: 2, Nodes: 4, Length: 8 * time.Second, Only: onlyDisk},
+		{Seed: 4, Nodes: 4, Length: 8 * time.Second, Only: onlySockets},
+		{Seed: 3, Nodes: 4, Length: 6 * time.Second, Only: onlySlow},
+	} {
+		run.Program, run.Folder = program, t.TempDir()
+		report, err := Play(context.Background(), run)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(report.Summary())
+		if len(report.Violations) == 0 {
+			continue
+		}
+		for _, event := range report.Events {
+			t.Log(event)
+		}
+		for _, v := range report.Violations {
+			t.Errorf("jaspersill-lab soak --seed %d --nodes %d --length %v --only %q: %v", run.Seed, run.Nodes, run.Length, run.Only, v)
+		}
+	}
+}
+
+// Guards against an oracle that sees nothing: each of these ledgers breaks exactly one rule.
+func TestTheLedgerSeesEachBrokenRule(t *testing.T) {
+	const second = time.Second
+	accepted := func() *request {
+		return &request{id: "x", class: Once, sent: second, heard: second, status: 202, deadline: 3 * second, done: 2 * second,
+			attempts: []attempt{{at: second, ran: true}}}
+	}
+	for _, c := range []struct {
+		name  string
+		rule  Rule
+		spoil func(r *request, l *ledger)
+	}{
+		{"all is well", "", func(*request, *ledger) {}},
+		{"no complete answer", RuleAnswer, func(r *request, _ *ledger) { r.status, r.trouble = 0, "cut off" }},
+		{"a wrong answer", RuleAnswer, func(r *request, _ *ledger) { r.status = 400 }},
+		{"no end", RuleFinal, func(r *request, _ *ledger) { r.done = 0 }},
+		{"a late end", RuleFinal, func(r *request, _ *ledger) { r.done, r.noticed = 0, 4*second }},
+		{"a late end, but writes failed until then", "", func(r *request, l *ledger) {
+			r.done, r.noticed = 0, 4*second
+			l.mute[0] = []span{{2 * second, 4 * second}}
+		}},
+		{"forwarded though refused", RuleAfterEnd, func(r *request, _ *ledger) { r.status = 503 }},
+		{"forwarded after its notice", RuleAfterEnd, func(r *request, _ *ledger) {
+			r.done, r.noticed = 0, 2*second
+			r.attempts[0].at = 2*second + second/2
+		}},
+		{"forwarded after its deadline", RuleAfterEnd, func(r *request, _ *ledger) { r.attempts[0].at, r.done = 4*second, 0; r.noticed = 3 * second }},
+		{"ran twice", RuleRepeat, func(r *request, _ *ledger) {
+			r.attempts = append(r.attempts, attempt{at: second + second/10, ran: true})
+		}},
+		{"ran again after its window", RuleRepeat, func(r *request, _ *ledger) {
+			r.class, r.done = Keyed, 5*second/2
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2, ran: true})
+			r.attempts[0].at = second / 2
+		}},
+	} {
+		l := newLedger()
+		r := accepted()
+		l.order = []*request{r}
+		c.spoil(r, l)
+		l.judge(keyedWindow)
+		switch {
+		case c.rule == "" && len(l.violations) > 0:
+			t.Errorf("%s: %v", c.name, l.violations)
+		case c.rule != "" && (len(l.violations) == 0 || l.violations[0].Rule != c.rule):
+			t.Errorf("%s: %v, want %s", c.name, l.violations, c.rule)
+		}
+	}
+}
