Count a delivery that its node could not hear as none

Callers saw nothing: the soak's endpoint was wrong. It looked with a deadline of 50 us whether the node still held the connection; on a busy machine that had passed before the look, so an answer to a call that the node had given up counted as a delivery. The look now takes no time, and a reset that comes back for the answer says that it was not heard.

--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -10,10 +10,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,7 +36,6 @@
 	slowAnswer    = 300 * time.Millisecond
 	toldWait      = 800 * time.Millisecond
 	endpointIdle  = 4 * time.Second
-	lookWithin    = 50 * time.Microsecond
 	mostCallBytes = 1 << 20
 )
 
@@ -132,19 +131,33 @@
 		e.mu.Unlock()
 	}()
 	in := bufio.NewReader(conn)
+	var last []part
 	for {
 		conn.SetReadDeadline(time.Now().Add(endpointIdle))
 		call, err := http.ReadRequest(in)
+		if errors.Is(err, syscall.ECONNRESET) {
+			e.ledger.crossed(last)
+		}
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(io.LimitReader(call.Body, mostCallBytes))
-		if err != nil || !e.answer(conn, in, call, body) {
+		if err != nil {
+			return
+		}
+		var open bool
+		if last, open = e.answer(conn, in, call, body); !open {
 			return
 		}
 	}
 }
 
+// part is one request of a call, and which of its attempts it is.
+type part struct {
+	request *request
+	attempt int
+}
+
 // ids are the requests that a call carries.
 func ids(call *http.Request, body []byte) (list []string) {
 	if !strings.HasSuffix(call.URL.Path, "/bulk") {
@@ -166,18 +179,14 @@
 	return list
 }
 
-// answer plays one call. It tells whether the connection stays open.
-func (e *endpoint) answer(conn net.Conn, in *bufio.Reader, call *http.Request, body []byte) bool {
-	type part struct {
-		request *request
-		attempt int
-	}
+// answer plays one call. It tells what was delivered, and whether the connection stays open.
+func (e *endpoint) answer(conn net.Conn, in *bufio.Reader, call *http.Request, body []byte) (delivered []part, open bool) {
 	var parts []part
 	for _, id := range ids(call, body) {
 		r := e.ledger.reaches(id, e.number)
 		if r == nil {
 			fmt.Fprint(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-			return false
+			return nil, false
 		}
 		parts = append(parts, part{r, e.ledger.attemptsOf(r) - 1})
 	}
@@ -187,7 +196,7 @@
 		}
 	}
 	if len(parts) == 0 {
-		return false
+		return nil, false
 	}
 	node := parts[0].request.node
 	m, delay := e.arrives(node)
@@ -196,34 +205,34 @@
 	case failing:
 		note("500", true, false)
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%sContent-Length: 0\r\n\r\n", report)
-		return err == nil
+		return nil, err == nil
 	case limited:
 		note("429", false, false)
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 429 Wait\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", report,
 			toldWait.Seconds())
 		e.tellsToWait(node)
-		return err == nil
+		return nil, err == nil
 	case hanging:
 		note("hangs", true, false)
 		conn.SetReadDeadline(time.Time{})
 		io.Copy(io.Discard, conn)
-		return false
+		return nil, false
 	case resetting, unavailable:
 		note("reset", true, false)
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
 		}
-		return false
+		return nil, false
 	case garbling:
 		note("garbled", true, false)
 		io.WriteString(conn, "HTTP/1.1 2\x00\x01\r\nContent-Length: 9999999\r\n\r\n?")
-		return false
+		return nil, false
 	}
 	note("runs", true, false)
 	time.Sleep(delay)
 	if !stands(conn, in) {
 		note("given up by the node", true, false)
-		return false
+		return nil, false
 	}
 	lines := ""
 	if strings.HasSuffix(call.URL.Path, "/bulk") {
@@ -233,14 +242,21 @@
 	}
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", report, len(lines), lines)
 	note("200", true, err == nil)
-	return err == nil
+	return parts, err == nil
 }
 
-// stands tells whether the other side still holds a connection open.
-func stands(conn net.Conn, in *bufio.Reader) bool {
-	conn.SetReadDeadline(time.Now().Add(lookWithin))
-	_, err := in.Peek(1)
-	return errors.Is(err, os.ErrDeadlineExceeded)
+// stands tells whether the other side still holds a connection open, and has sent nothing more.
+func stands(conn net.Conn, in *bufio.Reader) (open bool) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil || in.Buffered() > 0 {
+		return false
+	}
+	raw.Control(func(descriptor uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+	})
+	return open
 }
 
 func (e *endpoint) tellsToWait(node int) {
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -73,8 +73,10 @@
 	trouble  string // why its client has no complete answer
 	attempts []attempt
 	done     time.Duration // when an endpoint's 200 was written
-	noticed  time.Duration
-	notice   string
+
+	deliveredBy int // the attempt that it answered
+	noticed     time.Duration
+	notice      string
 }
 
 // Violation is one broken rule.
@@ -176,7 +178,19 @@
 	r.attempts[at].outcome = outcome
 	r.attempts[at].ran = r.attempts[at].ran || ran
 	if delivered && r.done == 0 {
-		r.done = l.now()
+		r.done, r.deliveredBy = l.now(), at
+	}
+}
+
+// crossed notes that answers came back unread: the node had closed the connection before they were written.
+func (l *ledger) crossed(parts []part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range parts {
+		p.request.attempts[p.attempt].outcome = "given up by the node, unheard"
+		if p.request.deliveredBy == p.attempt {
+			p.request.done = 0
+		}
 	}
 }
 
