Hold a restart to what its node had time to write, and play whole outages of the disk

Cause: the soak let every repeat after a restart pass, so a build that forgets ends when their write fails was not seen. Change: a delivered request that may be repeated may come again only if its node died within 0.3 s after the delivery, or after the disk worked again; and a third of the disk faults take writes, truncations and creates together.

--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -105,6 +106,26 @@
 	}
 }
 
+// recordWithin is how long a node whose disk works may take to write down what it knows.
+const recordWithin = 300 * time.Millisecond
+
+// diedUnwritten tells whether a node's process ended between two moments, before its disk had worked for long enough
+// since the first.
+func (l *ledger) diedUnwritten(node int, since, until time.Duration) bool {
+	return slices.ContainsFunc(l.deaths[node], func(death time.Duration) bool {
+		if death < since || death > until {
+			return false
+		}
+		writable := since
+		for _, s := range l.diskFaults[node] {
+			if s.from <= death && s.to > writable {
+				writable = s.to
+			}
+		}
+		return death < writable+recordWithin
+	})
+}
+
 // possible puts a time off at which a final answer is due until one can be written at all: where every write on the
 // node's sockets has failed from the deadline until then, no program could have told it.
 func (l *ledger) possible(node int, deadline, due time.Duration) time.Duration {
@@ -116,10 +137,11 @@
 	return due
 }
 
-// judgeAfterEnd: a request that may be repeated may be sent again by a node that was restarted since.
+// judgeAfterEnd: a request that may be repeated may be sent again by a node that died before it had time to write
+// down that it is delivered.
 func (l *ledger) judgeAfterEnd(r *request) {
 	for _, a := range r.attempts {
-		restarted := func(since time.Duration) bool { return l.awayBetween(r.node, since, a.at) }
+		restarted := func(since time.Duration) bool { return l.diedUnwritten(r.node, since, a.at) }
 		switch {
 		case r.refused() && r.heard-r.sent <= answerPatience:
 			l.violate(RuleAfterEnd, a.at, r, "a refused request was forwarded")
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -101,13 +101,14 @@
 	away       map[int][]span // by node, from its signal until it was ready again
 	deaths     map[int][]time.Duration
 	mute       map[int][]span // by node, while all writes on its sockets fail
+	diskFaults map[int][]span // by node, while calls on its folder fail
 	violations []Violation
 	counts     map[string]int
 	events     []string // what was done to the system
 }
 
 func newLedger() *ledger {
-	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{},
+	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{}, diskFaults: map[int][]span{},
 		counts: map[string]int{}}
 }
 
@@ -228,6 +229,13 @@
 	}
 }
 
+// failsDisk notes that calls on a node's folder fail for so long.
+func (l *ledger) failsDisk(node int, long time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.diskFaults[node] = append(l.diskFaults[node], span{l.now(), l.now() + long})
+}
+
 // mutes notes that all writes on a node's sockets fail for so long.
 func (l *ledger) mutes(node int, long time.Duration) {
 	l.mu.Lock()
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -126,6 +126,7 @@
 			fault = sysfault.Fault{Call: sysfault.FileWrite, Delay: 50*time.Millisecond + p.moment(950*time.Millisecond)}
 			long = 200 * time.Millisecond
 		}
+		outage := only != onlySlow && onDisk(f.call) && p.random.IntN(3) == 0
 		withTruncate := f.call == sysfault.FileWrite && p.random.IntN(2) == 0
 		killAfter := time.Duration(-1)
 		switch {
@@ -139,6 +140,10 @@
 			if withTruncate {
 				r.fail(node, sysfault.Fault{Call: sysfault.FileTruncate, Errno: syscall.EIO}, long)
 			}
+			if outage { // nothing can be written, taken back or begun
+				r.fail(node, sysfault.Fault{Call: sysfault.FileWrite, Errno: syscall.EIO}, long)
+				r.fail(node, sysfault.Fault{Call: sysfault.FileOpen, Errno: syscall.EIO}, long)
+			}
 			if killAfter >= 0 {
 				pause(ctx, killAfter)
 				r.restart(ctx, node, nil, (*process).kill)
@@ -149,9 +154,16 @@
 
 // played tells whether calls of a kind fail where only one kind of fault is played.
 func played(only string, c sysfault.Call) bool {
-	disk := c == sysfault.FileWrite || c == sysfault.FileTruncate || c == sysfault.FileOpen || c == sysfault.FileRemove ||
-		c == sysfault.FileRename || c == sysfault.FileRead
-	return only == "" || only == onlyCalls || only == onlySlow || (only == onlyDisk) == disk
+	return only == "" || only == onlyCalls || only == onlySlow || (only == onlyDisk) == onDisk(c)
+}
+
+func onDisk(c sysfault.Call) bool {
+	switch c {
+	case sysfault.FileWrite, sysfault.FileTruncate, sysfault.FileOpen, sysfault.FileRemove, sysfault.FileRename,
+		sysfault.FileRead:
+		return true
+	}
+	return false
 }
 
 // drawSignals draws what a node is told: a kill, an orderly end or signals in series.
@@ -235,6 +247,9 @@
 	if f.Call == sysfault.SocketWrite && f.Share == 0 {
 		r.ledger.mutes(node, long)
 	}
+	if onDisk(f.Call) {
+		r.ledger.failsDisk(node, long+f.Delay)
+	}
 	r.processes[node].fault(f)
 }
 
