--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -255,11 +255,6 @@
 	return slices.ContainsFunc(l.deaths[node], func(at time.Duration) bool { return from <= at && at <= to+socketGrace })
 }
 
-// awayBetween tells whether a node was asked to end, or not yet ready again, at a moment of a span.
-func (l *ledger) awayBetween(node int, from, to time.Duration) bool {
-	return slices.ContainsFunc(l.away[node], func(s span) bool { return s.from <= to && from <= s.to })
-}
-
 func (r *request) timeline() []string {
 	type moment struct {
 		at   time.Duration
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -112,7 +112,6 @@
 	attempt    State // Pending, Recording or InFlight: how far the newest attempt is, whatever became of the request
 	mayHaveRun bool
 	stored     bool
-	refused    bool
 }
 
 // NewRequest is a request that was read. It may be repeated after an attempt that may have run if repeatable.
--- /dev/null
+++ b/node/clientconn.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"jaspersill/errclass"
+	"jaspersill/lifecycle"
+)
+
+const (
+	endWithin = 300 * time.Millisecond // a client that heard of the end closes too: there and back
+	endLook   = 10 * time.Millisecond
+)
+
+// clientConn is a client's connection. It waits in rest, is busy from the first byte of a request until
+// idle, and ends with end. What may end its waiting for bytes is decided under the listener's lock.
+type clientConn struct {
+	*retryConn
+	listener *listener
+	state    lifecycle.Connection
+	came     time.Time
+	since    time.Time // of its first byte, or of its last answer
+	woken    [1]byte   // the first byte of a request
+	holds    bool      // that byte was not read on yet
+	wrote    bool      // something was answered
+	unframed bool      // what was read last is no request: what follows it is none either
+
+	busy    bool // bytes of a request have been read and its answer is not written
+	whole   bool // all of them
+	asked   bool // it has brought an event, or asked how we are
+	leaving bool // asked to close, or closing
+	ending  bool // its answers are written, and what still comes is read out
+	hurried bool // it has no more time
+}
+
+// leave asks a connection between requests to close: its reader does, unless a request comes first.
+func (g *clientConn) leave() {
+	g.leaving = true
+	g.SetReadDeadline(longAgo)
+}
+
+// rest waits for the first byte of the next request. It tells false if none came in time, or if the
+// connection was asked to close before: the byte or the asking, whichever the listener's lock sees first.
+func (g *clientConn) rest() bool {
+	g.listener.mu.Lock()
+	if g.leaving {
+		g.listener.mu.Unlock()
+		return false
+	}
+	g.within(g.listener.between)
+	if g.wrote {
+		g.delayedSince = time.Time{}
+	}
+	g.listener.mu.Unlock()
+	n, _ := g.retryConn.Read(g.woken[:])
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	if n == 0 && g.hasUnread() { // it stands there already: closed over it, its client would hear nothing
+		g.within(g.listener.request)
+		n, _ = g.retryConn.Read(g.woken[:])
+	}
+	if n == 0 {
+		g.leaving = true
+		return false
+	}
+	g.holds = true
+	g.begin()
+	return true
+}
+
+// begin marks that a request comes. Danger: closed after its request was read, it would leave that
+// unanswered.
+func (g *clientConn) begin() {
+	g.busy, g.whole, g.leaving, g.since = true, false, false, time.Now()
+	g.within(g.listener.request)
+}
+
+// next marks that one more request has begun to come behind the last.
+func (g *clientConn) next() {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	g.begin()
+}
+
+// within gives the client so long for what comes next, and for its first request no more than is left of
+// the time since it connected. Danger: by a byte now and then, or none, it would keep its connection for
+// good.
+func (g *clientConn) within(d time.Duration) {
+	t := time.Now().Add(d)
+	if first := g.came.Add(g.listener.first); !g.asked && t.After(first) {
+		t = first
+	}
+	g.SetReadDeadline(t)
+}
+
+// Read reads on from the byte that ended the rest.
+func (g *clientConn) Read(b []byte) (int, error) {
+	if g.holds && len(b) > 0 {
+		g.holds = false
+		b[0] = g.woken[0]
+		return 1, nil
+	}
+	return g.retryConn.Read(b)
+}
+
+// read marks that a request has come whole; good tells whether it was one.
+func (g *clientConn) read(good bool) {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	g.whole, g.asked = true, g.asked || good
+	g.state.ReadRequest()
+}
+
+// idle marks that the answer was written.
+func (g *clientConn) idle() {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	g.busy, g.since = false, time.Now()
+	g.listener.trim()
+	if len(g.listener.open) >= g.listener.most {
+		g.listener.freed.Signal()
+	}
+}
+
+// Write notes that there are answers which the end of the connection must not take along.
+func (g *clientConn) Write(b []byte) (int, error) {
+	g.wrote = true
+	return g.retryConn.Write(b)
+}
+
+// end closes a connection whose answers are written. Closed over unread bytes it is reset, which takes along the
+// answers that are still on their way. So it is half closed, and stays until the client closes too or has had time to
+// read. Nothing is read from it any more: a request that crosses the end, unread, is handed in again by its client.
+// Only what follows bytes that are no request is read out, since no request can be told from it.
+func (g *clientConn) end() {
+	g.listener.mu.Lock()
+	g.busy, g.leaving, g.ending, g.since = false, true, true, time.Now()
+	g.SetReadDeadline(g.since.Add(endWithin))
+	gently := g.wrote && !g.hurried
+	g.listener.mu.Unlock()
+	if gently && g.CloseWrite() == nil {
+		if g.unframed {
+			g.readOut()
+		} else {
+			g.awaitEnd()
+		}
+	}
+	g.state.Close(g.RemoteAddr().String())
+	g.Conn.Close()
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	delete(g.listener.open, g)
+	g.listener.freed.Signal()
+}
+
+func (g *clientConn) readOut() {
+	var rest [512]byte
+	for {
+		if _, err := g.retryConn.Read(rest[:]); err != nil {
+			return
+		}
+	}
+}
+
+// delay is how long ago the request that was read last may have come, beyond the time that reading it took.
+func (g *clientConn) delay() time.Duration {
+	if g.delayedSince.IsZero() {
+		return 0
+	}
+	return time.Since(g.delayedSince)
+}
+
+// awaitEnd waits until the client has closed its side, or has no more time. It takes no byte off the connection.
+func (g *clientConn) awaitEnd() {
+	for g.peek() {
+		if time.Since(g.since) >= endWithin || g.isHurried() {
+			return
+		}
+		time.Sleep(endLook)
+	}
+}
+
+// hasUnread tells whether bytes can be read, without waiting and whatever the deadline is.
+func (g *clientConn) hasUnread() (unread bool) {
+	raw, err := g.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(descriptor uintptr) {
+		var one [1]byte
+		n, _, _ := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0
+	})
+	return unread
+}
+
+// peek waits until something can be read, and tells whether it is bytes, which it leaves there.
+func (g *clientConn) peek() (unread bool) {
+	raw, err := g.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0 || errclass.Socket(err) == errclass.Momentary
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	return unread
+}
+
+func (g *clientConn) isHurried() bool {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	return g.hurried
+}
--- a/node/outcomes.go
+++ b/node/outcomes.go
@@ -99,13 +99,6 @@
 	}
 }
 
-// empty tells whether no notice is owed.
-func (o *outcomes) empty() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.queue) == 0
-}
-
 // run sends notices for as long as the process lasts.
 func (o *outcomes) run(stop <-chan struct{}) {
 	told := trouble{part: "notices", what: "telling the platform"}
