Tell an answer that came back from one that was heard, also when the end of the connection came first

The soak's endpoint took the end of a connection behind its answer for a node that had heard it. Where the node had closed first, the end is read before the reset that the answer causes. The endpoint now waits 10 ms and asks the socket for its error. Nothing of the node changed.

--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // mode is how an endpoint behaves.
@@ -36,6 +38,7 @@
 	slowAnswer    = 300 * time.Millisecond
 	toldWait      = 800 * time.Millisecond
 	endpointIdle  = 4 * time.Second
+	resetWithin   = 10 * time.Millisecond // a reset takes no time on loopback
 	mostCallBytes = 1 << 20
 )
 
@@ -135,7 +138,7 @@
 	for {
 		conn.SetReadDeadline(time.Now().Add(endpointIdle))
 		call, err := http.ReadRequest(in)
-		if errors.Is(err, syscall.ECONNRESET) {
+		if errors.Is(err, syscall.ECONNRESET) || (errors.Is(err, io.EOF) && cameBack(conn)) {
 			e.ledger.crossed(last)
 		}
 		if err != nil {
@@ -259,6 +262,21 @@
 	return open
 }
 
+// cameBack tells whether the last answer on a connection that the other side has ended came back unread: it had ended
+// the connection before.
+func cameBack(conn net.Conn) (unread bool) {
+	time.Sleep(resetWithin)
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(descriptor uintptr) {
+		code, err := unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_ERROR)
+		unread = err == nil && code != 0
+	})
+	return unread
+}
+
 func (e *endpoint) tellsToWait(node int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
