Write log lines from a goroutine of their own

Callers would see: a node that stands still, event loop and all, while whoever reads its log does not read.

Cause: logrus wrote to standard error under its lock, from the goroutine that logged; a pipe that is full blocks the write.

--- a/cmd/jaspersill/main.go
+++ b/cmd/jaspersill/main.go
@@ -34,7 +34,11 @@
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE) // a collector of log lines that goes away must not take the process along
-	os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr, replaced))
+	lines := logs.NewLines(os.Stderr)
+	logrus.SetOutput(lines)
+	code := execute(os.Args[1:], os.Stdout, os.Stderr, replaced)
+	lines.Flush()
+	os.Exit(code)
 }
 
 // execute runs one command and returns the process's exit code.
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -59,3 +60,32 @@
 		t.Errorf("%d messages known, %d lines", len(g.kinds), lines)
 	}
 }
+
+// Guards against a node that stands still because the reader of its log lines does.
+func TestWhoeverLogsDoesNotWaitForTheReader(t *testing.T) {
+	reader, writer := io.Pipe() // nobody reads
+	lines := NewLines(writer)
+	began := time.Now()
+	for range 3 * waitingLines {
+		lines.Write([]byte("a line\n"))
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("it took %v", took)
+	}
+	if lines.dropped.Load() < waitingLines {
+		t.Errorf("%d lines dropped", lines.dropped.Load())
+	}
+	text := make(chan string)
+	go func() {
+		all, _ := io.ReadAll(reader)
+		text <- string(all)
+	}()
+	for deadline := time.Now().Add(10 * time.Second); len(lines.waiting) > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	lines.Flush()
+	writer.Close()
+	if got := <-text; strings.Count(got, "a line\n") < waitingLines || !strings.Contains(got, "lines were dropped") {
+		t.Errorf("%d lines, and no word of those dropped: %.200q", strings.Count(got, "a line\n"), got)
+	}
+}
