Send a destination nothing while an answer of it cannot be read

Cause: an answer that cannot be read for a moment was waited for, and other attempts to the same destination went out meanwhile. Change: endpoints counts, by destination, answers whose reading fails for a moment; an attempt waits for them before its record is written, for as long as it is wanted. Evidence: TestNothingIsSentWhileAnAnswerCannotBeRead (on the code before, the second call goes out at once).

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -28,12 +28,13 @@
 
 	out atomic.Int32 // calls
 
-	mu    sync.Mutex
-	dials []string // by endpoint
-	sites []string
-	busy  []int     // calls that know its index
-	idle  [][]*link // by endpoint, the one used last at the end
-	idles int
+	mu         sync.Mutex
+	unreadable map[uint32]int // by destination, answers that may have come and cannot be read for a moment
+	dials      []string       // by endpoint
+	sites      []string
+	busy       []int     // calls that know its index
+	idle       [][]*link // by endpoint, the one used last at the end
+	idles      int
 }
 
 // link is a connection to an endpoint.
@@ -175,6 +176,27 @@
 	return ok && err == nil
 }
 
+// stalls notes that an answer of a destination cannot be read for a moment, or that it can again.
+func (p *endpoints) stalls(dest uint32, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unreadable == nil {
+		p.unreadable = make(map[uint32]int)
+	}
+	if on {
+		p.unreadable[dest]++
+	} else if p.unreadable[dest]--; p.unreadable[dest] <= 0 {
+		delete(p.unreadable, dest)
+	}
+}
+
+// stalled tells whether an answer of a destination cannot be read: it may tell to wait.
+func (p *endpoints) stalled(dest uint32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unreadable[dest] > 0
+}
+
 // connect opens a connection, for as long as ctx lasts. local tells meanwhile whether this machine is what keeps it
 // from coming up.
 func (p *endpoints) connect(ctx context.Context, address string, local *atomic.Bool) (*link, error) {
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -462,3 +462,38 @@
 		}
 	}
 }
+
+// Guards against an attempt that goes out while the answer which told to wait cannot be read.
+func TestNothingIsSentWhileAnAnswerCannotBeRead(t *testing.T) {
+	at := newPeer(t, say(answerOf("200 OK", "", "")))
+	p := newEndpoints(t, at.Addr().String())
+	usual := p.dial
+	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := usual(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &faultyConn{TCPConn: conn.(*net.TCPConn), errno: syscall.ENOBUFS, reads: 30}, nil
+	}
+	first := &call{of: p}
+	first.sends = []*send{newSend(t, first, "first", 10*time.Second)}
+	second := &call{of: p}
+	second.sends = []*send{newSend(t, second, "second", 10*time.Second)}
+	recalled := second.sends[0]
+	go p.carry(first)
+	for end := time.Now().Add(long); !p.stalled(0) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	go p.carry(second)
+	time.Sleep(100 * time.Millisecond)
+	if calls, _ := at.calls(); calls != 1 {
+		t.Errorf("%d calls while the first answer cannot be read", calls)
+	}
+	second.recall(recalled)
+	if r := ending(t, recalled); r.how != port.Unsent {
+		t.Errorf("recalled: ended as %v", r.how)
+	}
+	if r := ending(t, first.sends[0]); r.how != port.Acked {
+		t.Errorf("the first ended as %v", r.how)
+	}
+}
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -34,11 +34,18 @@
 // it then. Its deadlines, and closing it, end the trying. One goroutine reads at a time.
 type retryConn struct {
 	net.Conn
-	delayedSince time.Time // when a read first failed so; what was read since may have come then
+	delayedSince time.Time  // when a read first failed so; what was read since may have come then
+	stalls       func(bool) // hears when reads begin to fail so, and when they work again; nil for nobody
 }
 
 // Read implements net.Conn.
 func (c *retryConn) Read(b []byte) (int, error) {
+	stalled := false
+	defer func() {
+		if stalled {
+			c.stalls(false)
+		}
+	}()
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		n, err := c.readOnce(b)
 		if n > 0 || errclass.Socket(err) != errclass.Momentary {
@@ -48,6 +55,10 @@
 		if c.delayedSince.IsZero() {
 			c.delayedSince = time.Now()
 		}
+		if !stalled && c.stalls != nil {
+			stalled = true
+			c.stalls(true)
+		}
 		time.Sleep(pause)
 	}
 }
--- a/node/sends.go
+++ b/node/sends.go
@@ -105,6 +105,8 @@
 		}
 		return
 	}
+	dest := c.sends[0].event.dest
+	l.retryConn.stalls = func(on bool) { p.stalls(dest, on) }
 	reply := l.in.read(c.sends)
 	if c.finish(reply.results...) && !reply.close {
 		p.keep(c.endpoint, l)
@@ -168,6 +170,9 @@
 
 // recordAttempt writes that one attempt goes out, for as long as it may. It tells whether that is written.
 func (c *call) recordAttempt(s *send) bool {
+	for c.of.stalled(s.event.dest) && c.awaitsRecord(s) { // an answer that tells to wait may stand there unread
+		time.Sleep(recordAgain)
+	}
 	if s.event.request.StartAttempt(c.of.clock.now()) != nil {
 		return false
 	}
