Read and write on through trouble that the system tells of a connection which still stands

Callers would see: a connection closed with its request unanswered after one ETIMEDOUT or EHOSTUNREACH on a read or write.

Cause: such an error counted as the end of the connection. The system tells it also of a connection that it still tries to save, and of one that has really gone only once: the same call then finds the end. Change: errclass.Stream counts ETIMEDOUT, EHOSTUNREACH, ENETUNREACH and ENETDOWN on an established connection as momentary. On connect they stay the other side's.

--- a/errclass/errclass.go
+++ b/errclass/errclass.go
@@ -55,6 +55,16 @@
 	syscall.EIO:           true,
 }
 
+// momentaryOfStreams are those that a read or write of an established connection may meet and outlast: the system
+// tells of trouble on the way while it still tries, or once, before the end of a connection that has really gone. The
+// same call tells then.
+var momentaryOfStreams = map[syscall.Errno]bool{
+	syscall.ETIMEDOUT:    true,
+	syscall.EHOSTUNREACH: true,
+	syscall.ENETUNREACH:  true,
+	syscall.ENETDOWN:     true,
+}
+
 // File classifies an error of a call on a file or a folder.
 func File(err error) Class {
 	var errno syscall.Errno
@@ -69,7 +79,16 @@
 	return Permanent
 }
 
-// Socket classifies an error of a call on a socket, or of connecting one.
+// Stream classifies an error of a read or write on an established connection.
+func Stream(err error) Class {
+	var errno syscall.Errno
+	if errors.As(err, &errno) && momentaryOfStreams[errno] {
+		return Momentary
+	}
+	return Socket(err)
+}
+
+// Socket classifies an error of opening, connecting or accepting a socket.
 func Socket(err error) Class {
 	var errno syscall.Errno
 	switch {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -53,6 +53,8 @@
 	{sysfault.SocketWrite, syscall.ENOBUFS, false},
 	{sysfault.SocketWrite, syscall.ENOMEM, false},
 	{sysfault.SocketWrite, syscall.EINTR, false},
+	{sysfault.SocketRead, syscall.ETIMEDOUT, false},
+	{sysfault.SocketWrite, syscall.EHOSTUNREACH, false},
 	{sysfault.SocketOpen, syscall.ENFILE, false},
 	{sysfault.SocketOpen, syscall.ENOBUFS, false},
 	{sysfault.Accept, syscall.ENFILE, false},
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -275,7 +275,8 @@
 
 // Guards against connections of clients that are closed with no answer because a read or a write failed for a moment.
 func TestAClientHearsItsAnswerThoughCallsFailForAMoment(t *testing.T) {
-	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR} {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.ETIMEDOUT,
+		syscall.EHOSTUNREACH} {
 		w := newWorld(t)
 		w.endpoint(1, say(answerOf("200 OK", "", "")))
 		w.prepare = func(n *Node) {
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -48,7 +48,7 @@
 	}()
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		n, err := c.readOnce(b)
-		if n > 0 || errclass.Socket(err) != errclass.Momentary {
+		if n > 0 || errclass.Stream(err) != errclass.Momentary {
 			return n, err
 		}
 		momentaryFailures["read"].Add()
@@ -68,7 +68,7 @@
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		n, err := c.writeOnce(b[written:])
 		written += n
-		if written == len(b) || (err != nil && errclass.Socket(err) != errclass.Momentary) {
+		if written == len(b) || (err != nil && errclass.Stream(err) != errclass.Momentary) {
 			return written, err
 		}
 		if n == 0 {
@@ -82,7 +82,7 @@
 // the caller decides whether what it wanted to write is still wanted.
 func (c *retryConn) WriteUnlessFailing(b []byte) (written int, err error) {
 	written, err = c.writeOnce(b)
-	if written == 0 || written == len(b) || (err != nil && errclass.Socket(err) != errclass.Momentary) {
+	if written == 0 || written == len(b) || (err != nil && errclass.Stream(err) != errclass.Momentary) {
 		return written, err
 	}
 	rest, err := c.Write(b[written:])
--- a/node/sends.go
+++ b/node/sends.go
@@ -96,7 +96,7 @@
 	size, err := c.write(l, out.B)
 	if gaveUp := c.wrote(size == out.Len()); gaveUp || err != nil {
 		l.Close()
-		if errclass.Socket(err) == errclass.Momentary { // of this machine, and nothing went out
+		if errclass.Stream(err) == errclass.Momentary { // of this machine, and nothing went out
 			c.finish(result{how: port.Unsent})
 		} else if size < out.Len() { // the call's last byte was not written: it never ran
 			c.finish(result{how: port.ConnectFailed})
@@ -237,7 +237,7 @@
 func (c *call) write(l *link, text []byte) (size int, err error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
 		size, err = l.WriteUnlessFailing(text)
-		if size > 0 || errclass.Socket(err) != errclass.Momentary {
+		if size > 0 || errclass.Stream(err) != errclass.Momentary {
 			return size, err
 		}
 		momentaryFailures["write"].Add()
