Count the time that a request stands before a node which has no room, and spare a connection just let in

Cause: accept waits while all places are taken, and what stood before it meanwhile was counted as new. Traced by a goroutine dump (accept in its wait for room) and by the times of the requests: read 0.7 ms after they were accepted, 0.6 s after they were sent. Change: waiting for room counts as accepting that fails. And a connection that had waited was taken for one that is silent since, and closed over its request: its silence counts from when it was let in. No read is made any more with the listener's lock held. Evidence: TestADeadlineCountsWhileThereIsNoRoomForAConnection and TestAConnectionThatWaitedForRoomIsServed fail on the code before. Measured: node tests pass.

--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -58,11 +58,13 @@
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
 	if n == 0 && g.hasUnread() { // it stands there already: closed over it, its client would hear nothing
-		g.within(g.listener.request)
+		g.begin()
+		g.listener.mu.Unlock()
 		n, _ = g.retryConn.Read(g.woken[:])
+		g.listener.mu.Lock()
 	}
 	if n == 0 {
-		g.leaving = true
+		g.busy, g.leaving = false, true
 		return false
 	}
 	g.holds = true
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -498,3 +498,60 @@
 		t.Errorf("the first ended as %v", r.how)
 	}
 }
+
+// Guards against a request that is forwarded after its deadline, since it stood before a node whose places were taken.
+func TestADeadlineCountsWhileThereIsNoRoomForAConnection(t *testing.T) {
+	w := newWorld(t)
+	at := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.prepare = func(n *Node) {
+		n.clients.listener.most = 2
+	}
+	w.run()
+	var waiting []*client
+	for range 2 { // they take both places, until a request that does not come whole is hurried
+		c := w.dial()
+		io.WriteString(c, "POST /api HTTP/1.1\r\nHost: x\r\n")
+		waiting = append(waiting, c)
+	}
+	w.until("both places are taken", func() bool {
+		w.clients.listener.mu.Lock()
+		defer w.clients.listener.mu.Unlock()
+		return len(w.clients.listener.open) == 2
+	})
+	late := w.dial()
+	io.WriteString(late, request("late", "charge", "1", 60, ""))
+	w.until("it has its answer", func() bool { _, err := late.in.Peek(1); return err == nil })
+	for _, c := range waiting {
+		c.Close()
+	}
+	w.until("all have their ends", w.journal.empty)
+	if calls, _ := at.calls(); calls > 0 {
+		t.Errorf("%d calls after the deadline", calls)
+	}
+}
+
+// Guards against a connection that is closed over its request as soon as it has found room.
+func TestAConnectionThatWaitedForRoomIsServed(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.prepare = func(n *Node) {
+		n.clients.listener.most = 2
+	}
+	w.run()
+	for range 2 { // they take both places, until a request that does not come whole is hurried
+		io.WriteString(w.dial(), "POST /api HTTP/1.1\r\nHost: x\r\n")
+	}
+	w.until("both places are taken", func() bool {
+		w.clients.listener.mu.Lock()
+		defer w.clients.listener.mu.Unlock()
+		return len(w.clients.listener.open) == 2
+	})
+	first, second := w.dial(), w.dial()
+	io.WriteString(second, request("second", "charge", "1", 8000, ""))
+	if status, _ := first.hand(request("first", "charge", "1", 8000, "")); status != statusTaken {
+		t.Errorf("the first hears %d", status)
+	}
+	if status, _ := second.hear(""); status != statusTaken {
+		t.Errorf("the second hears %d", status)
+	}
+}
--- a/node/listener.go
+++ b/node/listener.go
@@ -27,9 +27,9 @@
 	// until the first request is whole; from a later one's first byte until it is; between two
 	first, request, between time.Duration
 
-	accepts     trouble
-	failedSince time.Time // when accepting began to fail: what is accepted since may have stood there as long,
-	failedUntil time.Time // until what had gathered is accepted
+	accepts      trouble
+	delayedSince time.Time // when accepting began to fail or to wait for room: what is accepted since may have stood
+	delayedUntil time.Time // there as long, until what had gathered is accepted
 
 	mu    sync.Mutex
 	freed sync.Cond
@@ -53,10 +53,7 @@
 func (d *listener) accept() (*clientConn, error) {
 	c, err := d.Listener.Accept()
 	for err != nil {
-		if d.failedSince.IsZero() {
-			d.failedSince = time.Now()
-		}
-		d.failedUntil = time.Now()
+		d.delayed(time.Now())
 		if errclass.Socket(err) == errclass.Closed {
 			return nil, err
 		}
@@ -72,22 +69,32 @@
 	}
 	d.accepts.note(nil)
 	now := time.Now()
-	if now.Sub(d.failedUntil) > acceptAgain+backlogWithin {
-		d.failedSince = time.Time{}
+	if now.Sub(d.delayedUntil) > acceptAgain+backlogWithin {
+		d.delayedSince = time.Time{}
 	}
-	g := &clientConn{retryConn: &retryConn{Conn: c, delayedSince: d.failedSince}, listener: d, came: now, since: now}
+	g := &clientConn{retryConn: &retryConn{Conn: c}, listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
+		d.delayed(time.Now())
 		d.makeRoom(time.Now()) // danger: past the limit of descriptors nothing can be sent any more
 		look := time.AfterFunc(silentGrace, d.freed.Broadcast)
 		d.freed.Wait()
 		look.Stop()
 	}
+	g.delayedSince, g.since = d.delayedSince, time.Now()
 	d.open[g] = struct{}{}
 	return g, nil
 }
 
+// delayed notes that nothing can be accepted just now.
+func (d *listener) delayed(now time.Time) {
+	if d.delayedSince.IsZero() {
+		d.delayedSince = now
+	}
+	d.delayedUntil = now
+}
+
 // makeRoom hurries a connection that is ending, or asks one to close. Danger: hundreds that say nothing, or
 // begin requests and never end them, keep the usual clients out.
 func (d *listener) makeRoom(now time.Time) {
