Hear an answer that comes in the moment in which its call times out

Cause: a call is given up as a whole when the least patient of its requests times out, often after some milliseconds; an answer that had begun to come, or lay unread, was dropped with the connection, and the others of the call were sent again. Calling off and recalling are as before. Evidence: TestAnAnswerThatComesAtTheTimeOutIsHeard ended as a time-out before (while the look missed what was read already) and is acked now. A first form that looked through the descriptor's read lock held the time-outs of all calls; two tests showed it.

--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -184,20 +184,6 @@
 	}
 }
 
-// hasUnread tells whether bytes can be read, without waiting and whatever the deadline is.
-func (g *clientConn) hasUnread() (unread bool) {
-	raw, err := g.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(descriptor uintptr) {
-		var one [1]byte
-		n, _, _ := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = n > 0
-	})
-	return unread
-}
-
 // peek waits until something can be read, and tells whether it is bytes, which it leaves there.
 func (g *clientConn) peek() (unread bool) {
 	raw, err := g.SyscallConn()
--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -555,3 +555,26 @@
 		t.Errorf("the second hears %d", status)
 	}
 }
+
+// Guards against a request that is repeated after its delivery, since its call timed out while the answer came.
+func TestAnAnswerThatComesAtTheTimeOutIsHeard(t *testing.T) {
+	at := newPeer(t, func(conn net.Conn, _ string) bool {
+		time.Sleep(60 * time.Millisecond)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-")
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(conn, "Length: 0\r\n\r\n")
+		return true
+	})
+	p := newEndpoints(t, at.Addr().String())
+	ends := make(chan result, 1)
+	c := &call{of: p}
+	s := newSend(t, c, "x", 10*time.Second)
+	c.sends = []*send{s}
+	go func() { ends <- ending(t, s) }()
+	go p.carry(c)
+	time.Sleep(110 * time.Millisecond) // the answer has begun, and stands unread or is being read
+	c.giveUp(port.TimedOut)
+	if r := <-ends; r.how != port.Acked {
+		t.Errorf("ended as %v", r.how)
+	}
+}
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -142,6 +142,20 @@
 	return nil
 }
 
+// hasUnread tells whether bytes can be read, without waiting and whatever the deadline is.
+func (c *retryConn) hasUnread() (unread bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(descriptor uintptr) {
+		var one [1]byte
+		n, _, _ := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0
+	})
+	return unread
+}
+
 // CloseWrite closes the sending side.
 func (c *retryConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/node/sends.go
+++ b/node/sends.go
@@ -42,7 +42,10 @@
 	gaveUp bool         // while its records or its bytes are being written: the writer ends it
 	how    port.Outcome // when given up
 	late   bool         // its records took long to write
-	local  atomic.Bool  // connecting fails for a reason of this machine
+
+	answering atomic.Bool // the first byte of its answer was read
+	extended  bool        // it timed out while its answer came, and has the time that the rest of one may take
+	local     atomic.Bool // connecting fails for a reason of this machine
 }
 
 // progress is how much of a call has gone out.
@@ -107,6 +110,8 @@
 	}
 	dest := c.sends[0].event.dest
 	l.retryConn.stalls = func(on bool) { p.stalls(dest, on) }
+	_, err = l.in.buf.Peek(1)
+	c.answering.Store(err == nil)
 	reply := l.in.read(c.sends)
 	if c.finish(reply.results...) && !reply.close {
 		p.keep(c.endpoint, l)
@@ -285,6 +290,11 @@
 	if c.ended || c.gaveUp {
 		return
 	}
+	if how == port.TimedOut && c.bytes == all && !c.extended && (c.answering.Load() || c.link.hasUnread()) { // its answer has begun to come
+		c.extended = true
+		time.AfterFunc(restWithin, func() { c.giveUp(port.TimedOut) })
+		return
+	}
 	c.gaveUp, c.how = true, how
 	if c.abort != nil {
 		c.abort()
