Give the soak's watches a sign of life every 2 s whatever else changes

The soak's discovery was wrong: each change for another node started its 2 s anew, so a watch could be silent for longer, which a node rightly breaks off after 2.5 s; what was written to it then counted as told.

--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -195,6 +195,8 @@
 		return err
 	}
 	newest := ""
+	alive := time.NewTicker(signOfLife)
+	defer alive.Stop()
 	for {
 		text, changed := d.list()
 		d.mu.Lock()
@@ -215,7 +217,7 @@
 		}
 		select {
 		case <-changed:
-		case <-time.After(signOfLife):
+		case <-alive.C:
 			if say("\n") != nil {
 				return
 			}
