--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -72,8 +72,7 @@
 	return true
 }
 
-// begin marks that a request comes. Danger: closed after its request was read, it would leave that
-// unanswered.
+// begin marks that a request comes: closed after its request was read, the connection would leave that unanswered.
 func (g *clientConn) begin() {
 	g.busy, g.whole, g.leaving, g.since = true, false, false, time.Now()
 	g.within(g.listener.request)
@@ -87,8 +86,7 @@
 }
 
 // within gives the client so long for what comes next, and for its first request no more than is left of
-// the time since it connected. Danger: by a byte now and then, or none, it would keep its connection for
-// good.
+// the time since it connected: by a byte now and then, or none, it would keep its connection for good.
 func (g *clientConn) within(d time.Duration) {
 	t := time.Now().Add(d)
 	if first := g.came.Add(g.listener.first); !g.asked && t.After(first) {
--- a/store/recover.go
+++ b/store/recover.go
@@ -403,8 +403,8 @@
 // begin writes all that is kept anew into new segments, and removes the old ones. A crash on the way leaves
 // both.
 //
-// Danger: what is appended behind a torn record would be lost with it, and a doubt that is not written down
-// would be forgotten by the next start.
+// All is written anew since what is appended behind a torn record would be lost with it, and a doubt that is not
+// written down would be forgotten by the next start.
 func (s *Store) begin(found *Found) error {
 	var names []string
 	err := again(func() (err error) {
