Log and count why connections to endpoints and clients end, with ids of requests and connections

Change: connections have ids; lines at level debug name request, attempt, connection and the call's number on it, and why each connection to an endpoint or a client ends; counters at /metrics tell calls on new and on kept connections, attempts by outcome, closes and refusals by reason. Families of counters replace the maps that each package kept for itself. A connection to an endpoint has its own file and its name.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -49,39 +49,24 @@
 )
 
 var (
-	violations = newViolations()
-	denials    = map[*Denial]*metrics.Counter{
-		ErrDeadline: metrics.NewLabelled(denialsName, denialsHelp, "reason", deniedByDeadline),
-		ErrEnded:    metrics.NewLabelled(denialsName, denialsHelp, "reason", deniedByEnd),
-	}
+	violations = metrics.NewFamily(violationsName, violationsHelp, "transition", transitionAttempt, transitionSend,
+		transitionOutcome, transitionTell, transitionStore, transitionClose)
+	denials        = metrics.NewFamily(denialsName, denialsHelp, "reason", deniedByDeadline, deniedByEnd)
+	reasonOfDenial = map[*Denial]string{ErrDeadline: deniedByDeadline, ErrEnded: deniedByEnd}
 )
 
-func newViolations() map[string]*metrics.Counter {
-	counters := map[string]*metrics.Counter{}
-	for _, name := range []string{transitionAttempt, transitionSend, transitionOutcome, transitionTell, transitionStore,
-		transitionClose} {
-		counters[name] = metrics.NewLabelled(violationsName, violationsHelp, "transition", name)
-	}
-	return counters
-}
-
 // Violations is how many there were in this process.
-func Violations() (total int64) {
-	for _, c := range violations {
-		total += c.Count()
-	}
-	return total
-}
+func Violations() int64 { return violations.Total() }
 
 // violate counts a violation and logs it with what it concerns.
 func violate(transition, id, reason string) error {
-	violations[transition].Add()
+	violations.With(transition).Add()
 	logs.Event(logPart, id).WithFields(logrus.Fields{"transition": transition, "reason": reason}).Error("violation")
 	return fmt.Errorf("%w: %s: %s", ErrViolation, transition, reason)
 }
 
 func deny(d *Denial) error {
-	denials[d].Add()
+	denials.With(reasonOfDenial[d]).Add()
 	return d
 }
 
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -166,3 +166,7 @@
 func Event(part, id string) *logrus.Entry {
 	return logrus.WithFields(logrus.Fields{partField: part, eventField: id})
 }
+
+// Debugging tells whether lines at level debug are written at all. Code that runs for every request asks before it
+// gathers the fields of one.
+func Debugging() bool { return logrus.IsLevelEnabled(logrus.DebugLevel) }
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jaspersill/errclass"
 	"jaspersill/lifecycle"
+	"jaspersill/logs"
+	"jaspersill/metrics"
 )
 
 const (
@@ -18,6 +23,9 @@
 // idle, and ends with end. What may end its waiting for bytes is decided under the listener's lock.
 type clientConn struct {
 	*retryConn
+	id       uint64
+	requests int       // that were read
+	reason   endReason // why it ends, empty while it goes on
 	listener *listener
 	state    lifecycle.Connection
 	came     time.Time
@@ -35,6 +43,39 @@
 	hurried bool // it has no more time
 }
 
+// endReason is why a client's connection ends.
+type endReason string
+
+const (
+	endAsked      endReason = "asked"       // others need its place, or the node drains
+	endIdle       endReason = "idle"        // no request came for so long
+	endClient     endReason = "client"      // its client closed it, or it broke
+	endUnreadable endReason = "unreadable"  // what came is no request
+	endByHeader   endReason = "header"      // the request, or the protocol's version, says that it ends
+	endDraining   endReason = "draining"    // it carried its last request while the node drains
+	endUnwritten  endReason = "not_written" // the answer could not be written
+)
+
+var clientConnectionsEnded = metrics.NewFamily("jaspersill_client_connections_closed_total",
+	"Clients' connections that ended, by reason.", "reason", string(endAsked), string(endIdle), string(endClient),
+	string(endUnreadable), string(endByHeader), string(endDraining), string(endUnwritten))
+
+// endsFor notes why the connection ends; the first reason counts.
+func (g *clientConn) endsFor(reason endReason) {
+	if g.reason == "" {
+		g.reason = reason
+	}
+}
+
+// noteEnd counts the end of the connection, and writes a line about it.
+func (g *clientConn) noteEnd() {
+	clientConnectionsEnded.With(string(g.reason)).Add()
+	if logs.Debugging() {
+		logs.Part("clients").WithFields(logrus.Fields{"connection": g.id, "requests": g.requests, "reason": string(g.reason)}).
+			Debug("a client's connection ends")
+	}
+}
+
 // leave asks a connection between requests to close: its reader does, unless a request comes first.
 func (g *clientConn) leave() {
 	g.leaving = true
@@ -47,6 +88,7 @@
 	g.listener.mu.Lock()
 	if g.leaving {
 		g.listener.mu.Unlock()
+		g.endsFor(endAsked)
 		return false
 	}
 	g.within(g.listener.between)
@@ -54,7 +96,7 @@
 		g.delayedSince = time.Time{}
 	}
 	g.listener.mu.Unlock()
-	n, _ := g.retryConn.Read(g.woken[:])
+	n, err := g.retryConn.Read(g.woken[:])
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
 	if n == 0 && g.hasUnread() { // it stands there already: closed over it, its client would hear nothing
@@ -64,6 +106,7 @@
 		g.listener.mu.Lock()
 	}
 	if n == 0 {
+		g.endsFor(g.reasonAtRest(err))
 		g.busy, g.leaving = false, true
 		return false
 	}
@@ -72,6 +115,17 @@
 	return true
 }
 
+// reasonAtRest is why a connection ends on which no request came; the listener's lock is held.
+func (g *clientConn) reasonAtRest(err error) endReason {
+	switch {
+	case g.leaving:
+		return endAsked
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return endIdle
+	}
+	return endClient
+}
+
 // begin marks that a request comes: closed after its request was read, the connection would leave that unanswered.
 func (g *clientConn) begin() {
 	g.busy, g.whole, g.leaving, g.since = true, false, false, time.Now()
@@ -110,6 +164,7 @@
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
 	g.whole, g.asked = true, g.asked || good
+	g.requests++
 	g.state.ReadRequest()
 }
 
@@ -148,6 +203,7 @@
 		}
 	}
 	g.state.Close(g.RemoteAddr().String())
+	g.noteEnd()
 	g.Conn.Close()
 	g.listener.mu.Lock()
 	defer g.listener.mu.Unlock()
--- a/node/clients.go
+++ b/node/clients.go
@@ -119,8 +119,10 @@
 	case err == nil:
 		c.answer(ctx)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
-		return false // its client has left
+		g.endsFor(endClient)
+		return false
 	default:
+		g.endsFor(endUnreadable)
 		g.unframed = true
 		c.refuse(ctx, err)
 		ctx.SetConnectionClose()
@@ -139,7 +141,17 @@
 	g.SetWriteDeadline(time.Now().Add(writeWithin))
 	_, err := g.Write(out.B)
 	g.state.Answer() // whole, or its client has gone
-	return err == nil && !ctx.Response.ConnectionClose()
+	switch {
+	case err != nil:
+		g.endsFor(endUnwritten)
+	case !ctx.Response.ConnectionClose():
+		return true
+	case draining:
+		g.endsFor(endDraining)
+	default:
+		g.endsFor(endByHeader)
+	}
+	return false
 }
 
 // readRequest reads a request whole; a client that asks first whether it may send its body is told to.
@@ -211,10 +223,14 @@
 		c.turnAway(ctx, status, problem)
 		return
 	}
-	if !c.node.directory.knows(e.dest) || !c.node.admit() { // a destination may be listed later
+	if reason := c.node.refuses(e); reason != "" {
+		logRefusal(e.id, reason)
 		c.reply(ctx, answer{status: statusDeclined, comeBack: c.node.desk.full()})
 		return
 	}
+	if g, ok := ctx.Conn().(*clientConn); ok && logs.Debugging() {
+		logs.Event("clients", e.id).WithField("connection", g.id).Debug("a request came")
+	}
 	go c.node.life(e)
 	c.reply(ctx, <-e.answer)
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
@@ -55,7 +56,10 @@
 }
 
 // watch is one call for changes, with what ends it.
-type watch struct{ cancel context.CancelFunc }
+type watch struct {
+	cancel     context.CancelFunc
+	connection uint64 // its connection's id in the log
+}
 
 // zone maps a zone's name to its index; an unknown one is one more.
 func (d *directory) zone(name string) int {
@@ -91,7 +95,7 @@
 // before, or the call for it, may hang. Each goes by itself, and the others end only once the newest stands.
 func (d *directory) begin() {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watch{cancel: cancel}
+	w := &watch{cancel: cancel, connection: newConnectionID()}
 	d.newest = w
 	d.open[w] = struct{}{}
 	address, path := d.address, listPath+"?watch=1&from="+strconv.FormatUint(d.seq, 10)
@@ -103,6 +107,8 @@
 		delete(d.open, w)
 		failed := d.newest == w
 		d.mu.Unlock()
+		logs.Part("directory").WithError(err).WithFields(logrus.Fields{"connection": w.connection, "replaced": !failed}).
+			Debug("a call ended")
 		if failed { // one that was replaced, or ended on purpose, tells nothing
 			d.failed(err)
 		}
--- /dev/null
+++ b/node/endpointconn.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"jaspersill/logs"
+	"jaspersill/metrics"
+)
+
+// closeReason is why a connection to an endpoint or to the platform is closed.
+type closeReason string
+
+const (
+	closeIdle      closeReason = "idle"      // it rested for as long as the other side allows
+	closeUnread    closeReason = "unread"    // bytes came that no call waits for
+	closeEnded     closeReason = "ended"     // the other side closed or reset it while it rested
+	closeMoved     closeReason = "moved"     // the endpoint has another address, or none any more
+	closePolicy    closeReason = "policy"    // the decision module keeps none there for now
+	closeFull      closeReason = "full"      // as many rest as may
+	closeGivenUp   closeReason = "given_up"  // its call timed out, was cancelled or recalled
+	closeBroken    closeReason = "broken"    // it broke under a call
+	closeAnswer    closeReason = "answer"    // the answer says so, or cannot be read to its end
+	closeSurplus   closeReason = "surplus"   // more came than one answer
+	closeUnwritten closeReason = "unwritten" // its call could not be written as HTTP
+)
+
+var (
+	connectionsOpened = metrics.New("jaspersill_endpoint_connections_opened_total", "Connections opened to endpoints.")
+	connectionsClosed = metrics.NewFamily("jaspersill_endpoint_connections_closed_total",
+		"Connections to endpoints that were closed, by reason.", "reason", string(closeIdle), string(closeUnread),
+		string(closeEnded), string(closeGivenUp), string(closeBroken), string(closeSurplus))
+	callsMade = metrics.NewFamily("jaspersill_endpoint_calls_total", "Calls to endpoints, by the connection that they went out on.",
+		"connection", connectionNew, connectionKept)
+
+	lastConnection atomic.Uint64
+)
+
+const (
+	connectionNew  = "new"
+	connectionKept = "kept"
+)
+
+// newConnectionID numbers the connections of a process, of all kinds, for its log.
+func newConnectionID() uint64 { return lastConnection.Add(1) }
+
+// endpointConn is a connection to an endpoint. It carries one call at a time.
+type endpointConn struct {
+	*retryConn
+	id       uint64
+	endpoint int32
+	in       *replyReader
+	dial     string // the address it goes to
+	used     int64  // when its last call ended
+	calls    int
+}
+
+func newEndpointConn(conn *retryConn, endpoint int32, address string) *endpointConn {
+	connectionsOpened.Add()
+	return &endpointConn{retryConn: conn, id: newConnectionID(), endpoint: endpoint, in: newReplyReader(conn), dial: address}
+}
+
+// begins notes a call on the connection.
+func (c *endpointConn) begins() {
+	c.calls++
+	if c.calls == 1 {
+		callsMade.With(connectionNew).Add()
+	} else {
+		callsMade.With(connectionKept).Add()
+	}
+}
+
+// end closes the connection for a reason.
+func (c *endpointConn) end(reason closeReason) {
+	connectionsClosed.With(string(reason)).Add()
+	if logs.Debugging() {
+		logs.Part("endpoints").WithFields(logrus.Fields{"connection": c.id, "endpoint": c.endpoint, "calls": c.calls,
+			"reason": string(reason)}).Debug("a connection is closed")
+	}
+	c.Close()
+}
+
+// restState is what a connection shows on which nothing is waited for.
+type restState uint8
+
+const (
+	restQuiet  restState = iota // it stands, and nothing is unread
+	restUnread                  // bytes came
+	restEnded                   // the other side closed or reset it, or it cannot be told
+)
+
+// closeReason is why a connection in this state is not used any more.
+func (s restState) closeReason() closeReason {
+	if s == restUnread {
+		return closeUnread
+	}
+	return closeEnded
+}
+
+// stateAtRest looks at a connection without waiting and without reading from it.
+func stateAtRest(c net.Conn) restState {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return restEnded
+	}
+	state := restEnded
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = restQuiet
+		case err == nil && n > 0:
+			state = restUnread
+		}
+		return true
+	})
+	if err != nil {
+		return restEnded
+	}
+	return state
+}
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"jaspersill/errclass"
@@ -32,19 +30,11 @@
 	unreadable map[uint32]int // by destination, answers that may have come and cannot be read for a moment
 	dials      []string       // by endpoint
 	sites      []string
-	busy       []int     // calls that know its index
-	idle       [][]*link // by endpoint, the one used last at the end
+	busy       []int             // calls that know its index
+	idle       [][]*endpointConn // by endpoint, the one used last at the end
 	idles      int
 }
 
-// link is a connection to an endpoint.
-type link struct {
-	*retryConn
-	in   *replyReader
-	dial string
-	used int64 // when its last call ended
-}
-
 // listed learns where an endpoint is now; idle connections to where it was are closed.
 func (p *endpoints) listed(ep int32, site, dial string) {
 	p.mu.Lock()
@@ -55,7 +45,7 @@
 	}
 	if p.sites[ep] = site; p.dials[ep] != dial {
 		p.dials[ep] = dial
-		p.drop(ep)
+		p.drop(ep, closeMoved)
 	}
 }
 
@@ -74,15 +64,15 @@
 	p.out.Add(-1)
 }
 
-// free empties the place of an endpoint that is forgotten, for the next one. Danger: a late answer, or its
-// connection, must not pass for the next one's. It tells false while a call is out.
+// free empties the place of an endpoint that is removed, for the next one. It tells false while a call is out, whose
+// answer, or connection, would pass for the next one's.
 func (p *endpoints) free(ep int32) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.busy[ep] > 0 {
 		return false
 	}
-	p.drop(ep)
+	p.drop(ep, closeMoved)
 	p.dials[ep], p.sites[ep] = "", ""
 	return true
 }
@@ -90,53 +80,66 @@
 func (p *endpoints) closeIdle(ep int32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.drop(ep)
+	p.drop(ep, closePolicy)
 }
 
-func (p *endpoints) drop(ep int32) {
-	for _, l := range p.idle[ep] {
-		l.Close()
+// drop closes the idle connections to an endpoint; the lock is held.
+func (p *endpoints) drop(ep int32, reason closeReason) {
+	for _, c := range p.idle[ep] {
+		c.end(reason)
 	}
 	p.idles -= len(p.idle[ep])
 	p.idle[ep] = nil
 }
 
-// expire closes the connections that have been idle for so long that the endpoint is about to, and those that
-// it has closed or written to. Danger: what came unasked would pass for the next call's answer.
+// expire closes the connections that have been idle for so long that the endpoint is about to, and those that it has
+// closed or written to.
 func (p *endpoints) expire(now int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for ep, list := range p.idle {
 		keep := list[:0]
-		for _, l := range list {
-			if p.stale(l, now) || !alive(l) {
-				l.Close()
-				p.idles--
+		for _, c := range list {
+			if reason, usable := p.usable(c, now); usable {
+				keep = append(keep, c)
 			} else {
-				keep = append(keep, l)
+				c.end(reason)
+				p.idles--
 			}
 		}
 		p.idle[ep] = keep
 	}
 }
 
-func (p *endpoints) stale(l *link, now int64) bool {
-	return p.idleFor > 0 && now-l.used >= max(p.idleFor-idleMargin, p.idleFor/2)
+// usable tells whether an idle connection can take another call, and if not, why it is closed. A call on one that the
+// endpoint has closed, or is about to close, may have run for all that is known.
+func (p *endpoints) usable(c *endpointConn, now int64) (closeReason, bool) {
+	if p.stale(c, now) {
+		return closeIdle, false
+	}
+	if state := stateAtRest(c); state != restQuiet {
+		return state.closeReason(), false
+	}
+	return "", true
+}
+
+func (p *endpoints) stale(c *endpointConn, now int64) bool {
+	return p.idleFor > 0 && now-c.used >= max(p.idleFor-idleMargin, p.idleFor/2)
 }
 
 // kept takes the idle connection used last, nil for none, and tells the address to connect to.
-func (p *endpoints) kept(ep int32) (*link, string) {
+func (p *endpoints) kept(ep int32) (*endpointConn, string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle[ep]); n > 0; n = len(p.idle[ep]) {
-		l := p.idle[ep][n-1]
+		c := p.idle[ep][n-1]
 		p.idle[ep] = p.idle[ep][:n-1]
 		p.idles--
-		// Danger: a call on a connection that the endpoint has closed may have run, for all that is known.
-		if !p.stale(l, p.clock.now()) && alive(l) {
-			return l, l.dial
+		reason, usable := p.usable(c, p.clock.now())
+		if usable {
+			return c, c.dial
 		}
-		l.Close()
+		c.end(reason)
 	}
 	return nil, p.dials[ep]
 }
@@ -147,35 +150,23 @@
 	return p.sites[ep]
 }
 
-// keep puts a connection back. Danger: idle ones must not take the descriptors that clients need.
-func (p *endpoints) keep(ep int32, l *link) {
+// keep puts a connection back, unless idle ones would take the descriptors that clients need.
+func (p *endpoints) keep(c *endpointConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.dial != p.dials[ep] || p.idles >= p.mostIdle {
-		l.Close()
+	switch {
+	case c.dial != p.dials[c.endpoint]:
+		c.end(closeMoved)
+		return
+	case p.idles >= p.mostIdle:
+		c.end(closeFull)
 		return
 	}
-	l.used = p.clock.now()
-	p.idle[ep] = append(p.idle[ep], l)
+	c.used = p.clock.now()
+	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
 	p.idles++
 }
 
-// alive tells whether a connection stands and holds nothing unread, without waiting.
-func alive(c net.Conn) bool {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	ok := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ok = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return ok && err == nil
-}
-
 // stalls notes that an answer of a destination cannot be read for a moment, or that it can again.
 func (p *endpoints) stalls(dest uint32, on bool) {
 	p.mu.Lock()
@@ -199,7 +190,7 @@
 
 // connect opens a connection, for as long as ctx lasts. local tells meanwhile whether this machine is what keeps it
 // from coming up.
-func (p *endpoints) connect(ctx context.Context, address string, local *atomic.Bool) (*link, error) {
+func (p *endpoints) connect(ctx context.Context, ep int32, address string, local *atomic.Bool) (*endpointConn, error) {
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := p.dial(ctx, address)
 		local.Store(errclass.Socket(err) == errclass.Momentary)
@@ -209,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{retryConn: conn, in: newReplyReader(conn), dial: address}, nil
+	return newEndpointConn(conn, ep, address), nil
 }
 
 // dialer connects for so long, 0 for no limit but the call's own.
--- a/node/life.go
+++ b/node/life.go
@@ -15,15 +15,24 @@
 // hears that its request is taken on, which is true, and the refusal goes to the platform.
 const refusalWithin = 200 * time.Millisecond
 
-var (
-	refusedFull = newRefusal("full")
-	refusedDisk = newRefusal("disk")
-	refusedNow  = newRefusal("policy")
+var refusals = metrics.NewFamily("jaspersill_refused_requests_total",
+	"Requests that their clients heard to be refused, by reason.", "reason", refusedFull, refusedDisk, refusedByPolicy,
+	refusedNoRoom, refusedUnlisted)
+
+const (
+	refusedFull     = "full"     // the log has no room for it
+	refusedDisk     = "disk"     // it cannot be written down
+	refusedByPolicy = "policy"   // the decision module gave it up
+	refusedNoRoom   = "no_room"  // as many are held as may be
+	refusedUnlisted = "unlisted" // its destination was never listed
 )
 
-func newRefusal(reason string) *metrics.Counter {
-	return metrics.NewLabelled("jaspersill_refused_requests_total", "Requests that their clients heard to be refused, by reason.",
-		"reason", reason)
+// logRefusal notes that a client hears that its request is refused.
+func logRefusal(id, reason string) {
+	refusals.With(reason).Add()
+	if logs.Debugging() {
+		logs.Event("clients", id).WithField("reason", reason).Debug("a request is refused")
+	}
 }
 
 // life carries one event from its coming to its end. Every choice is the module's, asked through the desk; what may
@@ -77,9 +86,9 @@
 		l.answerClient(statusTaken, 0)
 		return false
 	case errors.Is(err, errFull):
-		refusedFull.Add()
+		logRefusal(l.id, refusedFull)
 	default:
-		refusedDisk.Add()
+		logRefusal(l.id, refusedDisk)
 		l.node.journal.disk.note(err)
 		logs.Event("clients", l.id).WithError(err).Debug("refused: it cannot be stored")
 	}
@@ -216,7 +225,7 @@
 		l.node.outcomes.post(l.event)
 		return
 	}
-	refusedNow.Add()
+	logRefusal(l.id, refusedByPolicy)
 	l.answerClient(statusDeclined, l.comeBack)
 	l.waiting = false
 	l.node.ending.Add(-1)
--- a/node/listener.go
+++ b/node/listener.go
@@ -58,7 +58,7 @@
 			return nil, err
 		}
 		d.accepts.note(err)
-		momentaryFailures["accept"].Add()
+		momentaryFailures.With("accept").Add()
 		if errclass.ShortOfDescriptors(err) {
 			d.mu.Lock()
 			d.makeRoom(time.Now())
@@ -72,7 +72,7 @@
 	if now.Sub(d.delayedUntil) > acceptAgain+backlogWithin {
 		d.delayedSince = time.Time{}
 	}
-	g := &clientConn{retryConn: &retryConn{Conn: c}, listener: d, came: now, since: now}
+	g := &clientConn{retryConn: &retryConn{Conn: c}, id: newConnectionID(), listener: d, came: now, since: now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.open) >= d.most && !d.shut {
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -18,17 +18,8 @@
 	callAgainMost = 20 * time.Millisecond
 )
 
-var momentaryFailures = map[string]*metrics.Counter{
-	"read":    newMomentaryCounter("read"),
-	"write":   newMomentaryCounter("write"),
-	"connect": newMomentaryCounter("connect"),
-	"accept":  newMomentaryCounter("accept"),
-}
-
-func newMomentaryCounter(call string) *metrics.Counter {
-	return metrics.NewLabelled("jaspersill_momentary_failures_total",
-		"Calls on sockets that failed for a reason of this machine and were tried again.", "call", call)
-}
+var momentaryFailures = metrics.NewFamily("jaspersill_momentary_failures_total",
+	"Calls on sockets that failed for a reason of this machine and were tried again.", "call", "read", "write", "connect", "accept")
 
 // retryConn is a connection whose reads and writes are tried again when they fail for a moment: nothing is lost on
 // it then. Its deadlines, and closing it, end the trying. One goroutine reads at a time.
@@ -51,7 +42,7 @@
 		if n > 0 || errclass.Stream(err) != errclass.Momentary {
 			return n, err
 		}
-		momentaryFailures["read"].Add()
+		momentaryFailures.With("read").Add()
 		if c.delayedSince.IsZero() {
 			c.delayedSince = time.Now()
 		}
@@ -72,7 +63,7 @@
 			return written, err
 		}
 		if n == 0 {
-			momentaryFailures["write"].Add()
+			momentaryFailures.With("write").Add()
 			time.Sleep(pause)
 		}
 	}
@@ -185,7 +176,7 @@
 		if errclass.Socket(err) != errclass.Momentary {
 			return nil, err
 		}
-		momentaryFailures["connect"].Add()
+		momentaryFailures.With("connect").Add()
 		select {
 		case <-ctx.Done():
 			return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -160,6 +160,18 @@
 	n.owed = nil
 }
 
+// refuses tells why an event is refused before it is taken on, empty where it has a place. A destination may be listed
+// later.
+func (n *Node) refuses(e *event) (reason string) {
+	switch {
+	case !n.directory.knows(e.dest):
+		return refusedUnlisted
+	case !n.admit():
+		return refusedNoRoom
+	}
+	return ""
+}
+
 // admit takes a place for one more event, if there is one.
 func (n *Node) admit() bool {
 	if n.held.Add(1) > n.most || n.deskShut.Load() {
--- a/node/sends.go
+++ b/node/sends.go
@@ -13,6 +13,7 @@
 
 	"jaspersill/errclass"
 	"jaspersill/logs"
+	"jaspersill/metrics"
 	"jaspersill/port"
 )
 
@@ -36,7 +37,7 @@
 
 	mu     sync.Mutex
 	abort  context.CancelFunc // while connecting
-	link   *link
+	conn   *endpointConn
 	bytes  progress
 	ended  bool
 	gaveUp bool         // while its records or its bytes are being written: the writer ends it
@@ -63,6 +64,10 @@
 	recordedSoon = 50 * time.Millisecond // after which the connection is looked at again
 )
 
+var attemptsEnded = metrics.NewFamily("jaspersill_attempts_ended_total", "Attempts that ended, by outcome.", "outcome",
+	port.Acked.String(), port.Errored.String(), port.Declined.String(), port.TimedOut.String(), port.ConnectFailed.String(),
+	port.Reset.String(), port.Cancelled.String(), port.Unsent.String(), port.Spoilt.String())
+
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
 	defer p.end(c.endpoint)
@@ -75,16 +80,17 @@
 	timer := time.AfterFunc(time.Duration(timeout), func() { c.giveUp(port.TimedOut) })
 	defer timer.Stop()
 
-	l, dial := p.kept(c.endpoint)
-	if l == nil {
+	conn, dial := p.kept(c.endpoint)
+	if conn == nil {
 		var err error
-		if l, err = p.connect(ctx, dial, &c.local); err != nil {
+		if conn, err = p.connect(ctx, c.endpoint, dial, &c.local); err != nil {
 			c.finish(result{how: connectOutcome(err)})
 			return
 		}
 	}
-	if !c.recordAttempts() || !c.leave(l) {
-		l.Close()
+	conn.begins()
+	if !c.recordAttempts() || !c.leave(conn) {
+		conn.end(closeGivenUp)
 		return
 	}
 
@@ -92,31 +98,49 @@
 	defer bytebufferpool.Put(out)
 	if err := writeCall(out, c.sends, timeout); err != nil {
 		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
-		l.Close()
+		conn.end(closeUnwritten)
 		c.finish(result{how: port.Unsent})
 		return
 	}
-	size, err := c.write(l, out.B)
+	size, err := c.write(conn, out.B)
 	if gaveUp := c.wrote(size == out.Len()); gaveUp || err != nil {
-		l.Close()
-		if errclass.Stream(err) == errclass.Momentary { // of this machine, and nothing went out
-			c.finish(result{how: port.Unsent})
-		} else if size < out.Len() { // the call's last byte was not written: it never ran
-			c.finish(result{how: port.ConnectFailed})
-		} else {
-			c.finish(result{how: port.Reset})
-		}
+		c.endUnanswered(conn, size < out.Len(), err)
 		return
 	}
+	c.readAnswer(conn)
+}
+
+// endUnanswered ends a call that was given up, or broke, before its last byte was written or as it was.
+func (c *call) endUnanswered(conn *endpointConn, cut bool, err error) {
+	if err == nil {
+		conn.end(closeGivenUp)
+	} else {
+		conn.end(closeBroken)
+	}
+	switch {
+	case errclass.Stream(err) == errclass.Momentary: // of this machine, and nothing went out
+		c.finish(result{how: port.Unsent})
+	case cut: // the call's last byte was not written: it never ran
+		c.finish(result{how: port.ConnectFailed})
+	default:
+		c.finish(result{how: port.Reset})
+	}
+}
+
+// readAnswer reads the answer to a call that is out, and ends the call with it.
+func (c *call) readAnswer(conn *endpointConn) {
 	dest := c.sends[0].event.dest
-	l.retryConn.stalls = func(on bool) { p.stalls(dest, on) }
-	_, err = l.in.buf.Peek(1)
+	conn.stalls = func(on bool) { c.of.stalls(dest, on) }
+	_, err := conn.in.buf.Peek(1)
 	c.answering.Store(err == nil)
-	reply := l.in.read(c.sends)
-	if c.finish(reply.results...) && !reply.close {
-		p.keep(c.endpoint, l)
-	} else {
-		l.Close()
+	answer := conn.in.read(c.sends)
+	switch finished := c.finish(answer.results...); {
+	case !finished:
+		conn.end(closeGivenUp)
+	case answer.close != "":
+		conn.end(answer.close)
+	default:
+		c.of.keep(conn)
 	}
 }
 
@@ -213,13 +237,13 @@
 }
 
 // leave lets the call's bytes go out on a connection; it tells false if none may.
-func (c *call) leave(l *link) bool {
+func (c *call) leave(conn *endpointConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
-	if c.gaveUp || (c.late && !alive(l)) {
+	if c.gaveUp || (c.late && stateAtRest(conn) != restQuiet) {
 		c.gaveUp, c.how = true, port.Unsent
 		c.end(nil)
 		return false
@@ -233,25 +257,28 @@
 	if c.ended {
 		return false
 	}
-	c.link, c.bytes = l, some
+	c.conn, c.bytes = conn, some
+	for _, s := range c.sends {
+		c.logAttempt(s, "an attempt goes out", nil)
+	}
 	return true
 }
 
 // write writes a call. While nothing of it can be written, for a reason of this machine, it asks each time whether the
 // call may still go out.
-func (c *call) write(l *link, text []byte) (size int, err error) {
+func (c *call) write(conn *endpointConn, text []byte) (size int, err error) {
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
-		size, err = l.WriteUnlessFailing(text)
+		size, err = conn.WriteUnlessFailing(text)
 		if size > 0 || errclass.Stream(err) != errclass.Momentary {
 			return size, err
 		}
-		momentaryFailures["write"].Add()
+		momentaryFailures.With("write").Add()
 		c.local.Store(true)
 		if !c.hold() {
 			return 0, err
 		}
 		time.Sleep(pause)
-		if !c.leave(l) {
+		if !c.leave(conn) {
 			return 0, err
 		}
 	}
@@ -281,16 +308,15 @@
 	return c.gaveUp
 }
 
-// giveUp stops waiting for a call, by closing its connection: the protocol has no other way. Danger: a call
-// of which one send is given up and another waited for ends as the endpoint's side likes. So it ends as a
-// whole.
+// giveUp stops waiting for a call, by closing its connection: the protocol has no other way. A call of several sends is
+// given up as a whole: what becomes of the others would be up to the endpoint.
 func (c *call) giveUp(how port.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended || c.gaveUp {
 		return
 	}
-	if how == port.TimedOut && c.bytes == all && !c.extended && (c.answering.Load() || c.link.hasUnread()) { // its answer has begun to come
+	if how == port.TimedOut && c.bytes == all && !c.extended && (c.answering.Load() || c.conn.hasUnread()) { // its answer has begun to come
 		c.extended = true
 		time.AfterFunc(restWithin, func() { c.giveUp(port.TimedOut) })
 		return
@@ -299,8 +325,8 @@
 	if c.abort != nil {
 		c.abort()
 	}
-	if c.link != nil {
-		c.link.Close()
+	if c.conn != nil {
+		c.conn.Close()
 	}
 	if c.bytes != some && c.bytes != recording { // told now, it might be called unsent with its last byte gone
 		c.end(nil)
@@ -355,8 +381,21 @@
 // report tells a send's life how it ended.
 func (c *call) report(s *send, r result) {
 	r.took = c.of.clock.now() - s.began
-	logs.Event("endpoints", s.event.id).WithFields(logrus.Fields{"attempt": s.number, "endpoint": c.endpoint, "outcome": r.how,
-		"took_ms": r.took / 1e6}).Debug("an attempt ended")
+	c.logAttempt(s, "an attempt ended", logrus.Fields{"outcome": r.how.String(), "took_ms": r.took / 1e6, "wait_ms": r.wait / 1e6})
+	attemptsEnded.With(r.how.String()).Add()
 	s.event.request.FinishAttempt(r.how.MayHaveRun() && c.bytes != none && c.bytes != recording)
 	s.event.steps <- step{what: stepOutcome, send: s, result: r}
 }
+
+// logAttempt writes a line about an attempt, with the connection that it goes out on.
+func (c *call) logAttempt(s *send, message string, fields logrus.Fields) {
+	if !logs.Debugging() {
+		return
+	}
+	line := logs.Event("endpoints", s.event.id).WithFields(fields).
+		WithFields(logrus.Fields{"attempt": s.number, "endpoint": c.endpoint})
+	if c.conn != nil {
+		line = line.WithFields(logrus.Fields{"connection": c.conn.id, "call": c.conn.calls})
+	}
+	line.Debug(message)
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -86,8 +86,8 @@
 
 // reply is an endpoint's answer, taken apart.
 type reply struct {
-	results []result // of each send
-	close   bool     // the connection ends with it
+	results []result    // of each send
+	close   closeReason // why the connection ends with it, empty if it does not
 }
 
 type replyReader struct {
@@ -106,7 +106,7 @@
 // how the call fared, an answer was spoilt, or the connection broke before it was whole.
 func (r *replyReader) read(sends []*send) reply {
 	if _, err := r.buf.Peek(1); err != nil {
-		return reply{results: []result{{how: port.Reset}}, close: true}
+		return reply{results: []result{{how: port.Reset}}, close: closeBroken}
 	}
 	// Danger: an answer that never ends would hold its slot, and what it says, for all the send's time.
 	r.conn.SetReadDeadline(time.Now().Add(restWithin))
@@ -126,16 +126,22 @@
 	switch {
 	case err == nil:
 	case delivered: // its first line has delivered a single event, whatever becomes of the rest
-		return reply{results: []result{{how: port.Acked, over: true, wait: r.toldWait(resp)}}, close: true}
+		return reply{results: []result{{how: port.Acked, over: true, wait: r.toldWait(resp)}}, close: closeAnswer}
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET):
-		return reply{results: []result{{how: port.Reset, wait: r.toldWait(resp)}}, close: true}
+		return reply{results: []result{{how: port.Reset, wait: r.toldWait(resp)}}, close: closeAnswer}
 	default:
-		return reply{results: []result{{how: port.Spoilt, wait: r.toldWait(resp)}}, close: true}
+		return reply{results: []result{{how: port.Spoilt, wait: r.toldWait(resp)}}, close: closeAnswer}
 	}
 	var all result
 	all.left, all.limit = readLoad(string(resp.Header.Peek(headLoad)))
 	all.wait = readWait(string(resp.Header.Peek(headRetry)))
-	out := reply{results: make([]result, len(sends)), close: resp.ConnectionClose() || r.buf.Buffered() > 0}
+	out := reply{results: make([]result, len(sends))}
+	if resp.ConnectionClose() {
+		out.close = closeAnswer
+	}
+	if r.buf.Buffered() > 0 {
+		out.close = closeSurplus
+	}
 	status := resp.StatusCode()
 	if len(sends) > 1 && status == fasthttp.StatusOK {
 		readEnds(resp.Body(), sends, all, out.results)
--- a/port/port.go
+++ b/port/port.go
@@ -18,6 +18,11 @@
 	Spoilt                       // an answer came that cannot be read; it may have run
 )
 
+func (o Outcome) String() string {
+	return [...]string{"delivered", "error", "refused", "timed_out", "connect_failed", "reset", "cancelled", "unsent",
+		"unreadable"}[o]
+}
+
 // MayHaveRun reports whether a send that ended so may have taken effect.
 func (o Outcome) MayHaveRun() bool {
 	return o != Declined && o != ConnectFailed && o != Unsent
