--- /dev/null
+++ b/lab/faultproxy/faultproxy.go
@@ -0,0 +1,349 @@
+// Package faultproxy stands between two ends on loopback and disturbs what passes: bytes of a TCP connection are
+// repeated, held back, split, merged, cut off, dripped or altered, one direction is ended, connections are reset;
+// datagrams are repeated, delayed, reordered and dropped. Which pieces are disturbed is drawn from a seed.
+//
+// The proxy knows no protocol. It disturbs pieces: what one read returned, which on loopback is what the sender wrote
+// in one call. The endpoint of a disturbed connection can ask whether it was disturbed, so that an oracle can tell a
+// fault of the path from one of its ends.
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Kind is a way of disturbing a piece.
+type Kind string
+
+// The kinds of faults.
+const (
+	Repeat   Kind = "repeat"   // the piece goes out a second time, after the delay
+	Hold     Kind = "hold"     // the piece goes out after the delay, and so do those behind it
+	Split    Kind = "split"    // the piece goes out in two, the second after the delay
+	Merge    Kind = "merge"    // the piece waits for the next one for as long as the delay, and goes out with it
+	Truncate Kind = "truncate" // only a part of the piece goes out, and the direction ends
+	Drip     Kind = "drip"     // the piece goes out byte by byte, over the delay
+	Alter    Kind = "alter"    // a byte of the piece is changed
+	Reset    Kind = "reset"    // the connection is reset in place of the piece
+	EndOne   Kind = "end-one"  // the piece goes out, and then the direction ends while the other goes on
+)
+
+// Kinds lists the kinds of faults.
+func Kinds() []Kind { return []Kind{Repeat, Hold, Split, Merge, Truncate, Drip, Alter, Reset, EndOne} }
+
+// Direction is a direction of a connection, seen from the side that connects.
+type Direction uint8
+
+// The directions.
+const (
+	Requests Direction = iota // from the connecting side to the target
+	Answers                   // from the target
+)
+
+// Fault is one kind of fault and when it strikes.
+type Fault struct {
+	Kind        Kind
+	Direction   Direction
+	Share       float64       // of the pieces, 0 to 1
+	Least, Most time.Duration // the delay is drawn from this range
+	Until       time.Time     // the fault ends then; zero for never
+
+	// After strikes only from this piece of a connection's direction on, counted from 1; 0 for any.
+	After int
+}
+
+// maxPiece is the most that one read takes: a request or an answer of the largest size goes through in one piece.
+const maxPiece = 80 << 10
+
+// Proxy is one address that leads to a target.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	faults []Fault
+	open   map[*Connection]struct{}
+	known  map[string]*Connection // by the addresses from which the target sees it and at which its client stands
+	closed bool
+	struck int // pieces
+}
+
+// Listen opens a proxy on an address of the loopback network that leads to a target.
+func Listen(address, target string, seed uint64) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, random: rand.New(rand.NewPCG(seed, 0xfa017)),
+		open: map[*Connection]struct{}{}, known: map[string]*Connection{}}
+	go p.serve()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Add puts a fault in force.
+func (p *Proxy) Add(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, f)
+}
+
+// Connection finds the newest connection by the address from which the target sees it, or that of its client. It is
+// nil for one that the proxy does not know, or that the target has not taken.
+func (p *Proxy) Connection(address net.Addr) *Connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[address.String()]
+}
+
+// Struck is how many pieces faults have struck.
+func (p *Proxy) Struck() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.struck
+}
+
+// Close closes the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for c := range p.open {
+		c.reset()
+	}
+}
+
+func (p *Proxy) serve() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.relay(conn.(*net.TCPConn))
+	}
+}
+
+// relay carries one connection until both directions have ended.
+func (p *Proxy) relay(near *net.TCPConn) {
+	p.mu.Lock()
+	delete(p.known, near.RemoteAddr().String()) // of an earlier connection from that address
+	p.mu.Unlock()
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		near.SetLinger(0)
+		near.Close()
+		return
+	}
+	c := &Connection{proxy: p, near: near, far: far.(*net.TCPConn)}
+	if !p.register(c) {
+		c.reset()
+		return
+	}
+	var directions sync.WaitGroup
+	directions.Go(func() { (&stream{connection: c, direction: Requests, from: c.near, to: c.far}).run() })
+	directions.Go(func() { (&stream{connection: c, direction: Answers, from: c.far, to: c.near}).run() })
+	directions.Wait()
+	c.near.Close()
+	c.far.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
+func (p *Proxy) register(c *Connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.open[c] = struct{}{}
+	p.known[c.far.LocalAddr().String()] = c
+	p.known[c.near.RemoteAddr().String()] = c
+	return true
+}
+
+// draw picks the fault that strikes a piece, if any, and its delay.
+func (p *Proxy) draw(d Direction, piece int) (f Fault, delay time.Duration, strikes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, f := range p.faults {
+		if f.Direction != d || piece < f.After || (!f.Until.IsZero() && now.After(f.Until)) || p.random.Float64() >= f.Share {
+			continue
+		}
+		p.struck++
+		delay = f.Least
+		if f.Most > f.Least {
+			delay += time.Duration(p.random.Int64N(int64(f.Most - f.Least)))
+		}
+		return f, delay, true
+	}
+	return Fault{}, 0, false
+}
+
+func (p *Proxy) position(length int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.IntN(length)
+}
+
+// Connection is one connection through the proxy.
+type Connection struct {
+	proxy     *Proxy
+	near, far *net.TCPConn
+	disturbed atomic.Bool
+}
+
+// Disturbed tells whether a fault has struck the connection. Nil counts as undisturbed.
+func (c *Connection) Disturbed() bool { return c != nil && c.disturbed.Load() }
+
+// reset ends both sides at once.
+func (c *Connection) reset() {
+	c.near.SetLinger(0)
+	c.far.SetLinger(0)
+	c.near.Close()
+	c.far.Close()
+}
+
+// stream is one direction of a connection.
+type stream struct {
+	connection *Connection
+	direction  Direction
+	from, to   *net.TCPConn
+	pieces     int
+	waiting    []byte // held for the next piece
+
+	mu    sync.Mutex // orders writes: repeated pieces go out between others
+	ended bool
+}
+
+// run carries pieces until the direction ends. What breaks on one side breaks on the other.
+func (s *stream) run() {
+	buffer := make([]byte, maxPiece)
+	for {
+		n, err := s.from.Read(buffer)
+		if n > 0 && !s.carry(buffer[:n]) {
+			return
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			s.end()
+			return
+		case err != nil:
+			s.connection.reset()
+			return
+		}
+	}
+}
+
+// carry sends one piece on. It tells false if the direction ends with it.
+func (s *stream) carry(read []byte) bool {
+	s.pieces++
+	piece := append(s.waiting, read...)
+	s.waiting = nil
+	fault, delay, strikes := s.connection.proxy.draw(s.direction, s.pieces)
+	if !strikes {
+		return s.write(piece)
+	}
+	s.connection.disturbed.Store(true)
+	switch fault.Kind {
+	case Repeat:
+		return s.repeat(piece, delay)
+	case Hold:
+		time.Sleep(delay)
+	case Split:
+		at := s.connection.proxy.position(len(piece))
+		if !s.write(piece[:at]) {
+			return false
+		}
+		time.Sleep(delay)
+		piece = piece[at:]
+	case Merge:
+		s.waiting = append([]byte(nil), piece...)
+		s.flushAfter(delay)
+		return true
+	case Truncate:
+		s.write(piece[:s.connection.proxy.position(len(piece))])
+		s.end()
+		return false
+	case Drip:
+		return s.drip(piece, delay)
+	case Alter:
+		piece = append([]byte(nil), piece...)
+		piece[s.connection.proxy.position(len(piece))] ^= 0x01
+	case Reset:
+		s.connection.reset()
+		return false
+	case EndOne:
+		s.write(piece)
+		s.end()
+		return false
+	}
+	return s.write(piece)
+}
+
+// repeat sends a piece twice, in one write where there is no delay.
+func (s *stream) repeat(piece []byte, delay time.Duration) bool {
+	copied := append([]byte(nil), piece...)
+	if delay == 0 {
+		return s.write(append(copied, copied...))
+	}
+	if !s.write(piece) {
+		return false
+	}
+	time.AfterFunc(delay, func() { s.write(copied) })
+	return true
+}
+
+// flushAfter sends what waits for the next piece if none comes in time.
+func (s *stream) flushAfter(delay time.Duration) {
+	s.from.SetReadDeadline(time.Now().Add(delay))
+	time.AfterFunc(delay, func() { s.from.SetReadDeadline(time.Time{}) })
+	buffer := make([]byte, maxPiece)
+	n, _ := s.from.Read(buffer)
+	s.from.SetReadDeadline(time.Time{})
+	piece := append(s.waiting, buffer[:n]...)
+	s.waiting = nil
+	s.write(piece)
+}
+
+func (s *stream) drip(piece []byte, over time.Duration) bool {
+	rest := over / time.Duration(len(piece))
+	for i := range piece {
+		if !s.write(piece[i : i+1]) {
+			return false
+		}
+		time.Sleep(rest)
+	}
+	return true
+}
+
+func (s *stream) write(piece []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	if _, err := s.to.Write(piece); err != nil {
+		s.connection.reset()
+		return false
+	}
+	return true
+}
+
+// end tells the other side that nothing more comes in this direction.
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.to.CloseWrite()
+}
--- /dev/null
+++ b/lab/faultproxy/faultproxy_test.go
@@ -0,0 +1,106 @@
+package faultproxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against a proxy that disturbs nothing, or more than it was told.
+func TestEachFaultDoesWhatItSays(t *testing.T) {
+	const sent = "0123456789"
+	for kind, want := range map[Kind]func(got []byte) bool{
+		"":       func(got []byte) bool { return string(got) == sent },
+		Repeat:   func(got []byte) bool { return string(got) == sent+sent },
+		Hold:     func(got []byte) bool { return string(got) == sent },
+		Split:    func(got []byte) bool { return string(got) == sent },
+		Merge:    func(got []byte) bool { return string(got) == sent },
+		Drip:     func(got []byte) bool { return string(got) == sent },
+		EndOne:   func(got []byte) bool { return string(got) == sent },
+		Truncate: func(got []byte) bool { return len(got) < len(sent) && bytes.HasPrefix([]byte(sent), got) },
+		Alter:    func(got []byte) bool { return len(got) == len(sent) && string(got) != sent },
+		Reset:    func(got []byte) bool { return len(got) == 0 },
+	} {
+		target, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := make(chan net.Addr, 1)
+		go func() {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(conn, sent)
+			seen <- conn.RemoteAddr()
+			time.Sleep(100 * time.Millisecond)
+			conn.Close()
+		}()
+		p, err := Listen("127.0.0.1:0", target.Addr().String(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if kind != "" {
+			p.Add(Fault{Kind: kind, Direction: Answers, Share: 1, Least: 5 * time.Millisecond, Most: 10 * time.Millisecond})
+		}
+		conn, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, _ := io.ReadAll(conn)
+		if !want(got) {
+			t.Errorf("%q: got %q", kind, got)
+		}
+		if disturbed := p.Connection(<-seen).Disturbed(); disturbed != (kind != "") {
+			t.Errorf("%q: disturbed: %v", kind, disturbed)
+		}
+		conn.Close()
+		p.Close()
+		target.Close()
+	}
+}
+
+// Guards against datagrams that pass undisturbed, or reach nobody.
+func TestDatagramsAreRepeatedAndDropped(t *testing.T) {
+	receiver, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	d, err := ListenDatagrams(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.SendTo([]*net.UDPAddr{receiver.LocalAddr().(*net.UDPAddr)})
+	d.Disturb(0.5, time.Millisecond)
+	sender, err := net.Dial("udp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	const sent = 40
+	counts := map[byte]int{}
+	for i := range byte(sent) {
+		sender.Write([]byte{i})
+		time.Sleep(time.Millisecond)
+	}
+	receiver.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	for one := make([]byte, 1); ; {
+		if _, err := receiver.Read(one); err != nil {
+			break
+		}
+		counts[one[0]]++
+	}
+	twice := 0
+	for _, n := range counts {
+		if n > 1 {
+			twice++
+		}
+	}
+	if len(counts) == 0 || len(counts) == sent || twice == 0 {
+		t.Errorf("%d of %d came, %d of them twice", len(counts), sent, twice)
+	}
+}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -12,6 +12,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"jaspersill/lab/faultproxy"
 )
 
 // client hands in requests at one node, one after another, on a connection that it keeps for as long as it stands.
@@ -22,9 +24,11 @@
 	dests  int
 	body   int // bytes at most
 	at     string
+	path   *faultproxy.Proxy
 	conn   net.Conn
 	in     *bufio.Reader
-	used   int // answers heard on the connection
+	used   int  // answers heard on the connection
+	ending bool // the node said that it closes the connection
 
 	crowded bool // its node is full of others: the page lets new connections be shut unread then
 }
@@ -66,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	c.conn, c.in, c.used = conn, bufio.NewReader(conn), 0
+	c.conn, c.in, c.used, c.ending = conn, bufio.NewReader(conn), 0, false
 	return nil
 }
 
@@ -88,6 +92,15 @@
 		"Idempotency-Key: key-%s\r\nX-Envelope: dest=%d\r\nContent-Length: %d\r\n\r\n%s", id, class, left.Milliseconds(), id, dest,
 		c.body, strings.Repeat("b", c.body))
 	status, err := c.exchange(text)
+	if c.disturbed() {
+		c.handDisturbed(r, status, err)
+		return
+	}
+	if errors.Is(err, errUnread) && c.path.Connection(c.conn.LocalAddr()) == nil { // the node refuses connections
+		c.drop()
+		c.ledger.hears(r, 0, "")
+		return
+	}
 	if errors.Is(err, errUnread) && (c.used > 0 || c.crowded) {
 		c.ledger.count("sent once more")
 		c.drop()
@@ -96,11 +109,19 @@
 			return
 		}
 		status, err = c.exchange(text)
+		if errors.Is(err, errUnread) && c.path.Connection(c.conn.LocalAddr()) == nil {
+			c.drop()
+			c.ledger.hears(r, 0, "")
+			return
+		}
 	}
 	switch {
 	case err == nil:
 		c.ledger.hears(r, status, "")
 		c.used++
+		if c.ending {
+			c.drop()
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.ledger.count("gave up waiting")
 		c.ledger.hears(r, 0, "")
@@ -111,6 +132,22 @@
 	}
 }
 
+// disturbed tells whether a fault has struck the connection on its way.
+func (c *client) disturbed() bool {
+	return c.conn != nil && c.path.Connection(c.conn.LocalAddr()).Disturbed()
+}
+
+// handDisturbed notes what came of a request on a connection that was disturbed, and uses it no more: which answer
+// belongs to which request cannot be told there.
+func (c *client) handDisturbed(r *request, status int, err error) {
+	c.ledger.count("on a disturbed connection")
+	if err != nil {
+		status = 0
+	}
+	c.ledger.hears(r, status, "")
+	c.drop()
+}
+
 // errUnread is a connection that ended before the first byte of an answer.
 var errUnread = errors.New("the connection ended with no answer")
 
@@ -134,8 +171,7 @@
 		return 0, fmt.Errorf("an answer that is not whole: %w", err)
 	}
 	if response.Close {
-		c.drop()
-		c.used = 0
+		c.ending = true
 	}
 	return response.StatusCode, nil
 }
--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -20,6 +20,7 @@
 	ledger    *ledger
 	endpoints []*endpoint
 	listeners []net.Listener
+	paths     *paths
 
 	mu       sync.Mutex
 	sequence int
@@ -134,9 +135,9 @@
 			return
 		}
 		if call.URL.Query().Get("watch") == "" {
-			text, _ := d.list()
+			text, _ := d.list(node)
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-			d.told(node)
+			d.told(node, conn)
 			continue
 		}
 		d.watch(node, conn)
@@ -158,8 +159,8 @@
 	return err
 }
 
-// list is the whole list, and what ends its being the newest.
-func (d *discovery) list() (string, <-chan struct{}) {
+// list is the whole list as a node gets it, and what ends its being the newest.
+func (d *discovery) list(node int) (string, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var hosts []string
@@ -169,17 +170,18 @@
 			health = "Terminating"
 		}
 		hosts = append(hosts, fmt.Sprintf(`{"host":"e%d","dial":%q,"site":"here","class":"m0","block":%d,"health":%q,`+
-			`"share":1.0,"born_ms":0}`, e.number, e.address(), e.dest, health))
+			`"share":1.0,"born_ms":0}`, e.number, d.paths.endpoints[node][e.number].Address(), e.dest, health))
 	}
 	return `{"seq":` + strconv.Itoa(d.sequence) + `,"whole":true,"hosts":[` + strings.Join(hosts, ",") + "]}\n", d.changed
 }
 
 // told notes which endpoints a node knows by now to be draining.
-func (d *discovery) told(node int) {
+func (d *discovery) told(node int, conn net.Conn) {
+	by := d.paths.discovery[node].Connection(conn.RemoteAddr())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for number := range d.draining {
-		d.endpoints[number].toldToDrain(node)
+		d.endpoints[number].toldToDrain(node, by)
 	}
 }
 
@@ -198,7 +200,7 @@
 	alive := time.NewTicker(signOfLife)
 	defer alive.Stop()
 	for {
-		text, changed := d.list()
+		text, changed := d.list(node)
 		d.mu.Lock()
 		silent, down := d.silent[node], d.down
 		d.mu.Unlock()
@@ -213,7 +215,7 @@
 			if say(text) != nil {
 				return
 			}
-			d.told(node)
+			d.told(node, conn)
 		}
 		select {
 		case <-changed:
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"jaspersill/lab/faultproxy"
 )
 
 // The protocol's times, to which requests are held.
@@ -55,6 +57,7 @@
 	endpoint int
 	ran      bool
 	outcome  string
+	path     *faultproxy.Connection
 }
 
 // span is a time between two moments.
@@ -102,6 +105,7 @@
 	deaths     map[int][]time.Duration
 	mute       map[int][]span // by node, while all writes on its sockets fail
 	diskFaults map[int][]span // by node, while calls on its folder fail
+	platform   map[int][]span // by node, while its connections to the platform are disturbed
 	violations []Violation
 	counts     map[string]int
 	events     []string // what was done to the system
@@ -109,7 +113,8 @@
 
 func newLedger() *ledger {
 	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{}, diskFaults: map[int][]span{},
-		counts: map[string]int{}}
+		platform: map[int][]span{},
+		counts:   map[string]int{}}
 }
 
 func (l *ledger) now() time.Duration { return time.Since(l.began) }
@@ -160,7 +165,7 @@
 
 // reaches notes that an endpoint read a call of a request whole. It tells the request's node, and nil for a request
 // that no client handed in.
-func (l *ledger) reaches(id string, endpoint int) *request {
+func (l *ledger) reaches(id string, endpoint int, path *faultproxy.Connection) *request {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
@@ -168,7 +173,7 @@
 		l.violate(RuleAnswer, l.now(), nil, "endpoint %d was sent %q, which no client handed in", endpoint, id)
 		return nil
 	}
-	r.attempts = append(r.attempts, attempt{at: l.now(), endpoint: endpoint, outcome: "no answer"})
+	r.attempts = append(r.attempts, attempt{at: l.now(), endpoint: endpoint, outcome: "no answer", path: path})
 	return r
 }
 
@@ -243,6 +248,13 @@
 	l.mute[node] = append(l.mute[node], span{l.now(), l.now() + long})
 }
 
+// disturbsPlatform notes that a node's connections to the platform are disturbed for so long.
+func (l *ledger) disturbsPlatform(node int, long time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.platform[node] = append(l.platform[node], span{l.now(), l.now() + long})
+}
+
 // died notes that a node's process is gone.
 func (l *ledger) died(node int) {
 	l.mu.Lock()
@@ -266,7 +278,8 @@
 		list = append(list, moment{r.heard, fmt.Sprintf("its client heard %d %s", r.status, r.trouble)})
 	}
 	for _, a := range r.attempts {
-		list = append(list, moment{a.at, fmt.Sprintf("endpoint %d read a call: %s, ran %v", a.endpoint, a.outcome, a.ran)})
+		list = append(list, moment{a.at, fmt.Sprintf("endpoint %d read a call: %s, ran %v, disturbed %v", a.endpoint, a.outcome, a.ran,
+			a.path.Disturbed())})
 	}
 	if r.done > 0 {
 		list = append(list, moment{r.done, "delivered"})
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -15,6 +15,8 @@
 	destinations           int
 	endpointsOfDestination int
 	body                   int
+	steady                 bool    // endpoints answer as partners at some distance do
+	refusals               float64 // share of the calls that a steady endpoint refuses
 	crowded                []bool
 	steps                  []step
 	random                 *rand.Rand
@@ -72,18 +74,33 @@
 	onlySlow    = "slow"
 	onlyKills   = "kills"
 	onlyCalls   = "calls"
+	onlyAnswers = "answers" // answers of endpoints come twice
+	onlyNotices = "notices" // answers of the platform come twice
+	onlyPaths   = "paths"   // bytes between all ends are disturbed
 )
 
 // Only lists the kinds of faults that can be played alone.
-func Only() []string { return []string{onlyDisk, onlySockets, onlySlow, onlyKills, onlyCalls} }
+func Only() []string {
+	return []string{onlyDisk, onlySockets, onlySlow, onlyKills, onlyCalls, onlyAnswers, onlyNotices, onlyPaths}
+}
 
 func draw(o Options) *plan {
 	random := rand.New(rand.NewPCG(o.Seed, 0x5041))
 	p := &plan{random: random, length: o.Length, destinations: 1 + random.IntN(mostDestinations),
-		endpointsOfDestination: 1 + random.IntN(2), body: 1 + random.IntN(300), crowded: make([]bool, o.Nodes)}
+		endpointsOfDestination: 1 + random.IntN(2), body: 1 + random.IntN(300), refusals: usualRefusedShare,
+		crowded: make([]bool, o.Nodes)}
 	if random.IntN(4) == 0 {
 		p.body = largeBody
 	}
+	switch o.Only {
+	case onlyAnswers, onlyNotices:
+		p.drawRepeats(o.Nodes, o.Only == onlyNotices)
+		return p
+	case onlyPaths:
+		p.steady = random.IntN(2) == 0
+		p.drawPaths(o.Nodes)
+		return p
+	}
 	crowdedRun := random.IntN(3) == 0
 	for node := range o.Nodes {
 		p.crowded[node] = crowdedRun && node%3 == 0
@@ -98,6 +115,9 @@
 		p.drawEndpoints()
 		p.drawDiscovery(o.Nodes)
 	}
+	if o.Paths {
+		p.drawPaths(o.Nodes)
+	}
 	return p
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -25,6 +25,7 @@
 	Nodes   int           // processes
 	Length  time.Duration // for which clients hand in requests
 	Only    string        // a kind of fault that is played alone, or empty for all
+	Paths   bool          // the bytes between the ends are disturbed beside all else
 }
 
 // Report is what became of a run.
@@ -62,6 +63,7 @@
 	endpoints []*endpoint
 	discovery *discovery
 	processes []*process
+	paths     paths
 
 	mu       sync.Mutex
 	restarts map[int][]span // by node, from the kill until it was ready again
@@ -104,6 +106,9 @@
 	l := r.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if struck := r.paths.struck(); struck > 0 {
+		l.counts["disturbed on the way"] = struck
+	}
 	return &Report{Seed: options.Seed, Requests: len(l.order), Counts: l.counts, Violations: l.violations, Events: l.events}, nil
 }
 
@@ -111,7 +116,7 @@
 	for dest := range r.plan.destinations {
 		for range r.plan.endpointsOfDestination {
 			number := len(r.endpoints)
-			e, err := newEndpoint(number, dest, r.ledger, rand.New(rand.NewPCG(r.options.Seed, uint64(number))))
+			e, err := newEndpoint(number, dest, r.ledger, r.plan, rand.New(rand.NewPCG(r.options.Seed, uint64(number))))
 			if err != nil {
 				return err
 			}
@@ -123,13 +128,22 @@
 		return err
 	}
 	for number := range r.options.Nodes {
-		p, err := newProcess(number, &r.options, r.ledger, r.discovery.address(number), r.plan.crowded[number])
+		if err := r.openPathsOfNode(number, r.discovery.address(number)); err != nil {
+			return err
+		}
+	}
+	r.discovery.paths = &r.paths
+	for number := range r.options.Nodes {
+		p, err := newProcess(number, &r.options, r.ledger, &r.paths, r.plan.crowded[number])
 		if err != nil {
 			return err
 		}
 		r.processes = append(r.processes, p)
 	}
-	return nil
+	if err := r.openPaths(); err != nil {
+		return err
+	}
+	return r.joinPeers()
 }
 
 func (r *run) startAll(ctx context.Context) error {
@@ -150,7 +164,8 @@
 func (r *run) hire(ctx context.Context, done *sync.WaitGroup) {
 	for number, p := range r.processes {
 		for i := range clientsOfNode {
-			c := &client{ledger: r.ledger, node: number, dests: r.plan.destinations, at: p.listen, body: r.plan.body, crowded: r.plan.crowded[number],
+			c := &client{ledger: r.ledger, node: number, dests: r.plan.destinations, at: r.paths.clients[number].Address(),
+				path: r.paths.clients[number], body: r.plan.body, crowded: r.plan.crowded[number],
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+i)))}
 			done.Go(func() { c.run(ctx, clientInterval, p.accepts) })
 		}
@@ -187,6 +202,7 @@
 	if r.discovery != nil {
 		r.discovery.close()
 	}
+	r.paths.close()
 }
 
 // Logs names the nodes' logs of a run.
