--- a/choice/choice.go
+++ b/choice/choice.go
@@ -88,6 +88,14 @@
 	value, loss                              float64 // utility in time; what it loses by waiting on
 	ranZone                                  int
 	mayRun, live, calledOff, recalled        bool
+	unconfirmed                              []unconfirmed
+}
+
+// unconfirmed is a send that is said not to have run by an answer that may be another call's.
+type unconfirmed struct {
+	send   int
+	sentAt int64
+	zone   int
 }
 
 type call struct {
@@ -176,6 +184,19 @@
 
 func (n *Node) Begun(evt int32, send int) { n.events[evt].deadline = math.MaxInt64 } // no time runs any more
 
+// Unconfirmed: an answer that may be another call's proves nothing of its send.
+func (n *Node) Unconfirmed(evt int32, send int) {
+	e := &n.events[evt]
+	if e.call >= 0 {
+		e.unconfirmed = append(e.unconfirmed, unconfirmed{send, e.sentAt, n.eps.zone[n.calls[e.call].endpoint]})
+	}
+}
+
+func (n *Node) Confirmed(evt int32, send int) {
+	e := &n.events[evt]
+	e.unconfirmed = slices.DeleteFunc(e.unconfirmed, func(u unconfirmed) bool { return u.send == send })
+}
+
 func (n *Node) Outcome(evt int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool,
 	left, told float64) {
 	e := &n.events[evt]
@@ -330,7 +351,7 @@
 // lastSend: danger: past it a send comes too late or takes effect twice, its mark being forgotten or missing.
 func (n *Node) lastSend(e *event) int64 {
 	switch t := &n.types[e.typ]; {
-	case e.sends >= n.room.Sends || (e.mayRun && t.Safety == port.NonIdempotent):
+	case e.sends >= n.room.Sends || (e.mayHaveRun() && t.Safety == port.NonIdempotent):
 		return min(n.now, e.deadline)
 	}
 	return min(e.deadline, n.windowEnd(e))
@@ -338,15 +359,33 @@
 
 // windowEnd is the end of the time in which a repeat is known by its mark.
 func (n *Node) windowEnd(e *event) int64 {
-	if t := &n.types[e.typ]; e.mayRun && t.Safety == port.Deduplicated {
-		return e.ranAt + t.Window - windowMargin
+	if t := &n.types[e.typ]; e.mayHaveRun() && t.Safety == port.Deduplicated {
+		at, _ := e.ran()
+		return at + t.Window - windowMargin
 	}
 	return math.MaxInt64
 }
 
+// mayHaveRun tells whether a send may have taken effect.
+func (e *event) mayHaveRun() bool { return e.mayRun || len(e.unconfirmed) > 0 }
+
+// ran is when, and to which zone, the first send went out that may have run.
+func (e *event) ran() (at int64, zone int) {
+	at, zone = e.ranAt, e.ranZone
+	if !e.mayRun {
+		at = math.MaxInt64
+	}
+	for _, u := range e.unconfirmed {
+		if u.sentAt < at {
+			at, zone = u.sentAt, u.zone
+		}
+	}
+	return at, zone
+}
+
 // giveUp ends an event at once: declined, with the time to come back, where nothing can have run.
 func (n *Node) giveUp(evt int32, comeBack int64) {
-	if e := &n.events[evt]; e.mayRun || e.call >= 0 {
+	if e := &n.events[evt]; e.mayHaveRun() || e.call >= 0 {
 		if e.call >= 0 { // danger: what still connects must not go out after the end was told
 			n.out.Recall(evt, e.sends-1)
 		}
@@ -460,11 +499,12 @@
 // endpoint picks one for an event, -1 for none: the first with room, else the least used; set aside singly.
 func (n *Node) endpoint(e *event) int32 {
 	best, trial, t := int32(-1), int32(-1), &n.types[e.typ]
+	_, ranZone := e.ran()
 	for _, ep := range n.byDest[e.dest] {
 		lane := n.eps.lane[ep]
 		switch {
 		case !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane]:
-		case e.mayRun && t.ByZone && n.eps.zone[ep] != e.ranZone: // danger: it does not know the mark
+		case e.mayHaveRun() && t.ByZone && n.eps.zone[ep] != ranZone: // danger: it does not know the mark
 		case n.joinable(ep, t) >= 0:
 			return ep
 		case !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes):
--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Kind is a way of disturbing a piece.
@@ -69,7 +71,8 @@
 	random *rand.Rand
 	faults []Fault
 	open   map[*Connection]struct{}
-	known  map[string]*Connection // by the addresses from which the target sees it and at which its client stands
+	seen   map[string]*Connection // newest, by the address from which the target sees it
+	from   map[string]*Connection // newest, by the address of its client
 	closed bool
 	struck int // pieces
 }
@@ -81,7 +84,7 @@
 		return nil, err
 	}
 	p := &Proxy{listener: listener, target: target, random: rand.New(rand.NewPCG(seed, 0xfa017)),
-		open: map[*Connection]struct{}{}, known: map[string]*Connection{}}
+		open: map[*Connection]struct{}{}, seen: map[string]*Connection{}, from: map[string]*Connection{}}
 	go p.serve()
 	return p, nil
 }
@@ -96,12 +99,18 @@
 	p.faults = append(p.faults, f)
 }
 
-// Connection finds the newest connection by the address from which the target sees it, or that of its client. It is
-// nil for one that the proxy does not know, or that the target has not taken.
-func (p *Proxy) Connection(address net.Addr) *Connection {
+// SeenAs finds an open connection by the address from which the target sees it, nil for none.
+func (p *Proxy) SeenAs(address net.Addr) *Connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen[address.String()]
+}
+
+// From finds the newest connection by its client's address. It is nil for one that the target has not taken.
+func (p *Proxy) From(address net.Addr) *Connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.known[address.String()]
+	return p.from[address.String()]
 }
 
 // Struck is how many pieces faults have struck.
@@ -135,7 +144,7 @@
 // relay carries one connection until both directions have ended.
 func (p *Proxy) relay(near *net.TCPConn) {
 	p.mu.Lock()
-	delete(p.known, near.RemoteAddr().String()) // of an earlier connection from that address
+	delete(p.from, near.RemoteAddr().String()) // of an earlier connection from that address
 	p.mu.Unlock()
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
@@ -152,11 +161,14 @@
 	directions.Go(func() { (&stream{connection: c, direction: Requests, from: c.near, to: c.far}).run() })
 	directions.Go(func() { (&stream{connection: c, direction: Answers, from: c.far, to: c.near}).run() })
 	directions.Wait()
-	c.near.Close()
-	c.far.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.near.Close()
+	c.far.Close()
 	delete(p.open, c)
+	if address := c.far.LocalAddr().String(); p.seen[address] == c { // the port will be another connection's
+		delete(p.seen, address)
+	}
 }
 
 func (p *Proxy) register(c *Connection) bool {
@@ -166,8 +178,8 @@
 		return false
 	}
 	p.open[c] = struct{}{}
-	p.known[c.far.LocalAddr().String()] = c
-	p.known[c.near.RemoteAddr().String()] = c
+	p.seen[c.far.LocalAddr().String()] = c
+	p.from[c.near.RemoteAddr().String()] = c
 	return true
 }
 
@@ -201,6 +213,8 @@
 	proxy     *Proxy
 	near, far *net.TCPConn
 	disturbed atomic.Bool
+
+	requestsEnded atomic.Bool // the client sends nothing more
 }
 
 // Disturbed tells whether a fault has struck the connection. Nil counts as undisturbed.
@@ -236,7 +250,13 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			if s.direction == Requests {
+				s.connection.requestsEnded.Store(true)
+			}
 			s.end()
+			if s.direction == Requests && isReset(s.from) { // an answer on its way met the end
+				s.connection.reset()
+			}
 			return
 		case err != nil:
 			s.connection.reset()
@@ -337,9 +357,30 @@
 		s.connection.reset()
 		return false
 	}
+	if s.direction == Answers && s.connection.requestsEnded.Load() && isReset(s.to) {
+		s.connection.reset() // the client has closed: the answer reached nobody
+		return false
+	}
 	return true
 }
 
+// resetWithin is more than it takes on loopback until what was written to a closed socket comes back as a reset.
+const resetWithin = 3 * time.Millisecond
+
+// isReset tells whether the other side of a connection has reset it.
+func isReset(conn *net.TCPConn) (reset bool) {
+	time.Sleep(resetWithin)
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	raw.Control(func(descriptor uintptr) {
+		code, err := unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_ERROR)
+		reset = err == nil && code != 0
+	})
+	return reset
+}
+
 // end tells the other side that nothing more comes in this direction.
 func (s *stream) end() {
 	s.mu.Lock()
--- a/lab/faultproxy/faultproxy_test.go
+++ b/lab/faultproxy/faultproxy_test.go
@@ -27,14 +27,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		seen := make(chan net.Addr, 1)
 		go func() {
 			conn, err := target.Accept()
 			if err != nil {
 				return
 			}
 			io.WriteString(conn, sent)
-			seen <- conn.RemoteAddr()
 			time.Sleep(100 * time.Millisecond)
 			conn.Close()
 		}()
@@ -53,7 +51,7 @@
 		if !want(got) {
 			t.Errorf("%q: got %q", kind, got)
 		}
-		if disturbed := p.Connection(<-seen).Disturbed(); disturbed != (kind != "") {
+		if disturbed := p.From(conn.LocalAddr()).Disturbed(); disturbed != (kind != "") {
 			t.Errorf("%q: disturbed: %v", kind, disturbed)
 		}
 		conn.Close()
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -418,7 +418,9 @@
 	p.waiting = append(p.waiting, evt)
 }
 
-func (p *plain) Withdrawn(evt int32) { p.events[evt].live = false }
+func (p *plain) Unconfirmed(int32, int) {}
+func (p *plain) Confirmed(int32, int)   {}
+func (p *plain) Withdrawn(evt int32)    { p.events[evt].live = false }
 
 func (p *plain) ListBegins(whole bool) {
 	if whole {
--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -177,7 +177,7 @@
 
 // told notes which endpoints a node knows by now to be draining.
 func (d *discovery) told(node int, conn net.Conn) {
-	by := d.paths.discovery[node].Connection(conn.RemoteAddr())
+	by := d.paths.discovery[node].SeenAs(conn.RemoteAddr())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for number := range d.draining {
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -154,7 +154,7 @@
 // path is the connection through a proxy that a call came on.
 func (e *endpoint) path(conn net.Conn) *faultproxy.Connection {
 	for _, proxy := range e.paths {
-		if c := proxy.Connection(conn.RemoteAddr()); c != nil {
+		if c := proxy.SeenAs(conn.RemoteAddr()); c != nil {
 			return c
 		}
 	}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -188,11 +188,15 @@
 	}
 }
 
-// crossed notes that answers came back unread: the node had closed the connection before they were written.
+// crossed notes that answers came back unread: the node had closed the connection before they were written. On a disturbed
+// connection it may be something else that was not read, such as a second copy.
 func (l *ledger) crossed(parts []part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range parts {
+		if p.request.attempts[p.attempt].path.Disturbed() {
+			continue
+		}
 		p.request.attempts[p.attempt].outcome = "given up by the node, unheard"
 		if p.request.deliveredBy == p.attempt {
 			p.request.done = 0
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -39,6 +39,7 @@
 	transitionTell    = "tell"
 	transitionStore   = "store"
 	transitionClose   = "close"
+	transitionConfirm = "confirm"
 	denialsName       = "jaspersill_denied_transitions_total"
 	denialsHelp       = "Transitions of requests that were not allowed because something else came first."
 	violationsName    = "jaspersill_violations_total"
@@ -50,7 +51,7 @@
 
 var (
 	violations = metrics.NewFamily(violationsName, violationsHelp, "transition", transitionAttempt, transitionSend,
-		transitionOutcome, transitionTell, transitionStore, transitionClose)
+		transitionOutcome, transitionTell, transitionStore, transitionClose, transitionConfirm)
 	denials        = metrics.NewFamily(denialsName, denialsHelp, "reason", deniedByDeadline, deniedByEnd)
 	reasonOfDenial = map[*Denial]string{ErrDeadline: deniedByDeadline, ErrEnded: deniedByEnd}
 )
@@ -79,12 +80,13 @@
 	Pending                // stored: it is owed its end, and no attempt is out
 	Recording              // an attempt is chosen, and its record is being written
 	InFlight               // bytes of an attempt may have gone out
+	Provisional            // an answer ended it that may be another call's
 	Ending                 // its end is decided
 	Ended                  // its end is told
 )
 
 func (s State) String() string {
-	return [...]string{"received", "pending", "recording", "in flight", "ending", "ended"}[s]
+	return [...]string{"received", "pending", "recording", "in flight", "provisional", "ending", "ended"}[s]
 }
 
 // Request is the state of one request. It may be used by any goroutine.
@@ -97,6 +99,7 @@
 	attempt    State // Pending, Recording or InFlight: how far the newest attempt is, whatever became of the request
 	mayHaveRun bool
 	stored     bool
+	refusals   int // attempts that are said not to have run, by answers that may be another call's
 }
 
 // NewRequest is a request that was read. It may be repeated after an attempt that may have run if repeatable.
@@ -134,7 +137,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.state == Ending || r.state == Ended:
+	case r.over():
 		return deny(ErrEnded)
 	case now >= r.deadline:
 		return deny(ErrDeadline)
@@ -142,7 +145,7 @@
 		return violate(transitionAttempt, r.id, "it is not stored")
 	case r.attempt != Pending:
 		return violate(transitionAttempt, r.id, "another one is "+r.attempt.String())
-	case r.mayHaveRun && !r.repeatable:
+	case (r.mayHaveRun || r.refusals > 0) && !r.repeatable:
 		return violate(transitionAttempt, r.id, "it may have run and may not be repeated")
 	}
 	r.state, r.attempt = Recording, Recording
@@ -156,7 +159,7 @@
 	switch {
 	case r.attempt != Recording:
 		return violate(transitionSend, r.id, "its attempt is "+r.attempt.String())
-	case r.state == Ending || r.state == Ended:
+	case r.over():
 		return deny(ErrEnded)
 	case now >= r.deadline:
 		return deny(ErrDeadline)
@@ -191,12 +194,75 @@
 	}
 }
 
+// over tells whether no attempt may follow; the lock is held.
+func (r *Request) over() bool { return r.state == Provisional || r.state == Ending || r.state == Ended }
+
+// FinishRefused notes that an attempt is over by an answer which says that it never ran, and which may be another call's.
+func (r *Request) FinishRefused() {
+	r.FinishAttempt(false)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusals++
+}
+
+// ConfirmRefusal notes that such an answer was the attempt's own.
+func (r *Request) ConfirmRefusal() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusals == 0 {
+		return violate(transitionConfirm, r.id, "no refusal is unconfirmed")
+	}
+	r.refusals--
+	return nil
+}
+
+// MayHaveRun tells whether an attempt may have taken effect, for all that is surely known.
+func (r *Request) MayHaveRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayHaveRun || r.refusals > 0
+}
+
+// EndProvisionally notes that an answer ended the request which may be another call's. No attempt follows. It tells false
+// where its end was decided before.
+func (r *Request) EndProvisionally() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over() {
+		return false
+	}
+	r.state = Provisional
+	return true
+}
+
+// Confirm notes that the answer was the request's own: nothing more is owed for it.
+func (r *Request) Confirm() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Provisional {
+		return violate(transitionConfirm, r.id, "it is "+r.state.String())
+	}
+	r.state = Ended
+	return nil
+}
+
+// Doubt notes that the answer may have been another call's: the end is still to be told.
+func (r *Request) Doubt() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Provisional {
+		return violate(transitionConfirm, r.id, "it is "+r.state.String())
+	}
+	r.state = Ending
+	return nil
+}
+
 // Decide notes how the request ends: delivered, or by a notice or a refusal that is still to be told. It tells false
 // where that was decided before.
 func (r *Request) Decide() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == Ending || r.state == Ended {
+	if r.over() {
 		return false
 	}
 	r.state = Ending
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -55,6 +55,39 @@
 			r.Decide()
 			return errors.Join(r.Tell(early, true), r.Tell(early, true))
 		}, ErrViolation},
+		{"sent after a provisional end", func(r *Request) error {
+			r.Store()
+			r.StartAttempt(early)
+			r.EndProvisionally()
+			return r.SendAttempt(early)
+		}, ErrEnded},
+		{"repeated though a refusal is unconfirmed", func(r *Request) error {
+			r.Store()
+			attempt(r)
+			r.FinishRefused()
+			return attempt(r)
+		}, ErrViolation},
+		{"repeated after a confirmed refusal", func(r *Request) error {
+			r.Store()
+			attempt(r)
+			r.FinishRefused()
+			return errors.Join(r.ConfirmRefusal(), attempt(r))
+		}, nil},
+		{"a refusal confirmed that was none", func(r *Request) error { return r.ConfirmRefusal() }, ErrViolation},
+		{"told while provisional", func(r *Request) error { r.Store(); r.EndProvisionally(); return r.Tell(early, true) }, ErrViolation},
+		{"told after a doubt", func(r *Request) error {
+			r.Store()
+			r.EndProvisionally()
+			return errors.Join(r.Doubt(), r.Tell(early, true))
+		}, nil},
+		{"confirmed twice", func(r *Request) error {
+			r.EndProvisionally()
+			return errors.Join(r.Confirm(), r.Confirm())
+		}, ErrViolation},
+		{"doubted after it was confirmed", func(r *Request) error {
+			r.EndProvisionally()
+			return errors.Join(r.Confirm(), r.Doubt())
+		}, ErrViolation},
 	} {
 		before := Violations()
 		err := c.play(NewRequest("x", deadline, false))
@@ -75,3 +108,49 @@
 		t.Errorf("closed after its answer: %v", err)
 	}
 }
+
+// Guards against an answer that is believed to be a call's though it may be a copy of an earlier one.
+func TestAnAnswerIsCertainOnlyWhereItCanBeNoCopy(t *testing.T) {
+	const prove = "prove"
+	ok, full, named := Answer{Digest: 1}, Answer{Digest: 2, NotRun: true}, Answer{Digest: 3, Named: true}
+	for _, c := range []struct {
+		name string
+		play []any
+		want Attribution // of the last
+	}{
+		{"the first", []any{ok}, Certain},
+		{"another after it", []any{ok, full}, Certain},
+		{"the same after it", []any{ok, ok}, Unconfirmed},
+		{"the same after a rest", []any{ok, prove, ok}, Unconfirmed},
+		{"another behind one that may be a copy", []any{ok, ok, full}, Unconfirmed},
+		{"another behind it, after a rest", []any{ok, ok, prove, full}, Certain},
+		{"one that names its requests", []any{ok, ok, named}, Certain},
+		{"another behind one that names its requests", []any{ok, ok, named, full}, Certain},
+		{"one that names them for the second time", []any{named, named}, Unconfirmed},
+	} {
+		var s AnswerSequence
+		got := Certain
+		for _, step := range c.play {
+			if answer, read := step.(Answer); read {
+				got = s.Read(answer)
+			} else {
+				s.Prove()
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+	var s AnswerSequence
+	for i := range uint64(2 * maxKnownAnswers) {
+		s.Read(Answer{Digest: 10 + i})
+		s.Prove()
+	}
+	var cut AnswerSequence
+	if cut.ReadCut() != Certain || s.ReadCut() != Unconfirmed {
+		t.Error("half an answer is certain only where it is the first")
+	}
+	if s.Read(full) != Unconfirmed || !s.Refused() || len(s.known) > maxKnownAnswers {
+		t.Error("a connection with too many answers to know them all takes one for new")
+	}
+}
--- /dev/null
+++ b/node/attribution_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jaspersill/port"
+	"jaspersill/store"
+)
+
+// copier is an endpoint whose answer to the first call of its first connection comes a second time, for the next call.
+type copier struct {
+	mu      sync.Mutex
+	conns   map[net.Conn]int // calls
+	first   string           // the answer that comes twice
+	truth   string           // the answer to the call that the copy meets
+	late    time.Duration    // after which the truth comes
+	copyNow chan struct{}    // where not nil, the copy comes then
+	bodies  []string
+}
+
+func (c *copier) act(conn net.Conn, body string) bool {
+	c.mu.Lock()
+	if c.conns == nil {
+		c.conns = map[net.Conn]int{}
+	}
+	c.conns[conn]++
+	calls, onFirst := c.conns[conn], len(c.conns) == 1
+	c.bodies = append(c.bodies, body)
+	c.mu.Unlock()
+	switch {
+	case onFirst && calls == 1:
+		io.WriteString(conn, c.first)
+		if c.copyNow != nil {
+			go func() {
+				<-c.copyNow
+				io.WriteString(conn, c.first)
+			}()
+		}
+		return true
+	case onFirst && calls == 2 && c.copyNow == nil:
+		io.WriteString(conn, c.first)
+	}
+	time.Sleep(c.late)
+	io.WriteString(conn, c.truth)
+	return true
+}
+
+func (c *copier) count(body string) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.bodies {
+		if b == body {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) hasNotice(id string) bool {
+	return slices.ContainsFunc(w.noticed(), func(n string) bool { return strings.Contains(n, fmt.Sprintf("%q", id)) })
+}
+
+// Guards against a copy of a delivery that is believed of the next request, which was refused and never ends.
+func TestACopyOfADeliveryEndsNoOtherRequest(t *testing.T) {
+	w := newWorld(t)
+	at := &copier{first: answerOf("200 OK", "", ""), truth: answerOf("503 Full", "", ""), late: 50 * time.Millisecond}
+	w.endpoint(1, at.act)
+	w.run()
+	c := w.dial()
+	c.hand(request("first", "alert", "1", 1000, "first"))
+	w.until("the first came", func() bool { return at.count("first") == 1 })
+	time.Sleep(20 * time.Millisecond)
+	c.hand(request("second", "alert", "1", 1000, "second"))
+	w.until("the second came", func() bool { return at.count("second") == 1 })
+	w.until("its end is told", func() bool { return w.hasNotice("second") })
+	w.until("nothing is owed", w.journal.empty)
+}
+
+// Guards against a copy of a refusal that is believed of the next request, which ran and runs again.
+func TestACopyOfARefusalRepeatsNoOtherRequest(t *testing.T) {
+	w := newWorld(t)
+	at := &copier{first: answerOf("503 Full", "", ""), truth: answerOf("200 OK", "", ""), late: 50 * time.Millisecond}
+	w.endpoint(1, at.act)
+	w.run()
+	c := w.dial()
+	c.hand(request("first", "alert", "1", 3000, "first"))
+	w.until("the first came", func() bool { return at.count("first") == 1 })
+	time.Sleep(200 * time.Millisecond)
+	c.hand(request("second", "charge", "1", 3000, "second"))
+	w.until("nothing is owed", w.journal.empty)
+	if n := at.count("second"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
+
+// Guards against an outcome in doubt that a kill makes certain: the record of a delivery that may be another's.
+func TestAKillWhileADeliveryIsInDoubtOwesItsNotice(t *testing.T) {
+	w := newWorld(t)
+	at := &copier{first: answerOf("200 OK", "", ""), truth: answerOf("503 Full", "", ""), late: long}
+	w.endpoint(1, at.act)
+	w.run()
+	c := w.dial()
+	c.hand(request("first", "alert", "1", 8000, "first"))
+	w.until("the first came", func() bool { return at.count("first") == 1 })
+	time.Sleep(20 * time.Millisecond)
+	c.hand(request("second", "alert", "1", 8000, "second"))
+	w.until("the second came", func() bool { return at.count("second") == 1 })
+	w.until("its record says how it ends", func() bool {
+		e := afterKill(t, w.folder)["second"]
+		return e != nil && e.Verdict == store.Discarded
+	})
+}
+
+// Guards against a copy that comes while an attempt's record is written and passes for its answer.
+func TestACopyThatComesWhileAnAttemptIsRecordedIsNoAnswer(t *testing.T) {
+	w := newWorld(t)
+	disk := &faultyDisk{Dir: store.Dir(w.folder)}
+	w.disk = disk
+	at := &copier{first: answerOf("200 OK", "", ""), truth: answerOf("503 Full", "", ""), copyNow: make(chan struct{})}
+	w.endpoint(1, at.act)
+	w.run()
+	c := w.dial()
+	c.hand(request("first", "alert", "1", 1500, "first"))
+	w.until("the first came", func() bool { return at.count("first") == 1 })
+	time.Sleep(20 * time.Millisecond)
+	disk.slow.Store(int64(30 * time.Millisecond))
+	c.hand(request("second", "alert", "1", 1500, "second"))
+	time.Sleep(15 * time.Millisecond) // its attempt is being recorded
+	close(at.copyNow)
+	disk.slow.Store(0)
+	w.until("its end is told", func() bool { return w.hasNotice("second") })
+}
+
+// Guards against an answer to half a call that is believed of the whole: the endpoint begins it with its last byte.
+func TestAnAnswerBeforeTheLastByteIsNone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		io.ReadFull(conn, make([]byte, 1000))
+		io.WriteString(conn, answerOf("200 OK", "", ""))
+		time.Sleep(50 * time.Millisecond)
+		io.Copy(io.Discard, conn)
+	}()
+	p := newEndpoints(t, l.Addr().String())
+	c := &call{of: p}
+	s := newSend(t, c, "large", long)
+	s.event.body = make([]byte, 40<<20)
+	c.sends = []*send{s}
+	go p.carry(c)
+	if r := ending(t, s); r.how != port.ConnectFailed {
+		t.Errorf("it ended as %v", r.how)
+	}
+}
+
+// Guards against a connection that goes on after it brought the answer to another call of several.
+func TestAnAnswerThatNamesOthersEndsItsConnection(t *testing.T) {
+	at := newPeer(t, say(answerOf("200 OK", "", "other1 done\r\nother2 done\r\n")))
+	p := newEndpoints(t, at.Addr().String())
+	ends, _ := deliver(t, p, long, long)
+	if ends[0].how != port.Spoilt || ends[1].how != port.Spoilt {
+		t.Errorf("got %+v", ends)
+	}
+	select {
+	case <-at.ended:
+	case <-time.After(long):
+		t.Error("its connection stays open")
+	}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -301,6 +301,7 @@
 		left -= uint64(min(g.delay().Milliseconds(), int64(left)))
 	}
 	e.due, e.deadline = n.clock.now()+int64(left)*1e6, n.clock.day()+int64(left)*1e6
+	e.safety = n.safety(e.typ)
 	e.request = lifecycle.NewRequest(e.id, e.due, n.repeatable(e.typ))
 	e.steps, e.answer = make(chan step, maxSteps), make(chan answer, 1)
 	return e, 0, ""
--- a/node/desk.go
+++ b/node/desk.go
@@ -104,7 +104,7 @@
 		for _, s := range c.sends {
 			s.event.steps <- step{what: stepBegun, send: s}
 		}
-		d.endpoints.begin(c.endpoint)
+		d.endpoints.callBegins(c.endpoint)
 		go d.endpoints.carry(c)
 	}
 	d.left = slices.DeleteFunc(d.left, func(ep int32) bool {
@@ -169,10 +169,18 @@
 	d.hear(func(to port.Intake) {
 		d.current[e.index] = nil
 		d.ended[e.index] = d.ended[e.index] || over
+		if r.confirm != nil && !over {
+			to.Unconfirmed(e.index, s.number)
+		}
 		to.Outcome(e.index, s.number, s.endpoint, r.how, r.wait, r.took, over, r.left, r.limit)
 	})
 }
 
+// confirm tells that the answer to a send, which might have been another call's, was its own.
+func (d *desk) confirm(e *event, s *send) {
+	d.hear(func(to port.Intake) { to.Confirmed(e.index, s.number) })
+}
+
 // full asks when one may come back that there is no room for; nothing is told once the desk is closed.
 func (d *desk) full() int64 {
 	reply := make(chan int64, 1)
--- a/node/directory.go
+++ b/node/directory.go
@@ -286,10 +286,10 @@
 		for _, e := range list {
 			ep, fresh := d.desk.listed(e.host, e.partner)
 			if e.dial != "" || fresh {
-				d.endpoints.listed(ep, e.site, e.dial)
+				d.endpoints.listed(ep, e.host, e.site, e.dial)
 			}
 			if e.state == port.Gone { // danger: what answers there from now on may be another
-				d.endpoints.listed(ep, e.site, "")
+				d.endpoints.listed(ep, e.host, e.site, "")
 			}
 			dest, _ := d.desk.dests.Take(e.dest)
 			to.Listed(ep, dest, e.partner, d.zone(e.site), e.state, e.rate)
--- a/node/endpointconn.go
+++ b/node/endpointconn.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jaspersill/lifecycle"
 	"jaspersill/logs"
 	"jaspersill/metrics"
 )
@@ -57,6 +58,12 @@
 	dial     string // the address it goes to
 	used     int64  // when its last call ended
 	calls    int
+	answers  lifecycle.AnswerSequence
+
+	// These belong to endpoints, under its lock.
+	resting  bool            // it is among the idle ones
+	provenAt int64           // it was in step then, and all that it told before is its calls' own
+	pending  []*confirmation // of outcomes that it told, and that are not settled
 }
 
 func newEndpointConn(conn *retryConn, endpoint int32, address string) *endpointConn {
@@ -74,7 +81,18 @@
 	}
 }
 
-// end closes the connection for a reason.
+// attribute tells how sure it is that an answer is the newest call's. One that could not be read decides nothing.
+func (c *endpointConn) attribute(answer reply) lifecycle.Attribution {
+	switch {
+	case answer.cut:
+		return c.answers.ReadCut()
+	case answer.identity.Digest == 0:
+		return lifecycle.Certain
+	}
+	return c.answers.Read(answer.identity)
+}
+
+// end closes the connection for a reason, and counts it.
 func (c *endpointConn) end(reason closeReason) {
 	connectionsClosed.With(string(reason)).Add()
 	if logs.Debugging() {
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"jaspersill/errclass"
+	"jaspersill/reuse"
 )
 
 const (
@@ -30,34 +32,38 @@
 	unreadable map[uint32]int // by destination, answers that may have come and cannot be read for a moment
 	dials      []string       // by endpoint
 	sites      []string
+	names      []string
+	reuse      []reuse.Endpoint
 	busy       []int             // calls that know its index
 	idle       [][]*endpointConn // by endpoint, the one used last at the end
 	idles      int
+	pending    int          // outcomes that are followed
+	settled    []settlement // found out while the lock is held
 }
 
 // listed learns where an endpoint is now; idle connections to where it was are closed.
-func (p *endpoints) listed(ep int32, site, dial string) {
+func (p *endpoints) listed(ep int32, name, site, dial string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	for int(ep) >= len(p.dials) {
-		p.dials, p.sites, p.idle = append(p.dials, ""), append(p.sites, ""), append(p.idle, nil)
-		p.busy = append(p.busy, 0)
+		p.dials, p.sites, p.names = append(p.dials, ""), append(p.sites, ""), append(p.names, "")
+		p.idle, p.busy, p.reuse = append(p.idle, nil), append(p.busy, 0), append(p.reuse, reuse.Endpoint{})
 	}
-	if p.sites[ep] = site; p.dials[ep] != dial {
+	if p.names[ep], p.sites[ep] = name, site; p.dials[ep] != dial {
 		p.dials[ep] = dial
 		p.drop(ep, closeMoved)
 	}
 }
 
-// begin notes a call that knows the endpoint's index, until end.
-func (p *endpoints) begin(ep int32) {
+// callBegins notes a call that knows the endpoint's index, until callEnds.
+func (p *endpoints) callBegins(ep int32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy[ep]++
 	p.out.Add(1)
 }
 
-func (p *endpoints) end(ep int32) {
+func (p *endpoints) callEnds(ep int32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy[ep]--
@@ -68,80 +74,93 @@
 // answer, or connection, would pass for the next one's.
 func (p *endpoints) free(ep int32) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if p.busy[ep] > 0 {
 		return false
 	}
 	p.drop(ep, closeMoved)
-	p.dials[ep], p.sites[ep] = "", ""
+	p.dials[ep], p.sites[ep], p.names[ep], p.reuse[ep] = "", "", "", reuse.Endpoint{}
 	return true
 }
 
 func (p *endpoints) closeIdle(ep int32) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.drop(ep, closePolicy)
 }
 
 // drop closes the idle connections to an endpoint; the lock is held.
 func (p *endpoints) drop(ep int32, reason closeReason) {
-	for _, c := range p.idle[ep] {
-		c.end(reason)
-	}
-	p.idles -= len(p.idle[ep])
+	list := p.idle[ep]
+	p.idles -= len(list)
 	p.idle[ep] = nil
+	for _, c := range list {
+		c.resting = false
+		p.end(c, reason)
+	}
+}
+
+// remove takes a connection out of the idle ones; the lock is held.
+func (p *endpoints) remove(conn *endpointConn) {
+	list := p.idle[conn.endpoint]
+	if i := slices.Index(list, conn); i >= 0 {
+		p.idle[conn.endpoint] = slices.Delete(list, i, i+1)
+		p.idles--
+	}
+	conn.resting = false
 }
 
 // expire closes the connections that have been idle for so long that the endpoint is about to, and those that it has
 // closed or written to.
 func (p *endpoints) expire(now int64) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for ep, list := range p.idle {
-		keep := list[:0]
-		for _, c := range list {
-			if reason, usable := p.usable(c, now); usable {
-				keep = append(keep, c)
-			} else {
-				c.end(reason)
-				p.idles--
+	defer p.unlock()
+	for ep := range p.idle {
+		for _, c := range slices.Clone(p.idle[ep]) {
+			if p.look(c) && p.stale(c, now) {
+				p.remove(c)
+				p.end(c, closeIdle)
 			}
 		}
-		p.idle[ep] = keep
-	}
-}
-
-// usable tells whether an idle connection can take another call, and if not, why it is closed. A call on one that the
-// endpoint has closed, or is about to close, may have run for all that is known.
-func (p *endpoints) usable(c *endpointConn, now int64) (closeReason, bool) {
-	if p.stale(c, now) {
-		return closeIdle, false
-	}
-	if state := stateAtRest(c); state != restQuiet {
-		return state.closeReason(), false
 	}
-	return "", true
 }
 
 func (p *endpoints) stale(c *endpointConn, now int64) bool {
 	return p.idleFor > 0 && now-c.used >= max(p.idleFor-idleMargin, p.idleFor/2)
 }
 
-// kept takes the idle connection used last, nil for none, and tells the address to connect to.
-func (p *endpoints) kept(ep int32) (*endpointConn, string) {
+// kept takes an idle connection for a call, nil for none, and tells the address to connect to. A call on a connection that
+// the endpoint has closed, or is about to close, may have run for all that is known.
+func (p *endpoints) kept(ep int32, repeatable bool) (*endpointConn, string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for n := len(p.idle[ep]); n > 0; n = len(p.idle[ep]) {
-		c := p.idle[ep][n-1]
-		p.idle[ep] = p.idle[ep][:n-1]
-		p.idles--
-		reason, usable := p.usable(c, p.clock.now())
-		if usable {
+	defer p.unlock()
+	now := p.clock.now()
+	for {
+		candidates := make([]reuse.Candidate, 0, len(p.idle[ep]))
+		for _, c := range p.idle[ep] {
+			candidates = append(candidates, reuse.Candidate{Rested: now - c.used, Refused: c.answers.Refused()})
+		}
+		i := p.reuse[ep].Choose(candidates, repeatable, now)
+		if i < 0 {
+			return nil, p.dials[ep]
+		}
+		c := p.idle[ep][i]
+		if !p.look(c) {
+			continue
+		}
+		p.remove(c)
+		if !p.stale(c, now) {
 			return c, c.dial
 		}
-		c.end(reason)
+		p.end(c, closeIdle)
 	}
-	return nil, p.dials[ep]
+}
+
+// close closes a connection that carries a call.
+func (p *endpoints) close(conn *endpointConn, reason closeReason) {
+	p.mu.Lock()
+	defer p.unlock()
+	p.end(conn, reason)
 }
 
 func (p *endpoints) site(ep int32) string {
@@ -151,18 +170,19 @@
 }
 
 // keep puts a connection back, unless idle ones would take the descriptors that clients need.
-func (p *endpoints) keep(c *endpointConn) {
+func (p *endpoints) keep(c *endpointConn, took int64) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
+	p.reuse[c.endpoint].Answered(took)
 	switch {
 	case c.dial != p.dials[c.endpoint]:
-		c.end(closeMoved)
+		p.end(c, closeMoved)
 		return
 	case p.idles >= p.mostIdle:
-		c.end(closeFull)
+		p.end(c, closeFull)
 		return
 	}
-	c.used = p.clock.now()
+	c.used, c.resting = p.clock.now(), true
 	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
 	p.idles++
 }
--- a/node/event.go
+++ b/node/event.go
@@ -13,6 +13,7 @@
 type event struct {
 	id, mark      string // mark: what repeats are known by, where its stream type has one
 	typ, customer int
+	safety        port.Safety
 	dest          uint32
 	due           int64 // on the module's clock
 	deadline      int64 // the same as time of day, which outlasts the process
@@ -65,6 +66,7 @@
 	stepDecline
 	stepDiscard
 	stepNoticed // the platform has the notice
+	stepConfirmed
 )
 
 // maxSteps bounds the steps that wait for a life: each send has two and there are few sends.
@@ -76,4 +78,6 @@
 	wait, took  int64
 	over        bool    // the endpoint's side says that the event is over
 	left, limit float64 // what the answer told of the limit
+
+	confirm *confirmation // where the answer may be another call's and acting on it would do harm
 }
--- a/node/journal.go
+++ b/node/journal.go
@@ -155,8 +155,19 @@
 	return j.store.Resolve(e.id, e.came, store.Verdict(e.verdict), e.comeBack)
 }
 
+// decideBriefly is decide for an event of which nothing but its notice may still be needed.
+func (j *journal) decideBriefly(e *event, v verdict) *store.Receipt {
+	return j.store.ResolveBriefly(e.id, e.came, store.Verdict(v))
+}
+
 // over writes that nothing more is owed for an event.
-func (j *journal) over(e *event) *store.Receipt { return j.store.Complete(e.id, e.came, 0) }
+func (j *journal) over(e *event) *store.Receipt { return j.forget(e.id, e.came) }
+
+// forget is over for an event that is known by its id and its place in the order of coming.
+func (j *journal) forget(id string, came uint64) *store.Receipt { return j.store.Complete(id, came, 0) }
+
+// owed counts the events that are owed an end.
+func (j *journal) owed() int { return j.store.Owed() }
 
 // empty tells whether nothing is owed.
 func (j *journal) empty() bool { return j.store.Empty() }
--- a/node/life.go
+++ b/node/life.go
@@ -146,11 +146,12 @@
 		l.out++
 	case stepOutcome:
 		l.out--
-		l.node.journal.ended(l.event, s.send.number, s.result.how)
-		if s.result.how == port.Acked || s.result.over {
-			l.complete()
-		}
+		l.endAttempt(s.send, s.result)
 		l.node.desk.tell(l.event, s.send, s.result)
+	case stepConfirmed:
+		l.request.ConfirmRefusal()
+		l.node.journal.ended(l.event, s.send.number, s.result.how)
+		l.node.desk.confirm(l.event, s.send)
 	case stepDecline:
 		l.decide(declined, s.comeBack)
 	case stepDiscard:
@@ -170,6 +171,45 @@
 	}
 }
 
+// endAttempt takes in how an attempt ended. Where its answer may be another call's, only what is safe both ways is done:
+// no attempt follows a delivery, and its notice is held back; a refusal is not recorded, so that a restart, too, takes the
+// attempt for one that may have run.
+func (l *life) endAttempt(s *send, r result) {
+	over := r.how == port.Acked || r.over
+	switch {
+	case over && r.confirm != nil:
+		l.completeProvisionally(r.confirm)
+	case over:
+		l.node.journal.ended(l.event, s.number, r.how)
+		l.complete()
+	case r.confirm != nil:
+		event := l.event
+		r.confirm.whenSettled(func(confirmed bool) {
+			if confirmed {
+				event.steps <- step{what: stepConfirmed, send: s, result: result{how: r.how}}
+			}
+		})
+	default:
+		l.node.journal.ended(l.event, s.number, r.how)
+	}
+}
+
+// completeProvisionally ends an event by an answer that may be another call's. What is kept of it until that is known is
+// what its notice needs.
+func (l *life) completeProvisionally(c *confirmation) {
+	if l.over {
+		return
+	}
+	l.finish()
+	l.answerClient(statusTaken, 0)
+	if !l.request.EndProvisionally() {
+		return
+	}
+	end := &provisionalEnd{node: l.node, id: l.id, came: l.came, due: l.due, request: l.request,
+		record: l.node.journal.decideBriefly(l.event, discarded)}
+	c.whenSettled(end.settle)
+}
+
 // complete ends an event of which the endpoint's side says that it is over. What an attempt brings after another end
 // changes nothing.
 func (l *life) complete() {
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -70,16 +70,32 @@
 }
 
 // WriteUnlessFailing writes all or, where its first write fails for a moment, nothing: then the error says so, and
-// the caller decides whether what it wanted to write is still wanted.
+// the caller decides whether what it wanted to write is still wanted. It stops where an answer comes before the last byte
+// is written.
 func (c *retryConn) WriteUnlessFailing(b []byte) (written int, err error) {
 	written, err = c.writeOnce(b)
 	if written == 0 || written == len(b) || (err != nil && errclass.Stream(err) != errclass.Momentary) {
 		return written, err
 	}
-	rest, err := c.Write(b[written:])
-	return written + rest, err
+	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
+		if c.hasUnread() {
+			return written, errEarlyAnswer
+		}
+		n, err := c.writeOnce(b[written:])
+		written += n
+		if written == len(b) || (err != nil && errclass.Stream(err) != errclass.Momentary) {
+			return written, err
+		}
+		if n == 0 {
+			momentaryFailures.With("write").Add()
+			time.Sleep(pause)
+		}
+	}
 }
 
+// errEarlyAnswer tells that bytes came before the last byte of what they might be an answer to was written.
+var errEarlyAnswer = errors.New("an answer came before its call was written")
+
 // readOnce makes one read that does not wait in vain: the standard library hides that a call was interrupted, and
 // with it how long the bytes may have stood there.
 func (c *retryConn) readOnce(b []byte) (n int, err error) {
--- a/node/node.go
+++ b/node/node.go
@@ -151,6 +151,7 @@
 	n.held.Add(int64(len(n.owed)))
 	for _, e := range n.owed {
 		e.due = n.clock.now() + e.deadline - n.clock.day()
+		e.safety = n.safety(e.typ)
 		e.request = lifecycle.RestoredRequest(e.id, e.due, n.repeatable(e.typ), e.mayHaveRun())
 		if e.verdict == open {
 			n.desk.take(e)
@@ -197,9 +198,17 @@
 	return ""
 }
 
+// safety is what repeating an event of a stream type may do. Of a type that is not known any more, nothing was forbidden.
+func (n *Node) safety(typ int) port.Safety {
+	if typ >= len(n.types) {
+		return port.Idempotent
+	}
+	return n.types[typ].Safety
+}
+
 // repeatable tells whether an event of a stream type may be sent again after an attempt that may have run.
 func (n *Node) repeatable(typ int) bool {
-	return typ >= len(n.types) || n.types[typ].Safety != port.NonIdempotent
+	return n.safety(typ) != port.NonIdempotent
 }
 
 // marked tells whether events of a stream type carry a mark.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -820,11 +820,13 @@
 	r.say("%d", dest)
 }
 
-func (r *recorder) Full() int64             { return 0 }
-func (r *recorder) ListBegins(whole bool)   { r.say("whole=%v", whole) }
-func (r *recorder) ListEnds()               { r.say(";") }
-func (r *recorder) ListFailed()             { r.say("failed") }
-func (r *recorder) PeerGood(p int, e int32) { r.say("good %d %d", p, e) }
+func (r *recorder) Unconfirmed(e int32, send int) { r.say("unconfirmed %d %d", e, send) }
+func (r *recorder) Confirmed(e int32, send int)   { r.say("confirmed %d %d", e, send) }
+func (r *recorder) Full() int64                   { return 0 }
+func (r *recorder) ListBegins(whole bool)         { r.say("whole=%v", whole) }
+func (r *recorder) ListEnds()                     { r.say(";") }
+func (r *recorder) ListFailed()                   { r.say("failed") }
+func (r *recorder) PeerGood(p int, e int32)       { r.say("good %d %d", p, e) }
 func (r *recorder) Listed(ep, dest int32, partner, zone int, state port.State, rate float64) {
 	r.say("%d/%d/%d/%d/%d/%v", ep, dest, partner, zone, state, rate)
 }
@@ -884,7 +886,7 @@
 	if !strings.Contains(at.heads[1], "GET /discovery/hosts?watch=1&from=9 ") {
 		t.Errorf("asked again: %q", at.heads[1])
 	}
-	if _, dial := d.endpoints.kept(0); dial != "" {
+	if _, dial := d.endpoints.kept(0, true); dial != "" {
 		t.Errorf("still at %q", dial)
 	}
 }
@@ -1012,15 +1014,15 @@
 		}
 	}
 	take("a", 0)
-	d.endpoints.begin(0)
+	d.endpoints.callBegins(0)
 	d.Forget(0)
 	d.round(0)
 	take("b", 1) // a late answer may still come for a's
-	d.endpoints.listed(1, "zone", "127.0.0.1:2")
-	d.endpoints.end(0)
+	d.endpoints.listed(1, "e", "zone", "127.0.0.1:2")
+	d.endpoints.callEnds(0)
 	d.round(1)
 	take("c", 0)
-	if _, dial := d.endpoints.kept(0); dial != "" {
+	if _, dial := d.endpoints.kept(0, true); dial != "" {
 		t.Errorf("the new one begins at %q", dial)
 	}
 	d.Forget(1)
--- a/node/phases.go
+++ b/node/phases.go
@@ -31,6 +31,9 @@
 	drainEnd    = 3400 * time.Millisecond // then it exits, whatever is still out
 	drainLast   = 150 * time.Millisecond  // and so much later with answers unwritten: they take no time to write
 	drainLook   = 10 * time.Millisecond
+
+	// drainNotices is the part of the time before the exit in which ends are told that are still in doubt.
+	drainNotices = 400 * time.Millisecond
 )
 
 // drainTimes are counted from the beginning of the drain.
@@ -76,6 +79,8 @@
 	n.clients.listener.dismiss()
 	n.sleep(begin.Add(drain.choose), n.unowed) // what was admitted just before
 	n.desk.close()
+	n.sleep(begin.Add(drain.end-drainNotices), n.settled)
+	n.endpoints.settleRested(true)
 	n.sleep(begin.Add(drain.end), n.quiet)
 	n.clients.listener.Close()
 	n.clients.listener.dismiss()
@@ -92,8 +97,16 @@
 	}
 }
 
-// unowed tells whether nothing is owed, nor about to be.
-func (n *Node) unowed() bool { return n.held.Load() == 0 && n.journal.empty() }
+// unowed tells whether nothing is owed, nor about to be, but for ends that wait to be confirmed.
+func (n *Node) unowed() bool {
+	return n.held.Load() == 0 && n.journal.owed() <= n.endpoints.unsettled() && n.journal.settled()
+}
+
+// settled tells whether no attempt is out and no end waits to be confirmed.
+func (n *Node) settled() bool {
+	n.endpoints.settleRested(false)
+	return n.endpoints.out.Load() == 0 && n.endpoints.unsettled() == 0
+}
 
 // quiet tells whether nothing is left that ends by itself: no attempt is out, every end that is decided is told and
 // written. What is owed beyond that waits for the next start.
--- a/node/sends.go
+++ b/node/sends.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/bytebufferpool"
 
 	"jaspersill/errclass"
+	"jaspersill/lifecycle"
 	"jaspersill/logs"
 	"jaspersill/metrics"
 	"jaspersill/port"
@@ -42,7 +43,7 @@
 	ended  bool
 	gaveUp bool         // while its records or its bytes are being written: the writer ends it
 	how    port.Outcome // when given up
-	late   bool         // its records took long to write
+	sentAt int64        // its first byte
 
 	answering atomic.Bool // the first byte of its answer was read
 	extended  bool        // it timed out while its answer came, and has the time that the rest of one may take
@@ -60,8 +61,7 @@
 )
 
 const (
-	recordAgain  = 10 * time.Millisecond // while the log cannot be written, before the next try
-	recordedSoon = 50 * time.Millisecond // after which the connection is looked at again
+	recordAgain = 10 * time.Millisecond // while the log cannot be written, before the next try
 )
 
 var attemptsEnded = metrics.NewFamily("jaspersill_attempts_ended_total", "Attempts that ended, by outcome.", "outcome",
@@ -70,7 +70,7 @@
 
 // carry makes a call and tells each send how it ended. A call is made once: nothing here repeats it.
 func (p *endpoints) carry(c *call) {
-	defer p.end(c.endpoint)
+	defer p.callEnds(c.endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	timeout := c.begin(cancel)
@@ -80,25 +80,15 @@
 	timer := time.AfterFunc(time.Duration(timeout), func() { c.giveUp(port.TimedOut) })
 	defer timer.Stop()
 
-	conn, dial := p.kept(c.endpoint)
+	conn := c.prepare(ctx)
 	if conn == nil {
-		var err error
-		if conn, err = p.connect(ctx, c.endpoint, dial, &c.local); err != nil {
-			c.finish(result{how: connectOutcome(err)})
-			return
-		}
-	}
-	conn.begins()
-	if !c.recordAttempts() || !c.leave(conn) {
-		conn.end(closeGivenUp)
 		return
 	}
-
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
 	if err := writeCall(out, c.sends, timeout); err != nil {
 		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
-		conn.end(closeUnwritten)
+		p.close(conn, closeUnwritten)
 		c.finish(result{how: port.Unsent})
 		return
 	}
@@ -110,18 +100,64 @@
 	c.readAnswer(conn)
 }
 
+// prepare finds a connection for the call and records its attempts. It returns nil where the call ended.
+func (c *call) prepare(ctx context.Context) *endpointConn {
+	conn, dial := c.of.kept(c.endpoint, c.repeatable())
+	if conn == nil {
+		if conn = c.connect(ctx, dial); conn == nil {
+			return nil
+		}
+	}
+	if !c.recordAttempts() {
+		c.of.close(conn, closeGivenUp)
+		return nil
+	}
+	// What came while the attempts were recorded is no answer to them.
+	if state := stateAtRest(conn); state != restQuiet {
+		c.of.close(conn, state.closeReason())
+		if conn = c.connect(ctx, conn.dial); conn == nil {
+			return nil
+		}
+	}
+	conn.begins()
+	if !c.leave(conn) {
+		c.of.close(conn, closeGivenUp)
+		return nil
+	}
+	return conn
+}
+
+// connect opens a connection for the call, and ends the call where none comes up.
+func (c *call) connect(ctx context.Context, dial string) *endpointConn {
+	conn, err := c.of.connect(ctx, c.endpoint, dial, &c.local)
+	if err != nil {
+		c.finish(result{how: connectOutcome(err)})
+		return nil
+	}
+	return conn
+}
+
+// repeatable tells whether all its sends may go out again after one that may have run.
+func (c *call) repeatable() bool {
+	return !slices.ContainsFunc(c.sends, func(s *send) bool { return s.event.safety == port.NonIdempotent })
+}
+
 // endUnanswered ends a call that was given up, or broke, before its last byte was written or as it was.
 func (c *call) endUnanswered(conn *endpointConn, cut bool, err error) {
-	if err == nil {
-		conn.end(closeGivenUp)
-	} else {
-		conn.end(closeBroken)
+	var wait int64
+	reason := closeBroken
+	switch {
+	case err == nil:
+		reason = closeGivenUp
+	case errors.Is(err, errEarlyAnswer): // to no call: an endpoint begins one when its last byte has come
+		reason, wait = closeUnread, conn.in.read(c.sends).results[0].wait
 	}
+	c.of.close(conn, reason)
 	switch {
 	case errclass.Stream(err) == errclass.Momentary: // of this machine, and nothing went out
 		c.finish(result{how: port.Unsent})
 	case cut: // the call's last byte was not written: it never ran
-		c.finish(result{how: port.ConnectFailed})
+		c.finish(result{how: port.ConnectFailed, wait: wait})
 	default:
 		c.finish(result{how: port.Reset})
 	}
@@ -134,13 +170,30 @@
 	_, err := conn.in.buf.Peek(1)
 	c.answering.Store(err == nil)
 	answer := conn.in.read(c.sends)
+	if conn.attribute(answer) == lifecycle.Unconfirmed {
+		c.followAnswer(conn, answer)
+	} else if answer.identity.Named {
+		c.of.prove(conn)
+	}
 	switch finished := c.finish(answer.results...); {
 	case !finished:
-		conn.end(closeGivenUp)
+		c.of.close(conn, closeGivenUp)
 	case answer.close != "":
-		conn.end(answer.close)
+		c.of.close(conn, answer.close)
 	default:
-		c.of.keep(conn)
+		c.of.keep(conn, c.of.clock.now()-c.sentAt)
+	}
+}
+
+// followAnswer has the outcomes followed that it would do harm to act on if the answer is another call's: those that end
+// their event, and those that say that an event never ran which must not run twice.
+func (c *call) followAnswer(conn *endpointConn, answer reply) {
+	for i := range answer.results {
+		r := &answer.results[i] // of several sends, an answer that says the same of all has one for each
+		over := r.how == port.Acked || r.over
+		if over || (!r.how.MayHaveRun() && c.sends[i].event.safety != port.Idempotent) {
+			r.confirm = c.of.follow(conn, c.sends[i], r.how)
+		}
 	}
 }
 
@@ -181,7 +234,6 @@
 	c.bytes = recording
 	sends := slices.Clone(c.sends)
 	c.mu.Unlock()
-	began := c.of.clock.now()
 	recorded := make(map[*send]bool, len(sends))
 	for _, s := range sends {
 		recorded[s] = c.recordAttempt(s)
@@ -193,7 +245,6 @@
 			c.drop(s)
 		}
 	}
-	c.late = time.Duration(c.of.clock.now()-began) > recordedSoon
 	return !c.ended
 }
 
@@ -243,8 +294,8 @@
 	if c.ended {
 		return false
 	}
-	if c.gaveUp || (c.late && stateAtRest(conn) != restQuiet) {
-		c.gaveUp, c.how = true, port.Unsent
+	if c.gaveUp {
+		c.how = port.Unsent
 		c.end(nil)
 		return false
 	}
@@ -257,7 +308,7 @@
 	if c.ended {
 		return false
 	}
-	c.conn, c.bytes = conn, some
+	c.conn, c.bytes, c.sentAt = conn, some, now
 	for _, s := range c.sends {
 		c.logAttempt(s, "an attempt goes out", nil)
 	}
@@ -383,7 +434,11 @@
 	r.took = c.of.clock.now() - s.began
 	c.logAttempt(s, "an attempt ended", logrus.Fields{"outcome": r.how.String(), "took_ms": r.took / 1e6, "wait_ms": r.wait / 1e6})
 	attemptsEnded.With(r.how.String()).Add()
-	s.event.request.FinishAttempt(r.how.MayHaveRun() && c.bytes != none && c.bytes != recording)
+	if r.confirm != nil && !r.how.MayHaveRun() && !r.over {
+		s.event.request.FinishRefused()
+	} else {
+		s.event.request.FinishAttempt(r.how.MayHaveRun() && c.bytes != none && c.bytes != recording)
+	}
 	s.event.steps <- step{what: stepOutcome, send: s, result: r}
 }
 
--- a/node/sends_test.go
+++ b/node/sends_test.go
@@ -105,7 +105,7 @@
 	t.Cleanup(j.close)
 	p := &endpoints{clock: clock{start: time.Now()}, journal: j, dial: dialer(500 * ms),
 		idleFor: 15000 * ms, mostIdle: 10}
-	p.listed(0, "zone", dial)
+	p.listed(0, "e0", "zone", dial)
 	return p
 }
 
@@ -405,7 +405,7 @@
 		io.WriteString(conn, answerOf("200 OK", "", ""))
 		return false
 	})
-	p.listed(0, "zone", shy.Addr().String())
+	p.listed(0, "e0", "zone", shy.Addr().String())
 	for range 3 {
 		if ends, _ := deliver(t, p, long); ends[0].how != port.Acked {
 			t.Errorf("got %+v", ends[0])
@@ -419,7 +419,7 @@
 		io.WriteString(conn, answerOf("429 Full", "", ""))
 		return true
 	})
-	p.listed(0, "zone", more.Addr().String())
+	p.listed(0, "e0", "zone", more.Addr().String())
 	deliver(t, p, long)
 	settle(1)
 	time.Sleep(50 * time.Millisecond)
@@ -427,7 +427,7 @@
 	settle(0)
 	// Where it moves to, its connections follow.
 	deliver(t, p, long)
-	p.listed(0, "zone", at.Addr().String())
+	p.listed(0, "e0", "zone", at.Addr().String())
 	settle(0)
 	deliver(t, p, long)
 	if calls, _ := at.calls(); calls != 3 {
--- a/node/wire.go
+++ b/node/wire.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -15,6 +17,7 @@
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
+	"jaspersill/lifecycle"
 	"jaspersill/port"
 )
 
@@ -86,8 +89,10 @@
 
 // reply is an endpoint's answer, taken apart.
 type reply struct {
-	results []result    // of each send
-	close   closeReason // why the connection ends with it, empty if it does not
+	results  []result // of each send
+	identity lifecycle.Answer
+	cut      bool        // only its beginning came, which says that its one event is delivered
+	close    closeReason // why the connection ends with it, empty if it does not
 }
 
 type replyReader struct {
@@ -126,7 +131,7 @@
 	switch {
 	case err == nil:
 	case delivered: // its first line has delivered a single event, whatever becomes of the rest
-		return reply{results: []result{{how: port.Acked, over: true, wait: r.toldWait(resp)}}, close: closeAnswer}
+		return reply{results: []result{{how: port.Acked, over: true, wait: r.toldWait(resp)}}, cut: true, close: closeAnswer}
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET):
 		return reply{results: []result{{how: port.Reset, wait: r.toldWait(resp)}}, close: closeAnswer}
 	default:
@@ -136,6 +141,7 @@
 	all.left, all.limit = readLoad(string(resp.Header.Peek(headLoad)))
 	all.wait = readWait(string(resp.Header.Peek(headRetry)))
 	out := reply{results: make([]result, len(sends))}
+	out.identity.Digest = digest(resp)
 	if resp.ConnectionClose() {
 		out.close = closeAnswer
 	}
@@ -144,16 +150,37 @@
 	}
 	status := resp.StatusCode()
 	if len(sends) > 1 && status == fasthttp.StatusOK {
-		readEnds(resp.Body(), sends, all, out.results)
+		if readEnds(resp.Body(), sends, all, out.results) {
+			out.identity.Named = true
+		} else {
+			out.close = closeSurplus // it is another call's, or none
+		}
 		return out
 	}
 	all.how, all.over = readStatus(status, len(resp.Header.Peek(headNoSlot)) > 0, len(sends) > 1)
+	out.identity.NotRun = !all.how.MayHaveRun()
 	for i := range out.results {
 		out.results[i] = all
 	}
 	return out
 }
 
+// digestSeed is the same for all answers of a process.
+var digestSeed = maphash.MakeSeed()
+
+// digest stands for all that an answer means. Fields that a path might add to a copy have no part in it.
+func digest(resp *fasthttp.Response) uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(digestSeed)
+	fmt.Fprintf(&hash, "%d %v %d\n", resp.StatusCode(), resp.ConnectionClose(), len(resp.Body()))
+	for _, name := range []string{headRetry, headNoSlot, headLoad} {
+		hash.Write(resp.Header.Peek(name))
+		hash.WriteByte('\n')
+	}
+	hash.Write(resp.Body())
+	return hash.Sum64()
+}
+
 // toldWait finds the wait that an answer tells. Danger: of an answer that cannot be read to its end, the
 // wait that stands in it binds all the same, and its sender holds us to it. A head that was not taken in is
 // still unread.
@@ -218,10 +245,10 @@
 	return port.Errored, false // danger: what is not known may have run
 }
 
-// readEnds reads the line of each event. Danger: an answer that leaves one out is not whole: it was cut
-// short, and the events that it names are still owed out there. What was sent may have run, all of it.
-func readEnds(body []byte, sends []*send, all result, results []result) {
-	named := 0
+// readEnds reads the line of each event. An answer that leaves one out is not whole: it was cut short, or is another
+// call's, and what was sent may have run, all of it. It tells whether the answer names all events of the call.
+func readEnds(body []byte, sends []*send, all result, results []result) (named bool) {
+	count := 0
 	for i := range results {
 		results[i] = all
 		results[i].how = port.Spoilt
@@ -232,7 +259,7 @@
 			if s.event.id != id || !bytes.HasSuffix(line, []byte("\n")) {
 				continue
 			}
-			named++
+			count++
 			switch strings.TrimSpace(word) {
 			case "done":
 				results[i].how, results[i].over = port.Acked, true
@@ -245,16 +272,18 @@
 			case "used_up":
 				results[i].how = port.Unsent
 			default:
-				named--
+				count--
 			}
 		}
 	}
-	if named != len(sends) {
-		for i := range results {
-			results[i] = all // a wait that it told binds all the same
-			results[i].how = port.Spoilt
-		}
+	if count == len(sends) {
+		return true
+	}
+	for i := range results {
+		results[i] = all // a wait that it told binds all the same
+		results[i].how = port.Spoilt
 	}
+	return false
 }
 
 // readWait reads seconds, whole or decimal, as nanoseconds, rounded up: a wait must not end early.
--- a/port/port.go
+++ b/port/port.go
@@ -125,6 +125,11 @@
 	// Outcome: limit is the calls a second that the destination told, 0 for none, and left
 	// the share of it that it said was free.
 	Outcome(evt int32, send int, endpoint int32, how Outcome, wait, took int64, ended bool, left, limit float64)
+	// Unconfirmed comes before the Outcome of a send whose answer may be another call's. It may have run, whatever
+	// the outcome says.
+	Unconfirmed(evt int32, send int)
+	// Confirmed takes that back: the answer was its own.
+	Confirmed(evt int32, send int)
 	Withdrawn(evt int32)
 	ListBegins(whole bool)
 	Listed(endpoint, dest int32, partner, zone int, state State, rate float64)
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -83,10 +83,12 @@
 	s.say("resumed", e, sends, mayRun, ago, zone)
 }
 func (s *script) Outcome(e int32, send int, ep int32, how port.Outcome, wait, took int64, ended bool, left, limit float64) {
-	s.say("outcome", e, send, ep, how, wait, took, ended, left, limit)
+	s.say("outcome", e, send, ep, uint8(how), wait, took, ended, left, limit)
 }
-func (s *script) Withdrawn(e int32)     { s.say("withdrawn", e) }
-func (s *script) ListBegins(whole bool) { s.say("list", whole) }
+func (s *script) Withdrawn(e int32)             { s.say("withdrawn", e) }
+func (s *script) Unconfirmed(e int32, send int) { s.say("unconfirmed", e, send) }
+func (s *script) Confirmed(e int32, send int)   { s.say("confirmed", e, send) }
+func (s *script) ListBegins(whole bool)         { s.say("list", whole) }
 func (s *script) Listed(ep, dest int32, partner, zone int, state port.State, rate float64) {
 	s.say("listed", ep, dest, partner, zone, state, rate)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -302,6 +302,34 @@
 		func(to []byte) []byte { return binary.AppendVarint(append(to, byte(v)), comeBack) })
 }
 
+// ResolveBriefly writes how an event ends of which nothing but its notice may still be needed. Its body and its sends are
+// dropped, so that it takes little room for as long as it is kept.
+func (s *Store) ResolveBriefly(id string, came uint64, v Verdict) *Receipt {
+	s.squeeze(sendSize)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it := s.owed(id, came)
+	if it == nil || s.shut {
+		return noRecord(absence(it))
+	}
+	brief := *it.event
+	brief.Mark, brief.Sends, brief.Body, brief.Verdict = "", nil, nil, v
+	size := frameSize + len(brief.state([]byte{byte(recState)})) + frameSize + briefEndSize + len(id)
+	next := &item{event: &brief, kind: recState, need: int32(size)}
+	s.keep(next)
+	return s.putKept(next, recState, brief.state)
+}
+
+// briefEndSize is what the record of an event's end takes, without the event's id and the frame.
+const briefEndSize = 16
+
+// Owed counts the events that are owed an end.
+func (s *Store) Owed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.events)
+}
+
 // keepRecord writes a record about an event that is owed, and keeps it until it is written.
 func (s *Store) keepRecord(id string, came uint64, k kind, change func(*Event), fill func([]byte) []byte) *Receipt {
 	s.squeeze(sendSize)
