Count a notice as told only by an answer that can be no copy

What callers saw: messages with no end, whose notice the platform never read. Cause: notices went out on connections used before, and a copy of the 204 to one was taken for the answer to the next. Change: each post takes a connection that was never used, and one stands open for the next, so that no post waits for it. The connection used last is kept: where no unused one stands, the post goes out on it as well, and is made again on a new one, so that a notice is in time while no socket can be opened. Why it works: the first answer of a connection can only be that to its only post.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -76,13 +76,13 @@
 
 // The states of a request.
 const (
-	Received  State = iota // read from its client
-	Pending                // stored: it is owed its end, and no attempt is out
-	Recording              // an attempt is chosen, and its record is being written
-	InFlight               // bytes of an attempt may have gone out
-	Provisional            // an answer ended it that may be another call's
-	Ending                 // its end is decided
-	Ended                  // its end is told
+	Received    State = iota // read from its client
+	Pending                  // stored: it is owed its end, and no attempt is out
+	Recording                // an attempt is chosen, and its record is being written
+	InFlight                 // bytes of an attempt may have gone out
+	Provisional              // an answer ended it that may be another call's
+	Ending                   // its end is decided
+	Ended                    // its end is told
 )
 
 func (s State) String() string {
--- a/node/attribution_test.go
+++ b/node/attribution_test.go
@@ -181,3 +181,73 @@
 		t.Error("its connection stays open")
 	}
 }
+
+// Guards against a notice that counts as told by a copy of the answer to the one before it, and that nobody read.
+func TestANoticeIsToldAgainUntilItsOwnAnswerCame(t *testing.T) {
+	const ok = "HTTP/1.1 204 No Content\r\n\r\n"
+	var mu sync.Mutex
+	calls, read := map[net.Conn]int{}, map[string]int{}
+	platform := newPeer(t, func(conn net.Conn, body string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if calls[conn]++; calls[conn] > 1 { // the copy comes, and the connection breaks over the notice
+			io.WriteString(conn, ok)
+			return false
+		}
+		read[body]++
+		io.WriteString(conn, ok)
+		return true
+	})
+	n, stop, told := openNotices(platform.Addr().String()), make(chan struct{}), make(chan struct{}, 10)
+	defer close(stop)
+	go n.run(stop)
+	for i := range 5 {
+		n.post(notice{id: fmt.Sprint("x", i), verdict: discarded, told: func() { told <- struct{}{} }})
+		select {
+		case <-told:
+		case <-time.After(long):
+			t.Fatal("it is never told")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(read) != 5 {
+		t.Errorf("%d of 5 notices that count as told were read", len(read))
+	}
+}
+
+// Guards against a notice that waits for a new connection while none can be opened, though an old one stands.
+func TestANoticeGoesOutWhileNoConnectionCanBeOpened(t *testing.T) {
+	heard := make(chan string, 10)
+	platform := newPeer(t, func(conn net.Conn, body string) bool {
+		heard <- body
+		return say("HTTP/1.1 204 No Content\r\n\r\n")(conn, body)
+	})
+	n, stop, told := openNotices(platform.Addr().String()), make(chan struct{}), make(chan struct{}, 10)
+	defer close(stop)
+	n.times(noticeWithin, time.Millisecond)
+	go n.run(stop)
+	post := func(id string) {
+		n.post(notice{id: id, verdict: discarded, told: func() { told <- struct{}{} }})
+	}
+	post("first")
+	<-heard
+	<-told
+	w := &world{t: t}
+	w.until("the next connection stands", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.spare != nil })
+	platform.Listener.Close() // from now on none can be opened
+	post("second")
+	<-heard
+	<-told
+	post("third")
+	select {
+	case <-heard:
+	case <-time.After(long):
+		t.Error("it never goes out")
+	}
+	select {
+	case <-told:
+		t.Error("it counts as told, by an answer that may be a copy")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -246,9 +246,8 @@
 	if e.request.Tell(e.node.clock.now(), written) != nil {
 		return
 	}
-	notice := &event{id: e.id, came: e.came, verdict: discarded, steps: make(chan step, 1)}
-	e.node.outcomes.post(notice)
-	<-notice.steps
-	e.node.ending.Add(-1)
-	e.node.journal.forget(e.id, e.came)
+	e.node.notices.post(notice{id: e.id, verdict: discarded, told: func() {
+		e.node.ending.Add(-1)
+		e.node.journal.forget(e.id, e.came)
+	}})
 }
--- a/node/life.go
+++ b/node/life.go
@@ -108,7 +108,7 @@
 	l.finish()
 	l.request.Decide()
 	l.request.Tell(l.node.clock.now(), true)
-	l.node.outcomes.post(l.event)
+	l.node.notices.post(l.notice())
 	<-l.steps
 	l.node.journal.over(l.event)
 }
@@ -223,6 +223,12 @@
 	l.request.Tell(l.node.clock.now(), true) // the endpoint knows
 }
 
+// notice is the notice of the event's end; its life hears when the platform has it.
+func (l *life) notice() notice {
+	e := l.event
+	return notice{id: e.id, verdict: e.verdict, after: e.comeBack, told: func() { e.steps <- step{what: stepNoticed} }}
+}
+
 // decide ends an event that is not delivered. Where its client still waits, a refusal is all it needs to hear; else
 // the platform hears of it. Both only once a restart would respect it.
 func (l *life) decide(v verdict, comeBack int64) {
@@ -262,7 +268,7 @@
 	}
 	l.end.written, l.end.handOver = nil, nil
 	if !l.end.toClient {
-		l.node.outcomes.post(l.event)
+		l.node.notices.post(l.notice())
 		return
 	}
 	logRefusal(l.id, refusedByPolicy)
--- a/node/node.go
+++ b/node/node.go
@@ -65,7 +65,7 @@
 	desk      *desk
 	endpoints *endpoints
 	directory *directory
-	outcomes  *outcomes
+	notices   *notices
 	peers     *peers
 	clients   *clients
 }
@@ -106,7 +106,7 @@
 		dests: make(map[uint32]struct{}), desk: n.desk, endpoints: n.endpoints,
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated,
 		answers: trouble{part: "directory", what: "watching the list"}}
-	n.outcomes = openOutcomes(at.Directory)
+	n.notices = openNotices(at.Directory)
 	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
 		n.journal.close()
 		return nil, err
@@ -138,12 +138,12 @@
 func (n *Node) Silence(most time.Duration) { n.directory.silence.Store(int64(most)) }
 
 // Notices sets how long the platform has to answer a notice, and when one that failed is told again.
-func (n *Node) Notices(within, again time.Duration) { n.outcomes.times(within, again) }
+func (n *Node) Notices(within, again time.Duration) { n.notices.times(within, again) }
 
 // Move tells that the directory, which takes the notices too, is at another address from now on.
 func (n *Node) Move(directory string) {
 	n.directory.move(directory)
-	n.outcomes.move(directory)
+	n.notices.move(directory)
 }
 
 // restore hands in what is owed from before the restart.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -988,12 +988,11 @@
 		heard <- body
 		return say("HTTP/1.1 204 No Content\r\n\r\n")(conn, body)
 	})
-	o, stop := openOutcomes(hangs.Addr().String()), make(chan struct{})
+	o, stop, told := openNotices(hangs.Addr().String()), make(chan struct{}), make(chan struct{}, 1)
 	defer close(stop)
-	o.client.ReadTimeout = long
+	o.times(long, noticeAgain)
 	go o.run(stop)
-	e := &event{id: "x", verdict: discarded, steps: make(chan step, 9)}
-	o.post(e)
+	o.post(notice{id: "x", verdict: discarded, told: func() { told <- struct{}{} }})
 	(&world{t: t}).until("it is out", func() bool { calls, _ := hangs.calls(); return calls == 1 })
 	o.move(after.Addr().String())
 	select {
@@ -1001,7 +1000,7 @@
 	case <-time.After(long / 2):
 		t.Fatal("the notice waits at the old address")
 	}
-	<-e.steps
+	<-told
 }
 
 func TestAForgottenEndpointsIndexWaitsForItsCalls(t *testing.T) {
--- a/node/phases.go
+++ b/node/phases.go
@@ -54,7 +54,7 @@
 
 	n.enter(Restoring)
 	go n.peers.hear()
-	go n.outcomes.run(stop)
+	go n.notices.run(stop)
 	go n.endpoints.sweep(stop)
 	n.restore()
 	go n.desk.run()
