Reuse connections that were refused something where refusals can be told apart

Cause: a message that may not be repeated avoided every connection on which anything was refused, since a copy of that refusal could send it twice. Change: reuse.Refusals learns which share of refusals on a connection look alike; below 0.15 such connections are used for all calls. An unlike refusal is surely its call's; one that is alike still counts as 'may have run', so nothing becomes less safe. A connection whose last answer was certain counts as in step without a rest.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -34,6 +34,7 @@
 	sites      []string
 	names      []string
 	reuse      []reuse.Endpoint
+	refusals   reuse.Refusals
 	busy       []int             // calls that know its index
 	idle       [][]*endpointConn // by endpoint, the one used last at the end
 	idles      int
@@ -138,9 +139,9 @@
 	for {
 		candidates := make([]reuse.Candidate, 0, len(p.idle[ep]))
 		for _, c := range p.idle[ep] {
-			candidates = append(candidates, reuse.Candidate{Rested: now - c.used, Refused: c.answers.Refused()})
+			candidates = append(candidates, reuse.Candidate{Rested: now - c.used, InStep: c.answers.InStep(), Refused: c.answers.Refused()})
 		}
-		i := p.reuse[ep].Choose(candidates, repeatable, now)
+		i := p.reuse[ep].Choose(candidates, repeatable, p.refusals.Distinct(), now)
 		if i < 0 {
 			return nil, p.dials[ep]
 		}
@@ -156,6 +157,13 @@
 	}
 }
 
+// learnRefusal takes in a refusal on a connection that was refused something before.
+func (p *endpoints) learnRefusal(alike bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusals.Read(alike)
+}
+
 // close closes a connection that carries a call.
 func (p *endpoints) close(conn *endpointConn, reason closeReason) {
 	p.mu.Lock()
--- a/node/sends.go
+++ b/node/sends.go
@@ -170,11 +170,17 @@
 	_, err := conn.in.buf.Peek(1)
 	c.answering.Store(err == nil)
 	answer := conn.in.read(c.sends)
-	if conn.attribute(answer) == lifecycle.Unconfirmed {
+	again := conn.answers.Refused() && answer.identity.NotRun
+	attribution := conn.attribute(answer)
+	switch {
+	case attribution == lifecycle.Unconfirmed:
 		c.followAnswer(conn, answer)
-	} else if answer.identity.Named {
+	case answer.identity.Named:
 		c.of.prove(conn)
 	}
+	if again {
+		c.of.learnRefusal(attribution == lifecycle.Unconfirmed)
+	}
 	switch finished := c.finish(answer.results...); {
 	case !finished:
 		c.of.close(conn, closeGivenUp)
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -13,6 +13,10 @@
 	restUnknown  = 500 * millisecond // before any answer was measured
 	slowestDecay = 16                // the slowest answer of late shrinks by this part with each quicker one
 
+	alikeFirst  = 0.25 // share of refusals that are taken to be alike before any was seen: two that differ prove enough
+	alikeKeep   = 0.25 // weight of a new one
+	alikeFewest = 0.15 // below this share a refused message that may not be repeated is seldom given up for want of proof
+
 	suspectFirst = 30 * second  // no connection is reused for so long after answers were out of step, doubling
 	suspectMost  = 600 * second // and so long at most
 )
@@ -52,29 +56,52 @@
 // Keeps tells whether connections are used for more than one call at present.
 func (e *Endpoint) Keeps(now int64) bool { return now >= e.suspectUntil }
 
+// Refusals learns whether the refusals on a connection can be told apart, by the reports or waits that they carry. Where
+// they can, a copy of one is known as such. It is shared by all endpoints, since each refuses seldom. The zero value has
+// seen none.
+type Refusals struct {
+	seen  bool
+	alike float64 // share of them that look like an earlier one on their connection
+}
+
+// Read takes in a refusal on a connection that was refused something before, and whether it looks like that.
+func (r *Refusals) Read(alike bool) {
+	if !r.seen {
+		r.seen, r.alike = true, alikeFirst
+	}
+	r.alike -= alikeKeep * r.alike
+	if alike {
+		r.alike += alikeKeep
+	}
+}
+
+// Distinct tells whether refusals can mostly be told apart.
+func (r *Refusals) Distinct() bool { return r.seen && r.alike < alikeFewest }
+
 // Candidate is an idle connection that might take a call.
 type Candidate struct {
 	Rested  int64 // since its last answer
+	InStep  bool  // its last answer was surely its call's
 	Refused bool  // an answer on it said that its call never ran
 }
 
 // Choose picks the idle connection for a call, the one used last standing at the end; -1 for a new one. A call that may
-// not be repeated goes only where a refusal of it can be no copy: on a connection that has rested and was never refused
-// anything. Others prefer rested connections that are of no use for those, the one used last, since unused ones grow
-// stale; else the one that has rested longest.
-func (e *Endpoint) Choose(idle []Candidate, repeatable bool, now int64) int {
+// not be repeated goes only where a refusal of it can be known for its own: on a connection in step that was never refused
+// anything, or any in step where refusals are distinct. Others prefer connections in step that are of no use for those, the one used last, since unused ones grow stale; else
+// the one that has rested longest.
+func (e *Endpoint) Choose(idle []Candidate, repeatable, distinct bool, now int64) int {
 	if !e.Keeps(now) {
 		return -1
 	}
 	rest, best := e.Rest(), -1
+	inStep := func(c Candidate) bool { return c.InStep || c.Rested >= rest }
 	for i, c := range idle {
-		rested := c.Rested >= rest
 		switch {
-		case !repeatable && (!rested || c.Refused):
+		case !repeatable && (!inStep(c) || (c.Refused && !distinct)):
 		case best < 0:
 			best = i
-		case !rested:
-		case idle[best].Rested < rest || c.Refused || !idle[best].Refused:
+		case !inStep(c):
+		case !inStep(idle[best]) || c.Refused || !idle[best].Refused:
 			best = i
 		}
 	}
