Take a request on once, however often it comes under its id

What callers saw: a request that a path repeats is taken on again once the first has ended, and forwarded again; after a refusal its copy is taken on though its client hands the message in anew. Cause: an id was known only while its event was owed. Evidence: TestARequestThatComesAgainIsTakenOnOnceAndAnsweredEachTime fails on the code before (2 calls). Why it works: clients give each request an id of its own, so one that comes again is a copy. Tests: TestJournalTellsEventsOfOneIdApart and the store's model now hold the store to refusing an id that is known to be over, and take it on after that time; TestAnOldJournalIsCarriedOver wants that an event which has ended does not come back with the old file (2 owed; it wanted 3). Measured: tests of node, store, reuse green.

--- a/node/attribution_test.go
+++ b/node/attribution_test.go
@@ -251,3 +251,62 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// Guards against a request that a path repeats: on its connection, on another one, while it is owed, after its end, after a
+// refusal and after a restart it is taken on once, and answered each time.
+func TestARequestThatComesAgainIsTakenOnOnceAndAnsweredEachTime(t *testing.T) {
+	w := newWorld(t)
+	at := w.endpoint(1, say(answerOf("200 OK", "", "")))
+	w.run()
+	taken, refused := request("taken", "charge", "1", 8000, ""), request("refused", "charge", "7", 8000, "")
+	c := w.dial()
+	io.WriteString(c, taken+taken)
+	for range 2 {
+		if status, _ := c.hear(""); status != statusTaken {
+			t.Errorf("on one connection: %d", status)
+		}
+	}
+	w.until("it has ended", w.journal.empty)
+	if status, _ := w.dial().hand(taken); status != statusTaken {
+		t.Errorf("after its end: %d", status)
+	}
+	c.hand(refused)
+	w.directory.mu.Lock()
+	w.directory.dests[7] = struct{}{} // it would be taken on now, though its client may have handed it in anew
+	w.directory.mu.Unlock()
+	if status, _ := w.dial().hand(refused); status != statusDeclined {
+		t.Errorf("after a refusal: %d", status)
+	}
+	if calls, _ := at.calls(); calls != 1 || !w.journal.empty() {
+		t.Errorf("%d calls", calls)
+	}
+	folder := killed(t, w.folder)
+	next := newWorld(t)
+	next.folder, next.hosts = folder, w.hosts
+	next.run()
+	if status, _ := next.dial().hand(taken); status != statusTaken {
+		t.Errorf("after a restart: %d", status)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if calls, _ := at.calls(); calls != 1 {
+		t.Errorf("%d calls after the restart", calls)
+	}
+}
+
+// Guards against requests of long ago that are remembered for good.
+func TestRequestsOfLongAgoAreForgotten(t *testing.T) {
+	var r received
+	for i := range receivedMost + 10 {
+		request, first := r.first(fmt.Sprint(i))
+		if !first {
+			t.Fatal("one that never came is known")
+		}
+		r.answer(request, answer{status: statusTaken})
+	}
+	if len(r.byID) != receivedMost || len(r.oldest) != receivedMost {
+		t.Errorf("%d are known, %d in order", len(r.byID), len(r.oldest))
+	}
+	if _, first := r.first("0"); !first {
+		t.Error("the oldest is still known")
+	}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -45,6 +45,7 @@
 	listener *listener
 	answer   func(*fasthttp.RequestCtx) // a request that could be read
 	bad      tally
+	received received
 }
 
 // Buffers are only held while a request is read and answered: most connections rest most of the time.
@@ -216,23 +217,32 @@
 	return !length || !coding
 }
 
-// handIn reads an event and waits for its life to say what its client hears.
+// handIn reads an event and answers its client.
 func (c *clients) handIn(ctx *fasthttp.RequestCtx) {
 	e, status, problem := c.node.readEvent(ctx)
 	if problem != "" {
 		c.turnAway(ctx, status, problem)
 		return
 	}
+	request, first := c.received.first(e.id)
+	if first {
+		c.received.answer(request, c.takeOn(ctx, e))
+	}
+	<-request.answered
+	c.reply(ctx, request.answer)
+}
+
+// takeOn takes an event on, or refuses it, and returns what its client hears.
+func (c *clients) takeOn(ctx *fasthttp.RequestCtx, e *event) answer {
 	if reason := c.node.refuses(e); reason != "" {
 		logRefusal(e.id, reason)
-		c.reply(ctx, answer{status: statusDeclined, comeBack: c.node.desk.full()})
-		return
+		return answer{status: statusDeclined, comeBack: c.node.desk.full()}
 	}
 	if g, ok := ctx.Conn().(*clientConn); ok && logs.Debugging() {
 		logs.Event("clients", e.id).WithField("connection", g.id).Debug("a request came")
 	}
 	go c.node.life(e)
-	c.reply(ctx, <-e.answer)
+	return <-e.answer
 }
 
 // reply tells a client that its event is taken on, or when to come back.
--- a/node/journal.go
+++ b/node/journal.go
@@ -17,6 +17,7 @@
 	disk trouble
 
 	store *store.Store
+	day   func() int64
 	stop  chan struct{}
 	done  chan struct{}
 }
@@ -30,6 +31,7 @@
 	errFull  = store.ErrFull
 	errOver  = store.ErrOver
 	errKnown = store.ErrKnown
+	errEnded = store.ErrEnded
 )
 
 // openJournal opens the folder's store and returns the events that it still owes, in the order of their
@@ -43,6 +45,7 @@
 	}
 	j := &journal{
 		store: s,
+		day:   day,
 		disk:  trouble{part: "journal", what: "writing a record"},
 		stop:  make(chan struct{}),
 		done:  make(chan struct{}),
@@ -95,7 +98,7 @@
 			came, err = j.store.Take(e)
 			return err
 		})
-		if errors.Is(err, errKnown) {
+		if errors.Is(err, errKnown) || errors.Is(err, errEnded) {
 			continue
 		}
 		if err != nil {
@@ -163,8 +166,11 @@
 // over writes that nothing more is owed for an event.
 func (j *journal) over(e *event) *store.Receipt { return j.forget(e.id, e.came) }
 
-// forget is over for an event that is known by its id and its place in the order of coming.
-func (j *journal) forget(id string, came uint64) *store.Receipt { return j.store.Complete(id, came, 0) }
+// forget is over for an event that is known by its id and its place in the order of coming. One that comes again under
+// its id is known for a while, also to the next process.
+func (j *journal) forget(id string, came uint64) *store.Receipt {
+	return j.store.Complete(id, came, j.day()+int64(endedFor))
+}
 
 // owed counts the events that are owed an end.
 func (j *journal) owed() int { return j.store.Owed() }
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -204,13 +204,23 @@
 }
 
 func TestJournalTellsEventsOfOneIdApart(t *testing.T) {
-	folder := t.TempDir()
-	j, _ := reopen(t, folder, 3)
+	folder, ahead := t.TempDir(), int64(0)
+	day := func() int64 { return wall() + ahead }
+	j, _, err := openJournal(folder, store.Dir(folder), day, 3, 6, anyName)
+	if err != nil {
+		t.Fatal(err)
+	}
 	first, second := &event{id: "e"}, &event{id: "e"}
 	_ = j.take(first, "alert", "acme")
 	_ = j.began(first, 0, 50, "zone")
 	j.over(first)
-	_ = j.take(second, "alert", "acme")
+	if err := j.take(second, "alert", "acme"); !errors.Is(err, errEnded) {
+		t.Errorf("it is taken on again just after its end: %v", err)
+	}
+	ahead = int64(endedFor)
+	if err := j.take(second, "alert", "acme"); err != nil {
+		t.Errorf("a later one of its id: %v", err)
+	}
 	j.ended(first, 0, port.Acked)
 	j.over(first)
 	if err := j.began(first, 1, 60, "zone"); !errors.Is(err, errOver) {
@@ -297,8 +307,8 @@
 			t.Errorf("e1 came back as %+v", e.past)
 		}
 	}
-	if len(owed) != 3 {
-		t.Errorf("%d events owed, each of them once: want 3", len(owed))
+	if len(owed) != 2 {
+		t.Errorf("%d events owed, each of them once, and none that has ended: want 2", len(owed))
 	}
 }
 
--- a/node/life.go
+++ b/node/life.go
@@ -82,7 +82,7 @@
 	}
 	l.node.held.Add(-1)
 	switch {
-	case errors.Is(err, errKnown): // it came twice: it is owed already
+	case errors.Is(err, errKnown), errors.Is(err, errEnded): // it came before a restart
 		l.answerClient(statusTaken, 0)
 		return false
 	case errors.Is(err, errFull):
--- a/store/store.go
+++ b/store/store.go
@@ -35,6 +35,7 @@
 var (
 	ErrFull  = errors.New("store: no room for another event")
 	ErrKnown = errors.New("store: the event is owed already")
+	ErrEnded = errors.New("store: an event of this id has ended")
 	ErrOver  = errors.New("store: nothing is owed for the event")
 	errShut  = errors.New("store: closed")
 )
@@ -194,7 +195,7 @@
 }
 
 // Take writes that an event was taken on. Its body is not kept in memory. The error is ErrKnown for one that
-// is owed already and ErrFull where there is no room for all that may be written of it.
+// is owed already, ErrEnded while one of its id is known to be over, and ErrFull where there is no room for all that may be written of it.
 //
 // What it returns tells this event from another of the same id, in the calls about it: 0 stands for whichever
 // is owed.
@@ -210,6 +211,10 @@
 		s.mu.Unlock()
 		return 0, ErrKnown
 	}
+	if past := s.past[e.ID]; past != nil && past.until > s.clock() {
+		s.mu.Unlock()
+		return 0, ErrEnded
+	}
 	if (s.live+need)*8/liveEighth > s.most || s.used()+need > s.most-s.segSize {
 		s.mu.Unlock()
 		return 0, ErrFull
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -74,6 +74,9 @@
 	switch what {
 	case 0:
 		if _, err = s.Take(event(i, strings.Repeat("b", i*37%900))); err == nil {
+			if m.over[id] {
+				return fmt.Errorf("%s is known to be over and was taken on again", id)
+			}
 			m.owed[id] = true
 			delete(m.over, id)
 			delete(m.ran, id)
@@ -90,7 +93,11 @@
 		err = s.Resolve(id, 0, Discarded, 0).Wait()
 	case 4:
 		delete(m.owed, id) // from the call on the event may be over
-		if err = s.Complete(id, 0, now+5e9).Wait(); err == nil {
+		until := int64(0) // every second one may come again under its id
+		if i%2 == 1 {
+			until = now + 5e9
+		}
+		if err = s.Complete(id, 0, until).Wait(); err == nil && until > 0 {
 			m.over[id] = true
 		}
 	case 5:
@@ -102,7 +109,7 @@
 	case 7:
 		_, err = s.Compact(500)
 	}
-	if errors.Is(err, ErrOver) || errors.Is(err, ErrKnown) || errors.Is(err, ErrFull) {
+	if errors.Is(err, ErrOver) || errors.Is(err, ErrKnown) || errors.Is(err, ErrEnded) || errors.Is(err, ErrFull) {
 		return nil
 	}
 	return err
