Pass over a list of endpoints that comes again behind a newer one

Cause: a whole list was taken whatever its version, so a copy of an older one behind a newer one on the same watch brought back endpoints that had begun to drain, and nodes would send to them. Evidence: TestAListThatComesAgainChangesNothing fails on the code before. Change: the version of a watch never goes back. Where a new watch begins with an older whole list, it counts as failed and is opened anew; the second one that says so is believed, since discovery may have gone back. Counted as jaspersill_older_lists_total.

--- a/node/attribution_test.go
+++ b/node/attribution_test.go
@@ -310,3 +310,39 @@
 		t.Error("the oldest is still known")
 	}
 }
+
+// Guards against an older list that comes again behind a newer one and brings back what was removed since.
+func TestAListThatComesAgainChangesNothing(t *testing.T) {
+	list := func(seq int, whole bool, health string) string {
+		return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[{"host":"a","block":3,"health":%q}]}`+"\n", seq, whole, health)
+	}
+	var mu sync.Mutex
+	watches := 0
+	at := newPeer(t, func(conn net.Conn, _ string) bool {
+		mu.Lock()
+		watches++
+		first := watches == 1
+		mu.Unlock()
+		lines := []string{list(5, true, "Ready")} // each later watch begins with a list from long ago
+		if first {
+			lines = []string{list(7, true, "Ready"), list(9, false, "Terminating"), list(7, true, "Ready"), list(9, false, "Terminating")}
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, line := range lines {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
+		}
+		return first
+	})
+	d, r := listen(t, at.Addr().String())
+	d.watch(true)
+	want := "whole=true 0/0/2/2/2/0 ; whole=false 0/0/2/2/1/0 ; whole=false ; whole=false 0/0/2/2/1/0 ;"
+	w := &world{t: t}
+	w.until("the first watch is read", func() bool { return len(r.all()) >= len(want) })
+	if got := r.all(); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	d.watch(true)
+	w.until("a watch that begins with an older list fails", func() bool { return r.all() == want+" failed" })
+	d.watch(true)
+	w.until("the second one is believed", func() bool { return strings.HasPrefix(r.all(), want+" failed whole=true 0/0/2/2/2/0 ;") })
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fastjson"
 
 	"jaspersill/logs"
+	"jaspersill/metrics"
 	"jaspersill/port"
 	"jaspersill/start"
 )
@@ -50,6 +51,7 @@
 
 	mu     sync.Mutex
 	seq    uint64
+	older  int                 // watches in a row that began with an older version than is known
 	newest *watch              // nil for none wanted
 	open   map[*watch]struct{} // the newest, and those before it until it stands
 	dests  map[uint32]struct{} // destinations that were ever listed
@@ -59,6 +61,7 @@
 type watch struct {
 	cancel     context.CancelFunc
 	connection uint64 // its connection's id in the log
+	told       bool   // it brought a list
 }
 
 // zone maps a zone's name to its index; an unknown one is one more.
@@ -269,15 +272,18 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.stands(of) { // danger: what a watch says that was replaced may be older than what the new one said
+	if !d.isOpen(of) { // what a watch says that was replaced may be older than what the new one said
 		return nil
 	}
-	seq := v.GetUint64("seq")
-	if seq < d.seq && !whole { // danger: while one watch follows another, a change may come again behind a later
-		list = nil
-	} else {
-		d.seq = seq
+	switch seq := v.GetUint64("seq"); d.takes(of, seq, whole) {
+	case listApplied:
+		d.seq, d.older = seq, 0
+	case listOlder: // it came again behind a later one
+		list, whole = nil, false
+	case listUnproven:
+		return errOlderList
 	}
+	d.stands(of)
 	for _, e := range list {
 		d.dests[e.dest] = struct{}{}
 	}
@@ -299,15 +305,55 @@
 	return nil
 }
 
-// stands notes a sign of life of a watch; it tells false for one that was ended.
-func (d *directory) stands(of *watch) bool {
-	if _, open := d.open[of]; of != nil && !open {
-		return false
+// listOrder is what becomes of a list, by its version.
+type listOrder uint8
+
+const (
+	listApplied  listOrder = iota
+	listOlder              // it is a copy: its watch told a later version before
+	listUnproven           // a new watch begins with an older version: a copy, or discovery has gone back
+)
+
+// olderProven is how many watches in a row have to begin with an older version until that counts as discovery's own.
+const olderProven = 2
+
+var (
+	errOlderList = errors.New("a new watch begins with an older list")
+	olderLists   = metrics.New("jaspersill_older_lists_total", "Lists from discovery that were passed over, as a later one had come.")
+)
+
+// takes decides by its version what becomes of a list. The version of a watch never goes back, so an older one on it is a
+// copy. Where a new watch begins with an older whole list, the next one has to say so too. The lock is held.
+func (d *directory) takes(of *watch, seq uint64, whole bool) listOrder {
+	fresh := of == nil || !of.told
+	if of != nil {
+		of.told = true
 	}
-	if of != nil && of == d.newest {
+	if seq >= d.seq || of == nil {
+		return listApplied
+	}
+	if fresh && whole {
+		if d.older++; d.older >= olderProven {
+			return listApplied
+		}
+		olderLists.Add()
+		return listUnproven
+	}
+	olderLists.Add()
+	return listOlder
+}
+
+// isOpen tells whether a watch was not ended, or what it told is the list from before the start.
+func (d *directory) isOpen(of *watch) bool {
+	_, open := d.open[of]
+	return of == nil || open
+}
+
+// stands notes a sign of life of a watch: the newest replaces those before it.
+func (d *directory) stands(of *watch) {
+	if of != nil && of == d.newest && d.isOpen(of) {
 		d.endOthers()
 	}
-	return true
 }
 
 func (d *directory) close() { d.watch(false) }
