Take a peer's datagram for news only once, and in the order in which it was sent

Cause: a datagram that says that an endpoint answers well was believed whenever it came: twice, behind a later one, or from the peer's process before a restart, and could bring an endpoint back that has failed since, on top of the budget for its slow start. Change: a datagram names its sender's process, by the time of its start, and its number; older ones are dropped and counted.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -141,6 +141,7 @@
 // belongs to which request cannot be told there.
 func (c *client) handDisturbed(r *request, status int, err error) {
 	c.ledger.count("on a disturbed connection")
+	c.ledger.disturbs(r)
 	if err != nil {
 		status = 0
 	}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -74,6 +74,8 @@
 	status   int // that its client heard, 0 for none
 	heard    time.Duration
 	trouble  string // why its client has no complete answer
+
+	disturbed bool // the connection that it was written to was disturbed
 	attempts []attempt
 	done     time.Duration // when an endpoint's 200 was written
 
@@ -224,6 +226,13 @@
 	}
 }
 
+// disturbs notes that a request was written to a connection that was disturbed.
+func (l *ledger) disturbs(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.disturbed = true
+}
+
 func (l *ledger) leaves(node int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,7 @@
 		partners: s.PartnerNames, zones: s.ZoneNames, rated: s.Rated,
 		answers: trouble{part: "directory", what: "watching the list"}}
 	n.notices = openNotices(at.Directory)
-	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk); err != nil {
+	if n.peers, err = openPeers(at.PeerListen, at.PeersAll, at.Peers, s.Fleet.Me, n.desk, c.day()); err != nil {
 		n.journal.close()
 		return nil, err
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,10 +2,12 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"jaspersill/errclass"
 	"jaspersill/logs"
+	"jaspersill/metrics"
 	"jaspersill/note"
 	"jaspersill/port"
 )
@@ -16,10 +18,26 @@
 	all    *net.UDPAddr
 	number map[string]int // of each peer, by its address
 	desk   *desk
+
+	process uint64 // that this process sends under
+	sent    atomic.Uint32
+	newest  map[int]heardNote // by peer; of the goroutine that hears
+}
+
+// heardNote is the newest datagram of a peer, and when it came.
+type heardNote struct {
+	order note.Order
+	at    time.Time
 }
 
-func openPeers(address, all string, list []string, me int, d *desk) (*peers, error) {
-	p := &peers{number: make(map[string]int), desk: d}
+// lateMost is how long a datagram may be on its way. A peer whose process seems older than the one before, after a longer
+// silence, has had its clock set back.
+const lateMost = 10 * time.Second
+
+var lateNotes = metrics.New("jaspersill_late_peer_datagrams_total", "Datagrams of peers that came again, or behind a later one.")
+
+func openPeers(address, all string, list []string, me int, d *desk, day int64) (*peers, error) {
+	p := &peers{number: make(map[string]int), desk: d, process: uint64(day), newest: make(map[int]heardNote)}
 	if address == "" || all == "" {
 		return p, nil // the deployment has no notes
 	}
@@ -55,9 +73,13 @@
 			continue
 		}
 		peer, known := p.number[from.String()]
-		host, ok := note.ReadGoodHost(buf[:size])
-		if !known || !ok {
-			continue // danger: a stray datagram must not bring an endpoint back
+		host, order, ok := note.ReadGoodHost(buf[:size])
+		if !known || !ok { // a stray datagram must not bring an endpoint back
+			continue
+		}
+		if !p.isNews(peer, order, time.Now()) { // nor one from before its last outage
+			lateNotes.Add()
+			continue
 		}
 		p.desk.hear(func(to port.Intake) {
 			if ep, listed := p.desk.eps.Find(host); listed {
@@ -67,8 +89,18 @@
 	}
 }
 
+// isNews tells whether a datagram of a peer is later than all that came of it, and notes it.
+func (p *peers) isNews(peer int, order note.Order, now time.Time) bool {
+	newest, heard := p.newest[peer]
+	if heard && !order.After(newest.order) && (order.Process == newest.order.Process || now.Sub(newest.at) < lateMost) {
+		return false
+	}
+	p.newest[peer] = heardNote{order, now}
+	return true
+}
+
 func (p *peers) tellGood(host string) {
-	data := note.GoodHost(host)
+	data := note.GoodHost(host, note.Order{Process: p.process, Number: p.sent.Add(1)})
 	if p.socket == nil || len(data) > note.Longest {
 		return
 	}
--- a/note/note.go
+++ b/note/note.go
@@ -6,9 +6,26 @@
 
 const (
 	kindGood     = 1
-	kindGoodHost = 2
+	kindGoodHost = 3 // 2 had no order
 )
 
+const orderSize = 8 + 4 // bytes
+
+// Order places a datagram among those of its sender, over all its processes. Datagrams may come late, twice and in
+// another order than they were sent.
+type Order struct {
+	Process uint64 // when the sending process started; greater for a later one
+	Number  uint32 // of the datagram in that process
+}
+
+// After tells whether a datagram was sent after another one.
+func (o Order) After(other Order) bool {
+	if o.Process != other.Process {
+		return o.Process > other.Process
+	}
+	return o.Number > other.Number
+}
+
 // Longest is the most bytes that a note may have.
 const Longest = 256
 
@@ -26,12 +43,16 @@
 }
 
 // GoodHost is Good where endpoints have names.
-func GoodHost(host string) []byte { return append([]byte{kindGoodHost}, host...) }
+func GoodHost(host string, o Order) []byte {
+	data := binary.LittleEndian.AppendUint64([]byte{kindGoodHost}, o.Process)
+	return append(binary.LittleEndian.AppendUint32(data, o.Number), host...)
+}
 
 // ReadGoodHost decodes a note made by GoodHost; ok is false for any other text.
-func ReadGoodHost(data []byte) (host string, ok bool) {
-	if len(data) < 2 || len(data) > Longest || data[0] != kindGoodHost {
-		return "", false
+func ReadGoodHost(data []byte) (host string, o Order, ok bool) {
+	if len(data) < 1+orderSize+1 || len(data) > Longest || data[0] != kindGoodHost {
+		return "", Order{}, false
 	}
-	return string(data[1:]), true
+	o = Order{Process: binary.LittleEndian.Uint64(data[1:]), Number: binary.LittleEndian.Uint32(data[9:])}
+	return string(data[1+orderSize:]), o, true
 }
