--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -76,8 +76,8 @@
 	trouble  string // why its client has no complete answer
 
 	disturbed bool // the connection that it was written to was disturbed
-	attempts []attempt
-	done     time.Duration // when an endpoint's 200 was written
+	attempts  []attempt
+	done      time.Duration // when an endpoint's 200 was written
 
 	deliveredBy int // the attempt that it answered
 	noticed     time.Duration
