Write a call anew before each try, without the attempts that were recalled meanwhile

Cause: a call of several is written as one text, made before its first byte. While nothing can be written (EHOSTUNREACH for 0.7 s), an attempt of it that is recalled was told to be unsent, and its bytes went out with the others' all the same. Change: the text is made anew before each try, from the sends that are left. Measured: TestACallThatIsHeldUpGoesOutWithoutWhatWasRecalled failed before (the body held both messages) and passes; node's tests green.

--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -464,6 +464,40 @@
 	}
 }
 
+// Guards against an attempt that was recalled, and told to be unsent, and goes out in the bytes of a call of several.
+func TestACallThatIsHeldUpGoesOutWithoutWhatWasRecalled(t *testing.T) {
+	bodies := make(chan string, 10)
+	at := newPeer(t, func(conn net.Conn, body string) bool {
+		bodies <- body
+		return say(answerOf("200 OK", "", "kept done\r\n"))(conn, body)
+	})
+	p := newEndpoints(t, at.Addr().String())
+	usual := p.dial
+	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := usual(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &faultyConn{TCPConn: conn.(*net.TCPConn), errno: syscall.EHOSTUNREACH, writes: 20, none: true}, nil
+	}
+	c := &call{of: p}
+	kept, recalled := newSend(t, c, "kept", long), newSend(t, c, "recalled", long)
+	kept.event.body, recalled.event.body = []byte("of the one"), []byte("of the other")
+	c.sends = []*send{recalled, kept}
+	go p.carry(c)
+	time.Sleep(50 * time.Millisecond) // its first byte cannot be written
+	c.recall(recalled)
+	if r := ending(t, recalled); r.how != port.Unsent {
+		t.Errorf("recalled: %+v", r)
+	}
+	if r := ending(t, kept); r.how != port.Acked {
+		t.Errorf("the other: %+v", r)
+	}
+	if body := <-bodies; strings.Contains(body, "of the other") || !strings.Contains(body, "of the one") {
+		t.Errorf("what went out: %q", body)
+	}
+}
+
 // Guards against an attempt that goes out while the answer which told to wait cannot be read.
 func TestNothingIsSentWhileAnAnswerCannotBeRead(t *testing.T) {
 	at := newPeer(t, say(answerOf("200 OK", "", "")))
--- a/node/sends.go
+++ b/node/sends.go
@@ -84,17 +84,9 @@
 	if conn == nil {
 		return
 	}
-	out := bytebufferpool.Get()
-	defer bytebufferpool.Put(out)
-	if err := writeCall(out, c.sends, timeout); err != nil {
-		logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
-		p.close(conn, closeUnwritten)
-		c.finish(result{how: port.Unsent})
-		return
-	}
-	size, err := c.write(conn, out.B)
-	if gaveUp := c.wrote(size == out.Len()); gaveUp || err != nil {
-		c.endUnanswered(conn, size < out.Len(), err)
+	whole, err := c.write(conn, timeout)
+	if gaveUp := c.wrote(whole); gaveUp || err != nil {
+		c.endUnanswered(conn, !whole, err)
 		return
 	}
 	c.readAnswer(conn)
@@ -321,22 +313,29 @@
 	return true
 }
 
-// write writes a call. While nothing of it can be written, for a reason of this machine, it asks each time whether the
-// call may still go out.
-func (c *call) write(conn *endpointConn, text []byte) (size int, err error) {
+// write writes a call, and tells whether its last byte was written. While nothing of it can be written, for a reason of
+// this machine, it asks each time whether the call may still go out, and which of its sends.
+func (c *call) write(conn *endpointConn, timeout int64) (whole bool, err error) {
+	text := bytebufferpool.Get()
+	defer bytebufferpool.Put(text)
 	for pause := callAgain; ; pause = min(2*pause, callAgainMost) {
-		size, err = conn.WriteUnlessFailing(text)
+		text.Reset()
+		if err := writeCall(text, c.sends, timeout); err != nil {
+			logs.Part("endpoints").WithError(err).Error("a call cannot be written as HTTP")
+			return false, err
+		}
+		size, err := conn.WriteUnlessFailing(text.B)
 		if size > 0 || errclass.Stream(err) != errclass.Momentary {
-			return size, err
+			return size == text.Len(), err
 		}
 		momentaryFailures.With("write").Add()
 		c.local.Store(true)
 		if !c.hold() {
-			return 0, err
+			return false, err
 		}
 		time.Sleep(pause)
 		if !c.leave(conn) {
-			return 0, err
+			return false, err
 		}
 	}
 }
