Heed the wait that any event of a call was told, and log milliseconds

Cause: the decision module takes in the outcome of a call once, with the first of its events. Events that it opened as one call may go out in two, as the node fills calls in the order of the sends; where the first event to end had no connection (EHOSTUNREACH for 0.7 s) and another one was told to wait, the wait was dropped. Change: each outcome's wait is heeded, whatever its call's first outcome was. Lines of the log have milliseconds, without which this could not be told.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -202,6 +202,8 @@
 	e := &n.events[evt]
 	if e.call >= 0 {
 		c := &n.calls[e.call]
+		// The events of a call may come to be sent in different ones, of which only one tells a wait.
+		n.lanes.wait(n.eps.lane[ep], n.now+wait)
 		if !c.judged {
 			c.judged = true
 			n.lanes.judge(n.eps.lane[ep], n.now, how, wait, left, told)
@@ -727,7 +729,8 @@
 }
 
 func (l *lanes) judge(lane int32, now int64, how port.Outcome, wait int64, left, limit float64) {
-	l.limit[lane], l.waitUntil[lane] = cmp.Or(limit, l.limit[lane]), max(l.waitUntil[lane], now+wait)
+	l.limit[lane] = cmp.Or(limit, l.limit[lane])
+	l.wait(lane, now+wait)
 	switch {
 	case how == port.Acked && l.pace[lane] > 0:
 		span := float64(min(now-l.climbAt[lane], paceSpan)) / float64(second)
@@ -749,6 +752,9 @@
 	}
 }
 
+// wait notes that a lane was told to wait until a time. It never makes a wait shorter.
+func (l *lanes) wait(lane int32, until int64) { l.waitUntil[lane] = max(l.waitUntil[lane], until) }
+
 func (l *lanes) lastSecond(lane int32, now int64) int {
 	l.recent[lane] = slices.DeleteFunc(l.recent[lane], func(at int64) bool { return at <= now-second })
 	return len(l.recent[lane])
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -15,6 +15,9 @@
 	heldField  = "held_back"
 	manyKinds  = 256 // messages told apart; beyond, the others share one count: memory stays bounded
 	otherKinds = "other messages"
+
+	// timestampFormat has milliseconds: answers and the calls that they are told apart from come within a few.
+	timestampFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 // Gate decides which lines are written, and formats them. The zero value is not ready: use New.
@@ -48,9 +51,9 @@
 func (g *Gate) Set(format, level string, parts map[string]string, burst int, window time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inner = &logrus.TextFormatter{DisableColors: true, FullTimestamp: true}
+	g.inner = &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timestampFormat}
 	if format == "json" {
-		g.inner = &logrus.JSONFormatter{}
+		g.inner = &logrus.JSONFormatter{TimestampFormat: timestampFormat}
 	}
 	g.level, g.parts, g.burst, g.window = weight(level), make(map[string]logrus.Level), burst, window
 	for part, level := range parts {
