Allow in the soak for a delivery that its node could not read before it died

No program could have known of the delivery, and a restart may send again what may have run inside its window; the ledger counted the time to write it down from the delivery. Change: the time counts from when the node could read. Three cases hold the ledger to it: still a violation without a kill, and where there was time to read and write before the kill.

--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -116,7 +116,7 @@
 		if death < since || death > until {
 			return false
 		}
-		writable := since
+		writable := l.heardFrom(node, since)
 		for _, s := range l.diskFaults[node] {
 			if s.from <= death && s.to > writable {
 				writable = s.to
@@ -126,6 +126,16 @@
 	})
 }
 
+// heardFrom is when a node could first read what was written to it at a time.
+func (l *ledger) heardFrom(node int, at time.Duration) time.Duration {
+	for _, s := range l.deaf[node] {
+		if s.from <= at && s.to > at {
+			at = s.to
+		}
+	}
+	return at
+}
+
 // possible puts a time off at which a final answer is due until one can be written at all: where every write on the
 // node's sockets has failed from the deadline until then, no program could have told it.
 func (l *ledger) possible(node int, deadline, due time.Duration) time.Duration {
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -107,6 +107,7 @@
 	deaths     map[int][]time.Duration
 	mute       map[int][]span // by node, while all writes on its sockets fail
 	diskFaults map[int][]span // by node, while calls on its folder fail
+	deaf       map[int][]span // by node, while all reads on its sockets fail
 	platform   map[int][]span // by node, while its connections to the platform are disturbed
 	violations []Violation
 	counts     map[string]int
@@ -115,8 +116,8 @@
 
 func newLedger() *ledger {
 	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{}, diskFaults: map[int][]span{},
-		platform: map[int][]span{},
-		counts:   map[string]int{}}
+		platform: map[int][]span{}, deaf: map[int][]span{},
+		counts: map[string]int{}}
 }
 
 func (l *ledger) now() time.Duration { return time.Since(l.began) }
@@ -261,6 +262,13 @@
 	l.mute[node] = append(l.mute[node], span{l.now(), l.now() + long})
 }
 
+// deafens notes that all reads on a node's sockets fail for so long.
+func (l *ledger) deafens(node int, long time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deaf[node] = append(l.deaf[node], span{l.now(), l.now() + long})
+}
+
 // disturbsPlatform notes that a node's connections to the platform are disturbed for so long.
 func (l *ledger) disturbsPlatform(node int, long time.Duration) {
 	l.mu.Lock()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -72,6 +72,23 @@
 			r.attempts[0].at = 2*second + second/2
 		}},
 		{"forwarded after its deadline", RuleAfterEnd, func(r *request, _ *ledger) { r.attempts[0].at, r.done = 4*second, 0; r.noticed = 3 * second }},
+		{"forwarded after its delivery", RuleAfterEnd, func(r *request, _ *ledger) {
+			r.class = Keyed
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+		}},
+		{"forwarded after a delivery that its node could not read before it died", "", func(r *request, l *ledger) {
+			r.class = Keyed
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+			l.deaf[0] = []span{{second, 22 * second / 10}}
+			l.deaths[0] = []time.Duration{23 * second / 10}
+		}},
+		{"forwarded after a delivery that its node had time to read and write down before it died", RuleAfterEnd,
+			func(r *request, l *ledger) {
+				r.class, r.deadline = Keyed, 4*second
+				r.attempts = append(r.attempts, attempt{at: 7 * second / 2})
+				l.deaf[0] = []span{{second, 22 * second / 10}}
+				l.deaths[0] = []time.Duration{3 * second}
+			}},
 		{"ran twice", RuleRepeat, func(r *request, _ *ledger) {
 			r.attempts = append(r.attempts, attempt{at: second + second/10, ran: true})
 		}},
