--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -38,6 +38,7 @@
 	leastDeadline   = 300 * time.Millisecond
 	mostDeadline    = 3 * time.Second
 	awayRest        = 50 * time.Millisecond
+	lingerTime      = 1200 * time.Millisecond // more than a path holds a piece back
 )
 
 // run hands in a request each so often until ctx ends. accepts tells whether new connections go to the node.
@@ -146,7 +147,10 @@
 		status = 0
 	}
 	c.ledger.hears(r, status, "")
-	c.drop()
+	if conn := c.conn; conn != nil { // what the path still holds back may reach the node
+		c.conn = nil
+		time.AfterFunc(lingerTime, func() { conn.Close() })
+	}
 }
 
 // errUnread is a connection that ended before the first byte of an answer.
