Keep a connection for notices whose post could not be written, and clear its deadline

The deadline of a post stayed on its connection, which then counted as ended, so that the one kept for such times was of no use; and a connection of which no byte could be written, for a reason of this machine, was closed. Change: the deadline is cleared behind each post, and a connection on which nothing was written stays the next one.

--- a/node/attribution_test.go
+++ b/node/attribution_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -225,7 +226,8 @@
 	})
 	n, stop, told := openNotices(platform.Addr().String()), make(chan struct{}), make(chan struct{}, 10)
 	defer close(stop)
-	n.times(noticeWithin, time.Millisecond)
+	const within = 50 * time.Millisecond
+	n.times(within, time.Millisecond)
 	go n.run(stop)
 	post := func(id string) {
 		n.post(notice{id: id, verdict: discarded, told: func() { told <- struct{}{} }})
@@ -239,6 +241,7 @@
 	post("second")
 	<-heard
 	<-told
+	time.Sleep(2 * within) // it rests for longer than an answer may take
 	post("third")
 	select {
 	case <-heard:
@@ -346,3 +349,27 @@
 	d.watch(true)
 	w.until("the second one is believed", func() bool { return strings.HasPrefix(r.all(), want+" failed whole=true 0/0/2/2/2/0 ;") })
 }
+
+// Guards against an unused connection that is given up because nothing can be written for a moment, when no other can be
+// opened either.
+func TestANoticeThatCannotBeWrittenKeepsItsConnection(t *testing.T) {
+	heard := make(chan string, 10)
+	platform := newPeer(t, func(conn net.Conn, body string) bool {
+		heard <- body
+		return say("HTTP/1.1 204 No Content\r\n\r\n")(conn, body)
+	})
+	n, stop, told := openNotices(platform.Addr().String()), make(chan struct{}), make(chan struct{}, 10)
+	defer close(stop)
+	n.times(30*time.Millisecond, time.Millisecond)
+	n.renewSpare()
+	spare := n.spare
+	spare.Conn = &faultyConn{TCPConn: spare.Conn.(*net.TCPConn), errno: syscall.ENOMEM, writes: 10, none: true}
+	platform.Listener.Close()
+	go n.run(stop)
+	n.post(notice{id: "x", verdict: discarded, told: func() { told <- struct{}{} }})
+	select {
+	case <-told:
+	case <-time.After(long):
+		t.Fatal("it is never told, though its connection stands")
+	}
+}
--- a/node/notices.go
+++ b/node/notices.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -177,10 +179,14 @@
 			return err
 		}
 	}
-	err := n.exchange(conn, part)
+	sent, err := n.exchange(conn, part)
 	if err != nil {
-		conn.Close()
 		n.log(conn, part, noticeFailed, err)
+		if !sent {
+			n.keepSpare(conn)
+			return err
+		}
+		conn.Close()
 		go n.renewSpare()
 		return err
 	}
@@ -202,14 +208,14 @@
 	n.unsure += len(part)
 	n.used = nil
 	n.mu.Unlock()
-	err := n.exchange(conn, part)
+	sent, err := n.exchange(conn, part)
 	n.log(conn, part, noticeUnsure, err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err != nil {
 		n.unsure = 0
 	}
-	if err != nil || n.used != nil || conn.address != n.address {
+	if (err != nil && sent) || n.used != nil || conn.address != n.address {
 		conn.Close()
 		return
 	}
@@ -274,6 +280,11 @@
 	if err != nil {
 		return
 	}
+	n.keepSpare(conn)
+}
+
+// keepSpare keeps a connection on which nothing was written for the next post.
+func (n *notices) keepSpare(conn *platformConn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.spare != nil || conn.address != n.address {
@@ -307,32 +318,34 @@
 
 func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
 
-// exchange posts notices and reads the answer.
-func (n *notices) exchange(conn *platformConn, part []notice) error {
+// exchange posts notices and reads the answer. It tells whether a byte of them may have gone out, or the connection has
+// ended.
+func (n *notices) exchange(conn *platformConn, part []notice) (sent bool, err error) {
 	n.mu.Lock()
 	within := n.within
 	n.mu.Unlock()
 	if state := stateAtRest(conn.retryConn); state != restQuiet {
-		return fmt.Errorf("the connection is %s", state.closeReason())
+		return true, fmt.Errorf("the connection is %s", state.closeReason())
 	}
 	conn.SetDeadline(time.Now().Add(within))
+	defer conn.SetDeadline(time.Time{})
 	out := bytebufferpool.Get()
 	defer bytebufferpool.Put(out)
 	if err := writeNotices(out, conn.address, part); err != nil {
-		return err
+		return false, err
 	}
-	if _, err := conn.Write(out.B); err != nil {
-		return err
+	if written, err := conn.Write(out.B); err != nil {
+		return written > 0 || !errors.Is(err, os.ErrDeadlineExceeded), err
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	if err := resp.ReadLimitBody(conn.in, mostReply); err != nil {
-		return err
+		return true, err
 	}
 	if resp.StatusCode() != fasthttp.StatusNoContent {
-		return statusError(resp.StatusCode())
+		return true, statusError(resp.StatusCode())
 	}
-	return nil
+	return true, nil
 }
 
 // writeNotices writes a post of notices, one to a line.
