Allow in the soak for a node whose connections the platform ended while it can open none

Change: such a notice is due 0.3 s after connections can be opened again, only where the platform ended them in that time; two cases hold the ledger to it, and without the platform's part a late end is still a violation.

--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -84,6 +84,7 @@
 	if !down {
 		return
 	}
+	d.ledger.drops()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for conn := range d.conns {
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -144,6 +144,12 @@
 			due = s.to + noticeGrace
 		}
 	}
+	for _, s := range l.unopenable[node] { // the platform ended the connections that the node had, and it can open none
+		cutOff := slices.ContainsFunc(l.dropped, func(at time.Duration) bool { return s.from-socketGrace <= at && at < s.to })
+		if cutOff && s.from <= due && s.to+noticeGrace > due {
+			due = s.to + noticeGrace
+		}
+	}
 	for _, s := range l.platform[node] { // a notice may be held, cut off or reset on its way
 		if s.from <= due && s.to+noticeGrace > due {
 			due = s.to + noticeGrace
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -105,10 +105,12 @@
 	order      []*request
 	away       map[int][]span // by node, from its signal until it was ready again
 	deaths     map[int][]time.Duration
-	mute       map[int][]span // by node, while all writes on its sockets fail
-	diskFaults map[int][]span // by node, while calls on its folder fail
-	deaf       map[int][]span // by node, while all reads on its sockets fail
-	platform   map[int][]span // by node, while its connections to the platform are disturbed
+	mute       map[int][]span  // by node, while all writes on its sockets fail
+	diskFaults map[int][]span  // by node, while calls on its folder fail
+	deaf       map[int][]span  // by node, while all reads on its sockets fail
+	unopenable map[int][]span  // by node, while it can open no connection
+	dropped    []time.Duration // when the platform ended all its connections
+	platform   map[int][]span  // by node, while its connections to the platform are disturbed
 	violations []Violation
 	counts     map[string]int
 	events     []string // what was done to the system
@@ -116,7 +118,7 @@
 
 func newLedger() *ledger {
 	return &ledger{began: time.Now(), requests: map[string]*request{}, away: map[int][]span{}, deaths: map[int][]time.Duration{}, mute: map[int][]span{}, diskFaults: map[int][]span{},
-		platform: map[int][]span{}, deaf: map[int][]span{},
+		platform: map[int][]span{}, deaf: map[int][]span{}, unopenable: map[int][]span{},
 		counts: map[string]int{}}
 }
 
@@ -269,6 +271,20 @@
 	l.deaf[node] = append(l.deaf[node], span{l.now(), l.now() + long})
 }
 
+// sealsOff notes that a node can open no connection for so long.
+func (l *ledger) sealsOff(node int, long time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unopenable[node] = append(l.unopenable[node], span{l.now(), l.now() + long})
+}
+
+// drops notes that the platform ends all its connections.
+func (l *ledger) drops() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropped = append(l.dropped, l.now())
+}
+
 // disturbsPlatform notes that a node's connections to the platform are disturbed for so long.
 func (l *ledger) disturbsPlatform(node int, long time.Duration) {
 	l.mu.Lock()
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -272,6 +272,9 @@
 	if f.Call == sysfault.SocketRead && f.Share == 0 {
 		r.ledger.deafens(node, long)
 	}
+	if (f.Call == sysfault.SocketOpen || f.Call == sysfault.Connect) && f.Share == 0 {
+		r.ledger.sealsOff(node, long)
+	}
 	if onDisk(f.Call) {
 		r.ledger.failsDisk(node, long+f.Delay)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -66,6 +66,15 @@
 			r.done, r.noticed = 0, 4*second
 			l.mute[0] = []span{{2 * second, 4 * second}}
 		}},
+		{"a late end, and no connection could be opened until then", RuleFinal, func(r *request, l *ledger) {
+			r.done, r.noticed = 0, 4*second
+			l.unopenable[0] = []span{{2 * second, 4 * second}}
+		}},
+		{"a late end, but the platform had ended all connections and none could be opened", "", func(r *request, l *ledger) {
+			r.done, r.noticed = 0, 4*second
+			l.unopenable[0] = []span{{2 * second, 4 * second}}
+			l.dropped = []time.Duration{3 * second}
+		}},
 		{"forwarded though refused", RuleAfterEnd, func(r *request, _ *ledger) { r.status = 503 }},
 		{"forwarded after its notice", RuleAfterEnd, func(r *request, _ *ledger) {
 			r.done, r.noticed = 0, 2*second
