--- a/lab/soak/paths_test.go
+++ b/lab/soak/paths_test.go
@@ -38,3 +38,10 @@
 func TestANoticeThatNobodyReadIsToldAgain(t *testing.T) {
 	play(t, Options{Seed: 1, Nodes: 4, Length: 6 * time.Second, Only: onlyNotices})
 }
+
+// Guards against requests that are lost, ended twice or sent after their end while the bytes between all ends are repeated,
+// held, split, merged, cut off, dripped, altered and reset.
+func TestRulesAreKeptWhilePathsAreDisturbed(t *testing.T) {
+	play(t, Options{Seed: 2, Nodes: 6, Length: 6 * time.Second, Only: onlyPaths})
+	play(t, Options{Seed: 9002, Nodes: 8, Length: 6 * time.Second, Paths: true})
+}
