--- a/lab/faultproxy/faultproxy_test.go
+++ b/lab/faultproxy/faultproxy_test.go
@@ -32,6 +32,7 @@
 			if err != nil {
 				return
 			}
+			io.ReadFull(conn, make([]byte, 1)) // its client is connected, and does not meet a reset before
 			io.WriteString(conn, sent)
 			time.Sleep(100 * time.Millisecond)
 			conn.Close()
@@ -47,6 +48,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		io.WriteString(conn, "?")
 		got, _ := io.ReadAll(conn)
 		if !want(got) {
 			t.Errorf("%q: got %q", kind, got)
