Hear an answer that has been read and not looked at when its call times out

Cause: a call that times out is given more time if its answer has begun to come: if bytes stand on its connection, or the reader has said that it has some. Between the read and that word neither is so; given up then, the answer is dropped though it was read, so that no reset tells its endpoint either. Change: a read and the look at the connection exclude each other, and the read notes what it took under the same lock. Why it works: bytes are either still on the connection or noted, at any moment.

--- a/node/failing_test.go
+++ b/node/failing_test.go
@@ -612,3 +612,24 @@
 		t.Errorf("ended as %v", r.how)
 	}
 }
+
+// Guards against an answer that was taken off its connection and not looked at yet, in the moment in which its call times out.
+func TestAnAnswerThatIsBeingReadAtTheTimeOutIsHeard(t *testing.T) {
+	at := newPeer(t, say(answerOf("200 OK", "", "")))
+	p := newEndpoints(t, at.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conn := (&call{of: p, sends: nil}).connect(ctx, at.Addr().String())
+	conn.expect()
+	if conn.answerBegun() {
+		t.Error("an answer before its call")
+	}
+	io.WriteString(conn, "POST /inbox HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+	if _, err := conn.in.buf.Peek(1); err != nil { // all of it is in the buffer, and nobody was told
+		t.Fatal(err)
+	}
+	c := &call{of: p, conn: conn, bytes: all}
+	if c.giveUp(port.TimedOut); c.gaveUp || !c.extended {
+		t.Error("its call is given up")
+	}
+}
--- a/node/momentary.go
+++ b/node/momentary.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,6 +28,9 @@
 	net.Conn
 	delayedSince time.Time  // when a read first failed so; what was read since may have come then
 	stalls       func(bool) // hears when reads begin to fail so, and when they work again; nil for nobody
+
+	mu       sync.Mutex // held while bytes are taken off the connection, so that they are seen on one side or the other
+	received bool       // bytes were taken off it since it was last told to expect some
 }
 
 // Read implements net.Conn.
@@ -101,11 +105,16 @@
 func (c *retryConn) readOnce(b []byte) (n int, err error) {
 	raw := c.raw()
 	if raw == nil || len(b) == 0 {
-		return c.Conn.Read(b)
+		n, err = c.Conn.Read(b)
+		c.noteReceived(n)
+		return n, err
 	}
 	var failure error
 	err = raw.Read(func(descriptor uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		n, failure = syscall.Read(int(descriptor), b)
+		c.received = c.received || n > 0
 		return failure != syscall.EAGAIN
 	})
 	switch {
@@ -149,6 +158,26 @@
 	return nil
 }
 
+func (c *retryConn) noteReceived(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = c.received || n > 0
+}
+
+// expect begins to watch for an answer.
+func (c *retryConn) expect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = false
+}
+
+// answerBegun tells whether bytes came since expect, whether or not they were read.
+func (c *retryConn) answerBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received || c.hasUnread()
+}
+
 // hasUnread tells whether bytes can be read, without waiting and whatever the deadline is.
 func (c *retryConn) hasUnread() (unread bool) {
 	raw, err := c.SyscallConn()
--- a/node/sends.go
+++ b/node/sends.go
@@ -45,9 +45,8 @@
 	how    port.Outcome // when given up
 	sentAt int64        // its first byte
 
-	answering atomic.Bool // the first byte of its answer was read
-	extended  bool        // it timed out while its answer came, and has the time that the rest of one may take
-	local     atomic.Bool // connecting fails for a reason of this machine
+	extended bool        // it timed out while its answer came, and has the time that the rest of one may take
+	local    atomic.Bool // connecting fails for a reason of this machine
 }
 
 // progress is how much of a call has gone out.
@@ -159,8 +158,6 @@
 func (c *call) readAnswer(conn *endpointConn) {
 	dest := c.sends[0].event.dest
 	conn.stalls = func(on bool) { c.of.stalls(dest, on) }
-	_, err := conn.in.buf.Peek(1)
-	c.answering.Store(err == nil)
 	answer := conn.in.read(c.sends)
 	again := conn.answers.Refused() && answer.identity.NotRun
 	attribution := conn.attribute(answer)
@@ -307,6 +304,7 @@
 		return false
 	}
 	c.conn, c.bytes, c.sentAt = conn, some, now
+	conn.expect()
 	for _, s := range c.sends {
 		c.logAttempt(s, "an attempt goes out", nil)
 	}
@@ -372,7 +370,7 @@
 	if c.ended || c.gaveUp {
 		return
 	}
-	if how == port.TimedOut && c.bytes == all && !c.extended && (c.answering.Load() || c.conn.hasUnread()) { // its answer has begun to come
+	if how == port.TimedOut && c.bytes == all && !c.extended && c.conn.answerBegun() { // its answer has begun to come
 		c.extended = true
 		time.AfterFunc(restWithin, func() { c.giveUp(port.TimedOut) })
 		return
