--- a/store/store_test.go
+++ b/store/store_test.go
@@ -93,7 +93,7 @@
 		err = s.Resolve(id, 0, Discarded, 0).Wait()
 	case 4:
 		delete(m.owed, id) // from the call on the event may be over
-		until := int64(0) // every second one may come again under its id
+		until := int64(0)  // every second one may come again under its id
 		if i%2 == 1 {
 			until = now + 5e9
 		}
