--- a/choice/choice.go
+++ b/choice/choice.go
@@ -506,7 +506,7 @@
 		lane := n.eps.lane[ep]
 		switch {
 		case !n.eps.ready[ep] || n.now < n.lanes.waitUntil[lane]:
-		case e.mayHaveRun() && t.ByZone && n.eps.zone[ep] != ranZone: // danger: it does not know the mark
+		case e.mayHaveRun() && t.ByZone && n.eps.zone[ep] != ranZone: // it does not know the mark
 		case n.joinable(ep, t) >= 0:
 			return ep
 		case !n.eps.may(ep, n.now, cmp.Or(n.lanes.limit[lane], guessLimit)/n.lanes.ends[lane], n.lanes.nodes):
