Review case 2: a destination that was shut and told its wait is pushed over when it opens

Shown: a destination shuts for 12 s and tells each call to wait until it opens. Calls that were under way end with 200 after the first refusal. When the wait is over the nodes send it up to 1.5 times what it bears while cold, slack included. Code at fault: scheduler.go, endpoints.recordOutcome, restores an ejected endpoint on the answer to a call that left before the refusal; the warm-up is then counted from the beginning of the outage. Case 2 of before (discovery moved) is case 3 now.

--- a/review/cmd/moved/main.go
+++ b/review/cmd/moved/main.go
@@ -1,4 +1,4 @@
-// Command moved plays case 2: a new configuration moves discovery to another address, where the first calls are refused
+// Command moved plays case 3: a new configuration moves discovery to another address, where the first calls are refused
 // since it is crowded, while the old address still serves for some seconds.
 package main
 
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -625,7 +625,7 @@
 	defer log.Close()
 	n.process = exec.Command("/bin/sh", "-c", n.command)
 	n.process.Dir, n.process.Stdout, n.process.Stderr = n.root, log, log
-	n.process.Env = append(os.Environ(), "RELAY_NAME=n0", "RELAY_LISTEN="+n.Address, "RELAY_CONFIG="+n.configFile(),
+	n.process.Env = append(os.Environ(), fmt.Sprint("RELAY_NAME=", n.config["name"]), "RELAY_LISTEN="+n.Address, "RELAY_CONFIG="+n.configFile(),
 		"RELAY_STATE="+n.StateFolder(), fmt.Sprint("RELAY_DISCOVERY=", n.config["discovery"]))
 	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.process.Start(); err != nil {
@@ -707,8 +707,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
 	held, err := play(ctx, record, temporary, os.Getenv("TROUBLE") != "0")
 	cancel()
-	if log, readErr := os.ReadFile(filepath.Join(temporary, "node.log")); readErr == nil {
-		record.Log("the node's log follows\n%s", log)
+	for _, pattern := range []string{"node.log", "*/node.log"} {
+		names, _ := filepath.Glob(filepath.Join(temporary, pattern))
+		for _, name := range names {
+			if log, readErr := os.ReadFile(name); readErr == nil {
+				record.Log("the log of a node follows\n%s", log)
+			}
+		}
 	}
 	os.RemoveAll(temporary)
 	switch {
