--- a/review/cmd/cold/main.go
+++ b/review/cmd/cold/main.go
@@ -28,12 +28,12 @@
 	spare       = 1.2  // its capacity over its limit; the site has 1.2 to 1.5
 	rate        = 22.0 // messages a second for it
 	steadyRate  = 8.0  // for the other destination
-	meanWork    = 180 * time.Millisecond
+	meanWork    = 220 * time.Millisecond
 	sigma       = 1.0 // of the logarithm of the work
-	outages     = 4
-	quiet       = 5 * time.Second  // before each outage
-	shutFor     = 12 * time.Second // the site has 7.9 to 16 s
-	watchFor    = 9 * time.Second  // after each outage: the destination is warm then
+	outages     = 5
+	quiet       = 4 * time.Second  // before each outage
+	shutFor     = 10 * time.Second // the site has 7.9 to 16 s
+	watchFor    = 5 * time.Second  // after each outage
 	coldShare   = 0.31
 	warmAfter   = 9900 * time.Millisecond
 	multiple    = 1.5
