--- a/review/cmd/cold/main.go
+++ b/review/cmd/cold/main.go
@@ -26,8 +26,10 @@
 	slots       = 36
 	limit       = 60.0 // calls a second that the destination takes from all delivery nodes, as the list tells
 	spare       = 1.2  // its capacity over its limit; the site has 1.2 to 1.5
-	rate        = 22.0 // messages a second for it
-	steadyRate  = 8.0  // for the other destination
+	rate        = 21.0 // messages a second for it, of 88
+	steadyRate  = 67.0 // for the other destinations
+	steadyDests = 6
+	steadyWork  = 120 * time.Millisecond
 	meanWork    = 220 * time.Millisecond
 	sigma       = 1.0 // of the logarithm of the work
 	outages     = 5
@@ -129,13 +131,16 @@
 		go server.Serve(l)
 		hosts = append(hosts, kit.Host{Host: name, Dial: l.Addr().String(), Site: site, Class: class, Block: 0, Health: "Ready", Share: limit})
 	}
-	steady, err := kit.OpenEndpoint(record, "s-steady", site, class, 1, meanWork)
-	if err != nil {
-		return false, err
+	for i := range steadyDests {
+		steady, err := kit.OpenEndpoint(record, fmt.Sprint("s-steady-", i), site, class, i+1, steadyWork)
+		if err != nil {
+			return false, err
+		}
+		defer steady.Close()
+		steady.Host.Share = limit
+		hosts = append(hosts, steady.Host)
 	}
-	defer steady.Close()
-	steady.Host.Share = limit
-	service := kit.NewService(record, append(hosts, steady.Host))
+	service := kit.NewService(record, hosts)
 	var clients []*kit.Clients
 	for i := range nodes {
 		door, err := service.OpenDoor(fmt.Sprint("A", i))
@@ -162,7 +167,11 @@
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
 	for _, c := range clients {
-		for dest, perSecond := range []float64{rate / nodes, steadyRate / nodes} {
+		for dest := range 1 + steadyDests {
+			perSecond := rate / nodes
+			if dest > 0 {
+				perSecond = steadyRate / steadyDests / nodes
+			}
 			senders.Add(1)
 			go func() {
 				defer senders.Done()
