Refer to waiting events by their arrival, not by an index that is used again

Cause: scheduler.dispatch returned before it took ended events out of the waiting list while sends waited for the first list. The list held bare indices. The decision loop frees the index of an ended event a round later, so the next event got it, was appended as well, and stood in the list twice. When the list came, both entries were sent in one round.

Evidence: the log could not tell "two entries of one index" from "two inputs of one event" or "an outcome of another event that clears the call", so the decision loop now logs, at debug level, which event an index is assigned to and released by.

Change: an entry of the waiting list names the event by index and arrival number, so it cannot stand for a later event, and entries that wait no longer are removed in every round, also while sends are held.

--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -117,6 +117,7 @@
 		return free
 	})
 	for _, e := range d.removed {
+		d.logIndex(e, "event index released")
 		d.activeAttempts[e] = nil
 		d.eventIndex.Release(e)
 	}
@@ -145,6 +146,7 @@
 			d.activeAttempts, d.ended = append(d.activeAttempts, nil), append(d.ended, false)
 		}
 		d.ended[e.index] = false
+		d.logIndex(e.index, "event index assigned")
 		d.newEvents = append(d.newEvents, e.index)
 		dest, _ := d.destIndex.Acquire(e.dest)
 		to.Event(e.index, e.typ, e.customer, 0, e.monoDeadline-d.clock.now(), 0, dest)
@@ -154,6 +156,13 @@
 	})
 }
 
+// logIndex logs which event has an index, so that decisions about an index can be traced to their event.
+func (d *decisionLoop) logIndex(index int32, message string) {
+	if logs.DebugEnabled() {
+		logs.Event("node", d.eventIndex.ID(index).id).WithField("index", index).Debug(message)
+	}
+}
+
 // reportPastAttempts reports the attempts before a restart. One that was in flight when the process ended may have run.
 func (d *decisionLoop) reportPastAttempts(e *event, to delivery.Handler) {
 	ranAgo, zone, mayRun := int64(0), 0, false
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -94,7 +94,14 @@
 	rankFillCalls      = 1              // calls in flight at an endpoint before the next in rank is used: no queue forms there
 )
 
+// eventRef refers to one event. The index of an ended event is assigned again, its arrival number is not.
+type eventRef struct {
+	index   int32
+	arrival uint64
+}
+
 type event struct {
+	arrival                                       uint64 // number of the event since the start of the process
 	typ, sends, refusals, errors                  int
 	dest, call                                    int32 // call is -1 while no send is in flight
 	key                                           uint64
@@ -129,8 +136,10 @@
 	limits delivery.Limits
 
 	events                     []event
-	waiting, destLimiter       []int32 // live events with no send in flight, in order; a destination's shared limiter
-	calls                      []call  // entries with no outcomes to come are reused
+	waiting                    []eventRef // live events with no send in flight, in order
+	arrivals                   uint64     // events so far
+	destLimiter                []int32    // a destination's shared limiter
+	calls                      []call     // entries with no outcomes to come are reused
 	openCalls                  int
 	now, round                 int64
 	wakeAt, rankAt, orderPause int64 // orderPause: how long a key is held after a send that may still run
@@ -181,13 +190,14 @@
 func (s *Scheduler) Event(evt int32, typ, customer int, key uint64, left, work int64, dest int32) {
 	s.ensureDestination(dest)
 	t, age := &s.types[typ], s.types[typ].MaxAge-left // one submitted again by its client, or accepted before a restart, is not new
-	s.events = setAt(s.events, evt, event{typ: typ, dest: dest, call: -1, key: key, arrivedAt: s.now - age,
+	s.arrivals++
+	s.events = setAt(s.events, evt, event{arrival: s.arrivals, typ: typ, dest: dest, call: -1, key: key, arrivedAt: s.now - age,
 		notBefore: s.now, deadline: s.now + left - finalAnswerMargin, live: true, value: t.Utility,
 		slo: min(t.MaxAge, t.SLO+int64(t.SLOPerWork*float64(work)))})
 	if t.Ordered && key != 0 {
 		s.keyQueues.add(key, evt)
 	}
-	s.waiting = append(s.waiting, evt)
+	s.enqueue(evt)
 }
 
 // Resumed counts sends before a restart towards the maximum. One that was in flight then may have run, and may still be
@@ -382,7 +392,7 @@
 		s.finish(evt, delay)
 		return
 	}
-	s.waiting = append(s.waiting, evt)
+	s.enqueue(evt)
 }
 
 // lastSendTime returns the time from which an event must not be sent any more: it would arrive too late, or could take
@@ -503,33 +513,46 @@
 	return expired
 }
 
-// dispatch sends the waiting events that are due, those that lose most utility by waiting first. In the order of their
-// arrival, events that lose it fast would wait behind a backlog of those that lose little.
+// enqueue adds an event to those that wait to be sent.
+func (s *Scheduler) enqueue(evt int32) {
+	s.waiting = append(s.waiting, eventRef{index: evt, arrival: s.events[evt].arrival})
+}
+
+// isWaiting reports whether the event that a reference was made for still waits to be sent.
+func (s *Scheduler) isWaiting(ref eventRef) bool {
+	e := &s.events[ref.index]
+	return e.arrival == ref.arrival && e.live && e.call < 0
+}
+
+// dispatch sends the waiting events that are due, and forgets those that wait no longer.
 func (s *Scheduler) dispatch() {
-	if s.dir.holdsSends(s.now) {
-		return
+	if !s.dir.holdsSends(s.now) {
+		s.sendDue()
 	}
-	for _, evt := range s.waiting {
-		e, t := &s.events[evt], &s.types[s.events[evt].typ]
+	s.waiting = slices.DeleteFunc(s.waiting, func(ref eventRef) bool { return !s.isWaiting(ref) })
+}
+
+// sendDue sends the waiting events that are due, those that lose most utility by waiting first. In the order of their
+// arrival, events that lose it fast would wait behind a backlog of those that lose little.
+func (s *Scheduler) sendDue() {
+	for _, ref := range s.waiting {
+		e, t := &s.events[ref.index], &s.types[s.events[ref.index].typ]
 		e.waitCost = e.value * (utilityShare(t, e.slo, s.now-e.arrivedAt) -
 			utilityShare(t, e.slo, s.now-e.arrivedAt+priorityLookahead))
 	}
-	slices.SortStableFunc(s.waiting, func(a, b int32) int {
-		x, y := &s.events[a], &s.events[b]
+	slices.SortStableFunc(s.waiting, func(a, b eventRef) int {
+		x, y := &s.events[a.index], &s.events[b.index]
 		return cmp.Or(cmp.Compare(y.waitCost, x.waitCost), cmp.Compare(x.arrivedAt, y.arrivedAt))
 	})
-	for _, evt := range s.waiting {
-		e := &s.events[evt]
-		if ordered := s.types[e.typ].Ordered; e.live && s.now >= e.notBefore &&
-			(!ordered || s.keyQueues.mayStart(e.key, evt, e.sends > 0, s.now)) {
+	for _, ref := range s.waiting {
+		e := &s.events[ref.index]
+		if ordered := s.types[e.typ].Ordered; s.isWaiting(ref) && s.now >= e.notBefore &&
+			(!ordered || s.keyQueues.mayStart(e.key, ref.index, e.sends > 0, s.now)) {
 			if ep := s.pickEndpoint(e); ep >= 0 {
-				s.send(evt, ep)
+				s.send(ref.index, ep)
 			}
 		}
 	}
-	s.waiting = slices.DeleteFunc(s.waiting, func(evt int32) bool {
-		return !s.events[evt].live || s.events[evt].call >= 0
-	})
 }
 
 // utilityShare returns the share of an event's utility that is left at an age.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -24,6 +24,7 @@
 //	event E TYPE DEST [left D] [key N] [sends N] [ran D]   sends and ran: for an event accepted before a restart
 //	OUTCOME E [wait D] [took D] [limit N]                  the end of the event's current send
 //	withdrawn E
+//	released E                                             the index of an ended event is free: the next event gets it
 //	peer_healthy EP                                        a peer reports the endpoint as healthy
 //	retry_after MIN MAX                                    the retry-after time without capacity is in this range
 //	list full|delta|failed EP:DEST[:STATE[:ZONE]]...
@@ -234,10 +235,9 @@
 		num, dur := h.options(f, 4)
 		e, typ, dest, key := indexOf(&h.events, f[1]), h.types[f[2]], indexOf(&h.dests, f[3]), uint64(num("key"))
 		left := cmp.Or(dur("left"), h.streamTypes[typ].MaxAge)
-		h.sends, h.ended, h.inFlight = append(h.sends, 0), append(h.ended, false), append(h.inFlight, nil)
-		h.finalAnswerBy = append(h.finalAnswerBy, h.now+left)
 		sends, ran := int(num("sends")), dur("ran")
-		h.sends[e] = sends
+		h.sends, h.ended, h.inFlight = setAt(h.sends, e, sends), setAt(h.ended, e, false), setAt(h.inFlight, e, nil)
+		h.finalAnswerBy = setAt(h.finalAnswerBy, e, h.now+left)
 		h.inputs = append(h.inputs, func(to delivery.Handler) {
 			if to.Event(e, typ, 0, key, left, 0, dest); sends > 0 {
 				to.Resumed(e, sends, ran > 0, ran, 0)
@@ -247,6 +247,12 @@
 		e := indexOf(&h.events, f[1])
 		h.ended[e] = true
 		h.inputs = append(h.inputs, func(to delivery.Handler) { to.Withdrawn(e) })
+	case "released":
+		e := indexOf(&h.events, f[1])
+		if !h.ended[e] || h.inFlight[e] != nil {
+			h.fail("%s has not ended, or has a send in flight", f[1])
+		}
+		h.events[e] = ""
 	case "retry_after": // retry_after MIN MAX
 		h.inputs = append(h.inputs, func(delivery.Handler) {
 			if after := h.scheduler.RetryAfter(); after < h.duration(f[1]) || after > h.duration(f[2]) {
