Let the end of an attempt change only the state of that attempt

Of two attempts chosen at once, lifecycle denied the second; dropping it reported its end, and FinishAttempt set the state of the request to "no attempt in flight" although the first was out. The third attempt, 5 to 270 ms later in the traces, was then permitted, and a message that may not be repeated ran twice (request ...46: attempt 0 sent at 04.020, 1 denied at 04.024 and ended, 2 sent at 04.025, 0 and 2 both delivered).

Cause: lifecycle.Request knew that an attempt was in flight, but not which. The end of an attempt that had never started spoke for the one that had. The decision loop cleared the attempt in flight in the same way, whichever attempt ended.

Change: each attempt is named by its number in StartAttempt, SendAttempt, RevertSend, FinishAttempt and FinishUnconfirmedRefusal; only the attempt that was started last has a state. The decision loop clears an attempt only at its own end.

Test: the case added to TestTransitionsDependOnState failed before (the third attempt was permitted: "<nil>, want lifecycle: violation"), and passes now; go test ./lifecycle ./node passes. The other cases of that test got the number as an argument and are otherwise as they were.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -97,7 +97,8 @@
 	deadline            int64 // on the caller's clock
 	repeatable          bool
 	state               State
-	attemptState        State // Pending, Recording or InFlight: progress of the latest attempt, independent of state
+	attempt             int   // number of the attempt that was started last
+	attemptState        State // Pending, Recording or InFlight: progress of that attempt, independent of state
 	mayHaveRun          bool
 	stored              bool
 	unconfirmedRefusals int // attempts reported as not run by responses that may belong to another call
@@ -134,8 +135,9 @@
 	return nil
 }
 
-// StartAttempt permits writing the record of an attempt.
-func (r *Request) StartAttempt(now int64) error {
+// StartAttempt permits writing the record of the attempt with this number. The other methods on attempts take the number
+// too, so that what becomes of an attempt that was denied cannot be taken for the end of the one in flight.
+func (r *Request) StartAttempt(number int, now int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -150,17 +152,17 @@
 	case (r.mayHaveRun || r.unconfirmedRefusals > 0) && !r.repeatable:
 		return violation(transitionAttempt, r.id, "request may have run and is not repeatable")
 	}
-	r.state, r.attemptState = Recording, Recording
+	r.state, r.attempt, r.attemptState = Recording, number, Recording
 	return nil
 }
 
 // SendAttempt permits sending the first byte of an attempt whose record is written.
-func (r *Request) SendAttempt(now int64) error {
+func (r *Request) SendAttempt(number int, now int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case r.attemptState != Recording:
-		return violation(transitionSend, r.id, "attempt is "+r.attemptState.String())
+	switch state := r.stateOf(number); {
+	case state != Recording:
+		return violation(transitionSend, r.id, "attempt is "+state.String())
 	case r.endDecided():
 		return denied(ErrEndDecided)
 	case now >= r.deadline:
@@ -171,32 +173,51 @@
 }
 
 // RevertSend records that no byte of an attempt was sent after all. SendAttempt must be called again before the next try.
-func (r *Request) RevertSend() {
+func (r *Request) RevertSend(number int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.attemptState == InFlight {
-		r.attemptState = Recording
+	if r.stateOf(number) != InFlight {
+		return
 	}
+	r.attemptState = Recording
 	if r.state == InFlight {
 		r.state = Recording
 	}
 }
 
-// FinishAttempt records that an attempt has finished or was not sent after all. It has no effect on the state if none was
-// started.
-func (r *Request) FinishAttempt(mayHaveRun bool) {
+// FinishAttempt records that an attempt has finished or was not sent after all. It has no effect on the state if that
+// attempt was not started.
+func (r *Request) FinishAttempt(number int, mayHaveRun bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if mayHaveRun && r.attemptState != InFlight {
-		violation(transitionOutcome, r.id, "attempt may have run but is "+r.attemptState.String())
+	r.finishAttempt(number, mayHaveRun)
+}
+
+// finishAttempt is FinishAttempt with the lock held by the caller.
+func (r *Request) finishAttempt(number int, mayHaveRun bool) {
+	state := r.stateOf(number)
+	if mayHaveRun && state != InFlight {
+		violation(transitionOutcome, r.id, "attempt may have run but is "+state.String())
 	}
 	r.mayHaveRun = r.mayHaveRun || mayHaveRun
+	if state == Pending {
+		return
+	}
 	r.attemptState = Pending
 	if r.state == Recording || r.state == InFlight {
 		r.state = Pending
 	}
 }
 
+// stateOf returns the progress of an attempt, which is Pending for all but the one that was started last. The caller holds
+// the lock.
+func (r *Request) stateOf(number int) State {
+	if number != r.attempt {
+		return Pending
+	}
+	return r.attemptState
+}
+
 // endDecided reports whether no further attempt may follow. The caller holds the lock.
 func (r *Request) endDecided() bool {
 	return r.state == Provisional || r.state == Ending || r.state == Ended
@@ -204,10 +225,10 @@
 
 // FinishUnconfirmedRefusal records that an attempt was finished by a response which states that it was not executed, and
 // which may belong to another call.
-func (r *Request) FinishUnconfirmedRefusal() {
-	r.FinishAttempt(false)
+func (r *Request) FinishUnconfirmedRefusal(number int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.finishAttempt(number, false)
 	r.unconfirmedRefusals++
 }
 
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -12,40 +12,51 @@
 
 // Guards against a transition that is allowed in a state where it does harm, or denied in a state where it is needed.
 func TestTransitionsDependOnState(t *testing.T) {
-	attempt := func(r *Request) error { return errors.Join(r.StartAttempt(early), r.SendAttempt(early)) }
+	const first, second, third = 0, 1, 2 // numbers of attempts
+	attempt := func(r *Request, number int) error {
+		return errors.Join(r.StartAttempt(number, early), r.SendAttempt(number, early))
+	}
 	for _, c := range []struct {
 		name string
 		run  func(r *Request) error
 		want error
 	}{
-		{"attempt before the request is stored", func(r *Request) error { return r.StartAttempt(early) }, ErrViolation},
+		{"attempt before the request is stored", func(r *Request) error { return r.StartAttempt(first, early) }, ErrViolation},
 		{"stored twice", func(r *Request) error { return errors.Join(r.MarkStored(), r.MarkStored()) }, ErrViolation},
-		{"single attempt", func(r *Request) error { return errors.Join(r.MarkStored(), attempt(r)) }, nil},
-		{"two concurrent attempts", func(r *Request) error { r.MarkStored(); return errors.Join(attempt(r), attempt(r)) }, ErrViolation},
-		{"sent without a record", func(r *Request) error { r.MarkStored(); return r.SendAttempt(early) }, ErrViolation},
-		{"started after the deadline", func(r *Request) error { r.MarkStored(); return r.StartAttempt(deadline) }, ErrDeadlinePassed},
+		{"single attempt", func(r *Request) error { return errors.Join(r.MarkStored(), attempt(r, first)) }, nil},
+		{"two concurrent attempts", func(r *Request) error { r.MarkStored(); return errors.Join(attempt(r, first), attempt(r, second)) }, ErrViolation},
+		{"sent without a record", func(r *Request) error { r.MarkStored(); return r.SendAttempt(first, early) }, ErrViolation},
+		{"started after the deadline", func(r *Request) error { r.MarkStored(); return r.StartAttempt(first, deadline) }, ErrDeadlinePassed},
 		{"sent after the deadline", func(r *Request) error {
 			r.MarkStored()
-			return errors.Join(r.StartAttempt(early), r.SendAttempt(deadline))
+			return errors.Join(r.StartAttempt(first, early), r.SendAttempt(first, deadline))
 		}, ErrDeadlinePassed},
 		{"sent after the end is decided", func(r *Request) error {
 			r.MarkStored()
-			r.StartAttempt(early)
+			r.StartAttempt(first, early)
 			r.DecideEnd()
-			return r.SendAttempt(early)
+			return r.SendAttempt(first, early)
 		}, ErrEndDecided},
 		{"repeated although it may have run", func(r *Request) error {
 			r.MarkStored()
-			attempt(r)
-			r.FinishAttempt(true)
-			return attempt(r)
+			attempt(r, first)
+			r.FinishAttempt(first, true)
+			return attempt(r, second)
 		}, ErrViolation},
 		{"repeated after an attempt that did not run", func(r *Request) error {
 			r.MarkStored()
-			attempt(r)
-			r.FinishAttempt(false)
-			return attempt(r)
+			attempt(r, first)
+			r.FinishAttempt(first, false)
+			return attempt(r, second)
 		}, nil},
+		// Guards against a second attempt beside one in flight, let in by the end of one that was denied before it started.
+		{"started after the end of an attempt that was denied because another is in flight", func(r *Request) error {
+			r.MarkStored()
+			attempt(r, first)
+			r.StartAttempt(second, early)
+			r.FinishAttempt(second, false)
+			return r.StartAttempt(third, early)
+		}, ErrViolation},
 		{"reported before the end is decided", func(r *Request) error { r.MarkStored(); return r.ReportEnd(early, true) }, ErrViolation},
 		{"reported before the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(); return r.ReportEnd(early, false) }, ErrViolation},
 		{"reported after the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(); return r.ReportEnd(early, true) }, nil},
@@ -57,21 +68,21 @@
 		}, ErrViolation},
 		{"sent after a provisional end", func(r *Request) error {
 			r.MarkStored()
-			r.StartAttempt(early)
+			r.StartAttempt(first, early)
 			r.EndProvisionally()
-			return r.SendAttempt(early)
+			return r.SendAttempt(first, early)
 		}, ErrEndDecided},
 		{"repeated although a refusal is unconfirmed", func(r *Request) error {
 			r.MarkStored()
-			attempt(r)
-			r.FinishUnconfirmedRefusal()
-			return attempt(r)
+			attempt(r, first)
+			r.FinishUnconfirmedRefusal(first)
+			return attempt(r, second)
 		}, ErrViolation},
 		{"repeated after a confirmed refusal", func(r *Request) error {
 			r.MarkStored()
-			attempt(r)
-			r.FinishUnconfirmedRefusal()
-			return errors.Join(r.ConfirmRefusal(), attempt(r))
+			attempt(r, first)
+			r.FinishUnconfirmedRefusal(first)
+			return errors.Join(r.ConfirmRefusal(), attempt(r, second))
 		}, nil},
 		{"confirmation without a refusal", func(r *Request) error { return r.ConfirmRefusal() }, ErrViolation},
 		{"reported while provisional", func(r *Request) error { r.MarkStored(); r.EndProvisionally(); return r.ReportEnd(early, true) }, ErrViolation},
--- a/node/call.go
+++ b/node/call.go
@@ -250,7 +250,7 @@
 	for c.pool.stalled(a.event.dest) && c.recordStillWanted(a) { // an unread response may carry a Retry-After
 		time.Sleep(recordRetryInterval)
 	}
-	if a.event.request.StartAttempt(c.pool.clock.now()) != nil {
+	if a.event.request.StartAttempt(a.number, c.pool.clock.now()) != nil {
 		return false
 	}
 	for {
@@ -298,7 +298,7 @@
 	}
 	now := c.pool.clock.now()
 	for _, a := range slices.Clone(c.attempts) {
-		if a.recalled || a.event.request.SendAttempt(now) != nil {
+		if a.recalled || a.event.request.SendAttempt(a.number, now) != nil {
 			c.dropAttempt(a)
 		}
 	}
@@ -350,7 +350,7 @@
 	}
 	c.progress = progressRecording
 	for _, a := range c.attempts {
-		a.event.request.RevertSend()
+		a.event.request.RevertSend(a.number)
 	}
 	return true
 }
@@ -443,9 +443,9 @@
 	c.logAttempt(a, "attempt finished", logrus.Fields{"outcome": r.outcome.String(), "took_ms": r.duration / 1e6, "wait_ms": r.retryAfter / 1e6})
 	attemptsEnded.With(r.outcome.String()).Inc()
 	if r.confirmation != nil && !r.outcome.MayHaveRun() && !r.final {
-		a.event.request.FinishUnconfirmedRefusal()
+		a.event.request.FinishUnconfirmedRefusal(a.number)
 	} else {
-		a.event.request.FinishAttempt(r.outcome.MayHaveRun() && c.progress != progressNone && c.progress != progressRecording)
+		a.event.request.FinishAttempt(a.number, r.outcome.MayHaveRun() && c.progress != progressNone && c.progress != progressRecording)
 	}
 	a.event.updates <- eventUpdate{kind: updateAttemptEnded, attempt: a, result: r}
 }
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -178,7 +178,9 @@
 func (d *decisionLoop) reportOutcome(e *event, a *attempt, r result) {
 	ended := r.outcome == delivery.Acked || r.final
 	d.enqueue(func(to delivery.Handler) {
-		d.activeAttempts[e.index] = nil
+		if d.activeAttempts[e.index] == a {
+			d.activeAttempts[e.index] = nil
+		}
 		d.ended[e.index] = d.ended[e.index] || ended
 		if r.confirmation != nil && !ended {
 			to.Unconfirmed(e.index, a.number)
