Restore an ejected endpoint only by an answer to a call sent after the ejection

Cause: endpoints.recordOutcome restored an ejected endpoint on any 200, also on the answer to a call that had left before the refusal and that the destination was still working on. The wait then held all calls, so nothing ejected the endpoint again; restoredAt stayed at the beginning of the outage, and when the wait ended admit took the endpoint for warm. The ejection of siblings had the same flaw: a sibling was exempt if an answer had come since the first failure, whenever its call had left.

Ruled out: reports of peers (the settings allow none), and calls during the wait (the destination turned away 10 calls in the five outages, the first of each node).

Change: an endpoint remembers when an outage was last noticed, and when the newest answered call had been sent. An answer restores only if its call was sent since the outage was noticed, and exempts a sibling only if its call was sent since the first failure. An answer to an earlier call still counts for the answer times, and shows that the endpoint is alive.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -265,14 +265,14 @@
 			if silent { // timeouts expire at different times on the nodes, so an immediate trial causes no surge
 				credit = 1
 			}
-			s.endpoints.recordOutcome(ep, s.now, outcome, took, reportedLimit > 0 && freeShare < unavailableShare, conclusive, credit)
+			s.endpoints.recordOutcome(ep, s.now, c.startedAt, outcome, took, reportedLimit > 0 && freeShare < unavailableShare, conclusive, credit)
 			if !wasEjected && s.endpoints.ejected[ep] {
 				s.exec.Log("endpoint ejected", ep)
 				// An outage affects all endpoints under the limit, and many nodes would try each of them.
 				for _, sibling := range s.byDest[e.dest] {
 					if conclusive && (smallBudget || retryAfter >= unavailableWait) &&
 						s.endpoints.limiter[sibling] == s.endpoints.limiter[ep] &&
-						s.endpoints.lastAckAt[sibling] < s.endpoints.firstFailureAt[ep] {
+						s.endpoints.answeredSentAt[sibling] < s.endpoints.firstFailureAt[ep] {
 						s.endpoints.eject(sibling, s.now, s.rng.float())
 					}
 				}
@@ -337,6 +337,7 @@
 		for _, sibling := range s.byDest[dest] {
 			s.endpoints.ejected[ep] = s.endpoints.ejected[ep] || s.endpoints.ejected[sibling]
 			s.endpoints.restoredAt[ep] = max(s.endpoints.restoredAt[ep], s.endpoints.restoredAt[sibling])
+			s.endpoints.ejectedAt[ep] = max(s.endpoints.ejectedAt[ep], s.endpoints.ejectedAt[sibling])
 		}
 	}
 	s.endpoints.ready[ep] = state == delivery.Ready
@@ -664,6 +665,8 @@
 	latencyMean, latencyDev, credit     []float64           // answer times; credit: calls allowed now while cold
 	zone, inFlight, failures, timeouts  []int               // failures, timeouts: consecutive ones
 	firstFailureAt, lastAckAt, creditAt []int64             // firstFailureAt: of the consecutive failures
+	ejectedAt                           []int64             // when an outage was last noticed
+	answeredSentAt                      []int64             // when the newest call that was answered had been sent
 	lastActiveAt                        [][idleLevels]int64 // [i]: when more than i calls were last in flight; 0: never
 	overdueAt, lastListedAt, restoredAt []int64             // overdueAt: of the oldest call, 0: none; restoredAt, -1: never
 }
@@ -677,6 +680,7 @@
 	p.failures, p.timeouts, p.firstFailureAt = setAt(p.failures, ep, 0), setAt(p.timeouts, ep, 0),
 		setAt(p.firstFailureAt, ep, 0)
 	p.lastAckAt, p.overdueAt, p.restoredAt = setAt(p.lastAckAt, ep, -1), setAt(p.overdueAt, ep, 0), setAt(p.restoredAt, ep, -1)
+	p.ejectedAt, p.answeredSentAt = setAt(p.ejectedAt, ep, 0), setAt(p.answeredSentAt, ep, -1)
 	p.creditAt, p.lastListedAt, p.lastActiveAt = setAt(p.creditAt, ep, 0), setAt(p.lastListedAt, ep, 0),
 		setAt(p.lastActiveAt, ep, [idleLevels]int64{})
 }
@@ -717,9 +721,9 @@
 	return t << min(p.timeouts[ep], 6)
 }
 
-// recordOutcome updates the state of an endpoint with the outcome of a call. overLimit says that a refusal was due to the
-// rate limit, conclusive that the outcome shows an outage on its own.
-func (p *endpoints) recordOutcome(ep int32, now int64, outcome delivery.Outcome, took int64,
+// recordOutcome updates the state of an endpoint with the outcome of a call that was sent at sentAt. overLimit says that a
+// refusal was due to the rate limit, conclusive that the outcome shows an outage on its own.
+func (p *endpoints) recordOutcome(ep int32, now, sentAt int64, outcome delivery.Outcome, took int64,
 	overLimit, conclusive bool, credit float64) {
 	switch {
 	case outcome == delivery.Unsent, outcome == delivery.Unreadable,
@@ -728,15 +732,7 @@
 		// a refusal over the limit does not show that it is unavailable.
 		return
 	case outcome == delivery.Acked:
-		if p.ejected[ep] {
-			p.restore(ep, now, credit)
-		}
-		p.failures[ep], p.timeouts[ep], p.lastAckAt[ep] = 0, 0, now
-		if p.latencyMean[ep] == 0 {
-			p.latencyMean[ep], p.latencyDev[ep] = float64(took), float64(took)/2
-		}
-		p.latencyDev[ep] += latencyWeight * (math.Abs(float64(took)-p.latencyMean[ep]) - p.latencyDev[ep])
-		p.latencyMean[ep] += latencyWeight * (float64(took) - p.latencyMean[ep])
+		p.recordAnswer(ep, now, sentAt, took, credit)
 		return
 	case outcome == delivery.TimedOut:
 		p.timeouts[ep]++
@@ -750,12 +746,29 @@
 	}
 }
 
+// recordAnswer updates the state of an endpoint that answered a call normally.
+func (p *endpoints) recordAnswer(ep int32, now, sentAt, took int64, credit float64) {
+	if p.latencyMean[ep] == 0 {
+		p.latencyMean[ep], p.latencyDev[ep] = float64(took), float64(took)/2
+	}
+	p.latencyDev[ep] += latencyWeight * (math.Abs(float64(took)-p.latencyMean[ep]) - p.latencyDev[ep])
+	p.latencyMean[ep] += latencyWeight * (float64(took) - p.latencyMean[ep])
+	p.lastAckAt[ep], p.answeredSentAt[ep] = now, max(p.answeredSentAt[ep], sentAt)
+	switch {
+	case !p.ejected[ep]:
+		p.failures[ep], p.timeouts[ep] = 0, 0
+	case sentAt >= p.ejectedAt[ep]: // an endpoint that takes no new calls still answers those sent before its outage
+		p.restore(ep, now, credit)
+	}
+}
+
 // coldBudget returns the number of calls that a cold destination with the given limit bears within OverloadAfter.
 func (p *endpoints) coldBudget(limit float64) float64 {
 	return p.recovery.OverloadFactor * p.recovery.ColdShare * limit * float64(p.recovery.OverloadAfter) / float64(second)
 }
 
 func (p *endpoints) eject(ep int32, now int64, credit float64) {
+	p.ejectedAt[ep] = now
 	if p.restoredAt[ep] = -1; !p.ejected[ep] {
 		p.ejected[ep], p.credit[ep], p.creditAt[ep] = true, credit, now
 	}
