Let only a list of the newest watch confirm that the directory is watched

Cause: directory.applyList reported a list of any open watch in the same way. A move leaves the old watch open until the new one has delivered something. The new watch failed, ListFailed planned the next call, and the next list of the old watch set `watched` and cleared that plan. The newest watch was the one that had failed, so neither the end of the old one nor anything else was reported from then on.

Ruled out: a retry that is planned but late (none came in 35 s, the longest delay is 1.75 s), and a failure that was not reported (it was logged, by the function that also reports it).

Change: ListEnded tells whether the list came from the newest watch, which package node knows at the moment in which it queues the list, ahead of any failure of that watch; only such a list confirms. The scheduler's guess by the time of its next call is gone. The log's "recovered" follows the same rule.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -137,7 +137,10 @@
 	Withdrawn(event int32)
 	ListStarted(whole bool)
 	EndpointListed(endpoint, dest int32, kind, zone int, state EndpointState, rate float64)
-	ListEnded()
+	// ListEnded follows the entries of a list. fromNewestWatch is false for a list that does not come from the watch that was
+	// opened last: the one known at the start, or one of a watch that is being replaced. Such a list says nothing about the
+	// newest watch.
+	ListEnded(fromNewestWatch bool)
 	ListFailed()
 	Probed(endpoint int32, outcome Outcome, took int64, freeShare, limit float64)
 	PeerReportedHealthy(peer int, endpoint int32)
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -464,7 +464,9 @@
 	p.ready[ep] = state == delivery.Ready
 }
 
-func (p *simplePolicy) ListEnded()                                              { p.watchActive = p.watchRetryAt > 0 }
+func (p *simplePolicy) ListEnded(fromNewestWatch bool) {
+	p.watchActive = p.watchActive || fromNewestWatch
+}
 func (p *simplePolicy) ListFailed()                                             { p.watchActive = false }
 func (p *simplePolicy) Probed(int32, delivery.Outcome, int64, float64, float64) {}
 func (p *simplePolicy) PeerReportedHealthy(int, int32)                          {}
--- a/lab/simulator/node.go
+++ b/lab/simulator/node.go
@@ -61,7 +61,8 @@
 	inputResumed
 	inputOutcome
 	inputWithdrawn
-	inputFullList // the directory's full list
+	inputKnownList // the full list that a node knows at its start
+	inputFullList  // the full list, in response to a watch request
 	inputListChange
 	inputListFailed
 	inputPeerHealthy
@@ -111,20 +112,20 @@
 			s.releaseIfDone(p.evt)
 		case inputWithdrawn:
 			to.Withdrawn(sim.events[p.evt].index)
-		case inputFullList:
+		case inputKnownList, inputFullList:
 			to.ListStarted(true)
 			for ep, state := range sim.directoryStates {
 				if state != delivery.Gone {
 					s.deliverEndpoint(to, int32(ep), state)
 				}
 			}
-			to.ListEnded()
+			to.ListEnded(p.kind == inputFullList)
 		case inputListChange:
 			to.ListStarted(false)
 			for _, c := range sim.changes[p.evt:p.send] {
 				s.deliverEndpoint(to, c.ep, c.state)
 			}
-			to.ListEnded()
+			to.ListEnded(true)
 		case inputListFailed:
 			to.ListFailed()
 		case inputPeerHealthy:
--- a/lab/simulator/simulation.go
+++ b/lab/simulator/simulation.go
@@ -359,7 +359,7 @@
 	sim.routable[s.index] = true
 	sim.checker.RecordNodeServing(sim.now, s.index)
 	sim.recordDrains(s, sim.changes[:sim.publishedChanges])
-	s.enqueue(input{kind: inputFullList})
+	s.enqueue(input{kind: inputKnownList})
 	for i := range sim.events { // sorted below into the order of acceptance, as in the journal
 		if e := &sim.events[i]; e.node == s.index && e.end == checker.Open && e.incarnation > 0 {
 			sim.unfinished = append(sim.unfinished, int32(i))
--- a/node/directory.go
+++ b/node/directory.go
@@ -110,7 +110,7 @@
 		err := d.follow(ctx, w, address, path, silence)
 		d.mu.Lock()
 		delete(d.openWatches, w)
-		failed := d.newest == w
+		failed := d.isNewest(w)
 		d.mu.Unlock()
 		logs.Part("directory").WithError(err).WithFields(logrus.Fields{"connection": w.connectionID, "replaced": !failed}).
 			Debug("discovery call ended")
@@ -145,6 +145,17 @@
 	d.decisions.enqueue(func(to delivery.Handler) { to.ListFailed() })
 }
 
+// reportSuccess ends the logged failure of the watch, if it is the newest that has received a list. The scheduler learns of it
+// from the list.
+func (d *directory) reportSuccess(w *watch) {
+	d.mu.Lock()
+	newest := d.isNewest(w)
+	d.mu.Unlock()
+	if newest {
+		d.watchErrors.record(nil)
+	}
+}
+
 // follow makes one discovery call and applies each list that it receives, until the call ends.
 func (d *directory) follow(ctx context.Context, w *watch, address, path string, silence time.Duration) error {
 	connectCtx, cancelConnect := context.WithTimeout(ctx, min(directoryConnectTimeout, silence))
@@ -201,7 +212,7 @@
 			return fmt.Errorf("cannot parse the list of endpoints: %w", err)
 		}
 		heartbeats.remaining = maxListBytes
-		d.watchErrors.record(nil)
+		d.reportSuccess(w)
 	}
 	return ctx.Err()
 }
@@ -286,6 +297,7 @@
 		return errOlderList
 	}
 	d.markAlive(w)
+	fromNewestWatch := d.isNewest(w)
 	for _, e := range list {
 		d.knownDests[e.dest] = struct{}{}
 	}
@@ -302,7 +314,7 @@
 			dest, _ := d.decisions.destIndex.Acquire(e.dest)
 			to.EndpointListed(ep, dest, e.kind, d.zoneIndex(e.zone), e.state, e.rate)
 		}
-		to.ListEnded()
+		to.ListEnded(fromNewestWatch)
 	})
 	return nil
 }
@@ -354,9 +366,12 @@
 	return w == nil || open
 }
 
+// isNewest reports whether a watch is the one that was opened last. The lock is held.
+func (d *directory) isNewest(w *watch) bool { return w != nil && w == d.newest }
+
 // markAlive records that a watch received something. If it is the newest, it replaces the earlier ones. The lock is held.
 func (d *directory) markAlive(w *watch) {
-	if w != nil && w == d.newest && d.isOpen(w) {
+	if d.isNewest(w) && d.isOpen(w) {
 		d.cancelOlderWatches()
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -840,10 +840,16 @@
 func (r *recordingScheduler) Unconfirmed(e int32, attempt int) {
 	r.record("unconfirmed %d %d", e, attempt)
 }
-func (r *recordingScheduler) Confirmed(e int32, attempt int)     { r.record("confirmed %d %d", e, attempt) }
-func (r *recordingScheduler) RetryAfter() int64                  { return 0 }
-func (r *recordingScheduler) ListStarted(whole bool)             { r.record("whole=%v", whole) }
-func (r *recordingScheduler) ListEnded()                         { r.record(";") }
+func (r *recordingScheduler) Confirmed(e int32, attempt int) { r.record("confirmed %d %d", e, attempt) }
+func (r *recordingScheduler) RetryAfter() int64              { return 0 }
+func (r *recordingScheduler) ListStarted(whole bool)         { r.record("whole=%v", whole) }
+func (r *recordingScheduler) ListEnded(fromNewestWatch bool) {
+	if fromNewestWatch {
+		r.record(";")
+	} else {
+		r.record("old;")
+	}
+}
 func (r *recordingScheduler) ListFailed()                        { r.record("failed") }
 func (r *recordingScheduler) PeerReportedHealthy(p int, e int32) { r.record("good %d %d", p, e) }
 func (r *recordingScheduler) EndpointListed(ep, dest int32, kind, zone int, state delivery.EndpointState, rate float64) {
@@ -853,7 +859,12 @@
 // newTestDirectory starts a directory client for an address, with a recording scheduler.
 func newTestDirectory(t *testing.T, address string) (*directory, *recordingScheduler) {
 	r := &recordingScheduler{}
-	d := newDecisionLoop(clock{start: time.Now()}, r, ms, []int{1})
+	return newTestDirectoryFor(t, address, r), r
+}
+
+// newTestDirectoryFor starts a directory client for an address, with any scheduler.
+func newTestDirectoryFor(t *testing.T, address string, s delivery.Scheduler) *directory {
+	d := newDecisionLoop(clock{start: time.Now()}, s, ms, []int{1})
 	d.endpoints = newTestPool(t, "")
 	d.directory = &directory{address: address, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: d, endpoints: d.endpoints, useRates: true,
@@ -864,7 +875,7 @@
 		d.directory.close()
 		d.close()
 	})
-	return d.directory, r
+	return d.directory
 }
 
 func TestDirectoryWatchWithSplitChunks(t *testing.T) {
@@ -1001,6 +1012,62 @@
 	}
 }
 
+const changeLine = `{"seq":%d,"whole":%v,"hosts":[{"host":"a","dial":"x","block":1,"health":"Ready"}]}` + "\n"
+
+// newScriptedWatch starts a discovery service whose watches deliver a change for each version that is sent to the channel.
+func newScriptedWatch(t *testing.T) (service *testEndpoint, versions chan<- int) {
+	scripted := make(chan int, 1)
+	t.Cleanup(func() { close(scripted) })
+	return newTestEndpoint(t, func(conn net.Conn, _ string) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for version := range scripted {
+			fmt.Fprintf(conn, changeLine, version, false)
+		}
+		return true
+	}), scripted
+}
+
+func (d *directory) knownVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq
+}
+
+func (d *directory) openWatchCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.openWatches)
+}
+
+// Guards against a node that never watches again: a list of the watch at the old address must not confirm the one at the new
+// address, which has failed.
+func TestListOfReplacedWatchDoesNotConfirmTheNewOne(t *testing.T) {
+	before, old := newScriptedWatch(t)
+	var after *testEndpoint
+	after = newTestEndpoint(t, func(conn net.Conn, _ string) bool {
+		if calls, _ := after.counts(); calls == 1 {
+			return respond(httpResponse("503 Busy", "", ""))(conn, "")
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n\r\n"+changeLine, 9, false)
+		return true
+	})
+	sched := scheduler.New(1, nil, nil, delivery.Limits{}, delivery.Recovery{}, delivery.Directory{RequiresWatch: true},
+		delivery.Cluster{Nodes: 1}, 0)
+	d := newTestDirectoryFor(t, before.Addr().String(), sched)
+	d.silenceTimeout.Store(int64(testTimeout))
+	env := &testEnv{t: t}
+	old <- 4
+	env.waitFor("the old watch delivers a list", func() bool { return d.knownVersion() == 4 })
+	d.setAddress(after.Addr().String())
+	env.waitFor("the new address refuses the watch", func() bool {
+		calls, _ := after.counts()
+		return calls == 1 && d.openWatchCount() == 1
+	})
+	old <- 5
+	env.waitFor("the old watch delivers another list", func() bool { return d.knownVersion() == 5 })
+	env.waitFor("the new address is watched", func() bool { return d.knownVersion() == 9 })
+}
+
 func TestNoticesUseNewAddressWithoutWaitingForTheOld(t *testing.T) {
 	hangs, posts := newTestEndpoint(t, noResponse), make(chan string, 9)
 	after := newTestEndpoint(t, func(conn net.Conn, body string) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -343,9 +343,10 @@
 	s.endpoints.ready[ep] = state == delivery.Ready
 }
 
-func (s *Scheduler) ListEnded() {
-	s.dir.watched, s.dir.retryDelay = s.dir.nextWatchAt > 0, 0
-	s.dir.firstCallEnded = s.dir.watched
+func (s *Scheduler) ListEnded(fromNewestWatch bool) {
+	if fromNewestWatch {
+		s.dir.confirmed()
+	}
 }
 
 func (s *Scheduler) Withdrawn(evt int32) { s.closeEvent(evt) }
@@ -955,6 +956,11 @@
 	return d.automatic && !d.firstCallEnded && now < d.firstWatchAt+firstListWait
 }
 
+// confirmed records that the newest watch has delivered a list.
+func (d *directory) confirmed() {
+	d.watched, d.firstCallEnded, d.retryDelay = true, true, 0
+}
+
 // failed schedules the next call. A failure does not say whether an earlier watch is still in force.
 func (d *directory) failed(now int64, rng *pcg) {
 	d.watched, d.firstCallEnded, d.retryDelay = false, true, min(max(minWatchRetry, 2*d.retryDelay), maxWatchRetry)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -27,7 +27,9 @@
 //	released E                                             the index of an ended event is free: the next event gets it
 //	peer_healthy EP                                        a peer reports the endpoint as healthy
 //	retry_after MIN MAX                                    the retry-after time without capacity is in this range
-//	list full|delta|failed EP:DEST[:STATE[:ZONE]]...
+//	list full|delta|replaced|failed EP:DEST[:STATE[:ZONE]]...
+//	                                                       replaced: changes told by a watch that is not the newest; before
+//	                                                       the first watch, a list is the one known at the start
 //	reply EP OUTCOME D [limit N]                           answers all further sends to the endpoint
 //
 // OUTCOME is one of the names in the variable outcomes; in a reply, never stands for no answer.
@@ -107,6 +109,7 @@
 	inFlight                 []*pendingOutcome // current send of each event
 	finalAnswerBy            []int64
 	ready                    map[string]bool
+	watched                  bool // a watch has been asked for
 	pending                  []pendingOutcome
 	replies                  map[string]pendingOutcome
 	inputs                   []func(delivery.Handler)
@@ -303,7 +306,7 @@
 			to.EndpointListed(ep, dest, 0, zone, state, 0)
 		})
 	}
-	h.inputs = append(h.inputs, func(to delivery.Handler) { to.ListEnded() })
+	h.inputs = append(h.inputs, func(to delivery.Handler) { to.ListEnded(h.watched && kind != "replaced") })
 }
 
 func (h *harness) expect(want string) {
@@ -388,7 +391,7 @@
 func (h *harness) Decline(evt int32, retryAfter int64) { h.endEvent(evt, "decline") }
 func (h *harness) Discard(evt int32)                   { h.endEvent(evt, "discard") }
 func (h *harness) Wake(int64)                          {}
-func (h *harness) Watch(bool)                          { h.record("watch") }
+func (h *harness) Watch(bool)                          { h.watched = true; h.record("watch") }
 func (h *harness) AnnounceHealthy(ep int32)            { h.record("announce " + h.endpoints[ep]) }
 func (h *harness) Log(string, int32)                   {}
 func (h *harness) Forget(ep int32)                     { h.record("forget " + h.endpoints[ep]); h.endpoints[ep] = "" }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -371,7 +371,7 @@
 		}
 		to.EndpointListed(ep, n.destIndex(uint32(le.Uint16(e[7:]))), int(e[6]), int(le.Uint16(e[4:])), delivery.EndpointState(e[9]), rate)
 	}
-	to.ListEnded()
+	to.ListEnded(kind != topologyCached)
 }
 
 func (n *instance) destIndex(number uint32) int32 {
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -96,7 +96,9 @@
 func (s *scriptedScheduler) EndpointListed(ep, dest int32, kind, zone int, state delivery.EndpointState, rate float64) {
 	s.record("listed", ep, dest, kind, zone, state, rate)
 }
-func (s *scriptedScheduler) ListEnded()  { s.record("list ended") }
+func (s *scriptedScheduler) ListEnded(fromNewestWatch bool) {
+	s.record("list ended", fromNewestWatch)
+}
 func (s *scriptedScheduler) ListFailed() { s.record("list failed") }
 func (s *scriptedScheduler) Probed(ep int32, outcome delivery.Outcome, latency int64, freeShare, limit float64) {
 	s.record("probed", ep, outcome)
@@ -138,7 +140,7 @@
 		t.Fatal(err)
 	}
 	want := []string{"seed 99", "round 1000000000", "list started true", "listed 0 0 1 1 2 4.5", "listed 1 0 1 1 2 4.5",
-		"list ended", "list started false", "listed 2 0 1 1 2 4.5", "list ended", "event 0 0 1 6 2500500000 0 0",
+		"list ended false", "list started false", "listed 2 0 1 1 2 4.5", "list ended true", "event 0 0 1 6 2500500000 0 0",
 		"round 1005250000", "outcome 0 0 1 2 250000000 12500000 false 0.5 8", "peer reported healthy 1 2", "woken"}
 	if !slices.Equal(s.calls, want) {
 		t.Errorf("got\n%s\nwant\n%s", strings.Join(s.calls, "\n"), strings.Join(want, "\n"))
