Let only the newest watch reset the count of lists that start with an older version

A list of a replaced watch, which may be at the old address, set that count back, so that a new address with lower versions was rejected for as long as the old one told changes.

Change: the count is reset by a list of the newest watch only.

Test: TestListOfReplacedWatchDoesNotDelayLowerVersions failed before (the second watch at the new address was not accepted in 20 s), and passes now.

--- a/node/directory.go
+++ b/node/directory.go
@@ -290,7 +290,10 @@
 	}
 	switch seq := v.GetUint64("seq"); d.checkVersion(w, seq, whole) {
 	case applyListed:
-		d.seq, d.olderStarts = seq, 0
+		d.seq = seq
+		if d.isNewest(w) { // an older watch may be at another address
+			d.olderStarts = 0
+		}
 	case ignoreOlder: // a copy that arrived after a later version
 		list, whole = nil, false
 	case rejectUnconfirmed:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1068,6 +1068,31 @@
 	env.waitFor("the new address is watched", func() bool { return d.knownVersion() == 9 })
 }
 
+// Guards against a node that never accepts the list at a new address, whose versions are lower, while the old address still
+// tells changes.
+func TestListOfReplacedWatchDoesNotDelayLowerVersions(t *testing.T) {
+	before, old := newScriptedWatch(t)
+	after := newTestEndpoint(t, func(conn net.Conn, _ string) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n\r\n"+changeLine, 2, true)
+		return true
+	})
+	d, _ := newTestDirectory(t, before.Addr().String())
+	d.silenceTimeout.Store(int64(testTimeout))
+	env := &testEnv{t: t}
+	d.setWatching(true)
+	old <- 4
+	env.waitFor("the old watch delivers a list", func() bool { return d.knownVersion() == 4 })
+	d.setAddress(after.Addr().String())
+	env.waitFor("the first watch at the new address is rejected", func() bool {
+		calls, _ := after.counts()
+		return calls == 1 && d.openWatchCount() == 1
+	})
+	old <- 5
+	env.waitFor("the old watch delivers another list", func() bool { return d.knownVersion() == 5 })
+	d.setWatching(true)
+	env.waitFor("the second watch at the new address is accepted", func() bool { return d.knownVersion() == 2 })
+}
+
 func TestNoticesUseNewAddressWithoutWaitingForTheOld(t *testing.T) {
 	hangs, posts := newTestEndpoint(t, noResponse), make(chan string, 9)
 	after := newTestEndpoint(t, func(conn net.Conn, body string) bool {
