Heed a peer's report only if its call was sent since the endpoint was ejected here

A report that crosses a refusal with a wait restored the endpoint during the wait, as an answer to an earlier call did.

Change: an announcement carries how long ago the call was sent that it rests on (2 bytes, ms, rounded up), the receiver adds the time that the report waits for its round, and the scheduler compares that time with the last time at which it noticed an outage. Datagrams of earlier versions are still read, with an age of 0; earlier versions do not read the new ones, and find out for themselves while a fleet holds both. How long a datagram was on its way is still not known (ROADMAP).

The expected bytes of one datagram in simwire's test and the report's age in TestPeerDatagrams follow the new format.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -113,8 +113,9 @@
 	Watch(on bool)
 	Probe(endpoint int32)
 	CloseIdle(endpoint int32)
-	Forget(endpoint int32)           // releases the index, which may then be assigned again
-	AnnounceHealthy(endpoint int32)  // tells all peers that the endpoint answers normally
+	Forget(endpoint int32) // releases the index, which may then be assigned again
+	// AnnounceHealthy tells all peers that the endpoint has answered a call that was sent this long ago normally.
+	AnnounceHealthy(endpoint int32, sentAgo int64)
 	Log(text string, endpoint int32) // writes a log line about an endpoint for operators
 }
 
@@ -143,7 +144,8 @@
 	ListEnded(fromNewestWatch bool)
 	ListFailed()
 	Probed(endpoint int32, outcome Outcome, took int64, freeShare, limit float64)
-	PeerReportedHealthy(peer int, endpoint int32)
+	// PeerReportedHealthy reports an announcement of a peer. It says nothing about the time since the peer's call was sent.
+	PeerReportedHealthy(peer int, endpoint int32, sentAgo int64)
 	Woken()
 }
 
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -469,5 +469,5 @@
 }
 func (p *simplePolicy) ListFailed()                                             { p.watchActive = false }
 func (p *simplePolicy) Probed(int32, delivery.Outcome, int64, float64, float64) {}
-func (p *simplePolicy) PeerReportedHealthy(int, int32)                          {}
+func (p *simplePolicy) PeerReportedHealthy(int, int32, int64)                   {}
 func (p *simplePolicy) Woken()                                                  { p.wakeAt = 0 }
--- a/lab/simulator/node.go
+++ b/lab/simulator/node.go
@@ -79,6 +79,7 @@
 	peer                int32
 	firstRunAt          int64 // inputResumed: start of the first send that may have run
 	retryAfter, latency int64
+	announcedSentAt     int64 // inputPeerHealthy: when the call was sent that the peer's announcement rests on
 	limitLeft, limit    float64
 }
 
@@ -130,7 +131,7 @@
 			to.ListFailed()
 		case inputPeerHealthy:
 			if ep, listed := s.endpoints.Lookup(p.ep); listed {
-				to.PeerReportedHealthy(int(p.peer), ep)
+				to.PeerReportedHealthy(int(p.peer), ep, sim.now-p.announcedSentAt)
 			}
 		}
 	}
@@ -306,8 +307,8 @@
 	s.endpoints.Release(localEp)
 }
 
-func (s *simNode) AnnounceHealthy(localEp int32) {
-	s.sim.sendPeerMessages(s.index, s.endpoints.ID(localEp))
+func (s *simNode) AnnounceHealthy(localEp int32, sentAgo int64) {
+	s.sim.sendPeerMessages(s.index, s.endpoints.ID(localEp), s.sim.now-sentAgo)
 }
 
 func (s *simNode) Log(text string, localEp int32) {
--- a/lab/simulator/simulation.go
+++ b/lab/simulator/simulation.go
@@ -120,6 +120,7 @@
 	directoryDown    int // active faults of this kind; so is directoryFrozen
 	directoryFrozen  int
 	peerMessageLoss  float64
+	announcements    []announcement // of healthy endpoints, by the number in their simPeerMessage events
 	faults           []faultState
 	faultsByEndpoint [][]int // active faults by endpoint
 
@@ -302,7 +303,8 @@
 		sim.handleWatchResponse(ev.a, ev.n)
 	case simPeerMessage:
 		if s := sim.nodes[ev.a]; s.phase < closing {
-			s.enqueue(input{kind: inputPeerHealthy, ep: ev.b, peer: int32(ev.n)})
+			a := sim.announcements[ev.n]
+			s.enqueue(input{kind: inputPeerHealthy, ep: ev.b, peer: a.from, announcedSentAt: a.sentAt})
 		}
 	case simFaultStart:
 		sim.startFault(int(ev.a), ev.b)
@@ -606,15 +608,23 @@
 	}
 }
 
-// sendPeerMessages tells all other nodes that an endpoint is healthy. Some of the messages may be lost.
-func (sim *Simulation) sendPeerMessages(from, ep int32) {
+// announcement is a node's message to its peers that an endpoint answered a call.
+type announcement struct {
+	from   int32
+	sentAt int64 // when that call was sent
+}
+
+// sendPeerMessages tells all other nodes that an endpoint answered a call that was sent at sentAt. Some of the messages may be
+// lost.
+func (sim *Simulation) sendPeerMessages(from, ep int32, sentAt int64) {
 	if !sim.scenario.Fleet.PeerMessages {
 		return
 	}
 	lost := 1 - (1-sim.scenario.Fleet.PeerMessageLoss)*(1-sim.peerMessageLoss)
+	sim.announcements = append(sim.announcements, announcement{from: from, sentAt: sentAt})
 	for _, s := range sim.nodes {
 		if s.index != from && sim.random.Float64() >= lost {
-			sim.queue.schedule(sim.now+int64(sim.scenario.Fleet.NetworkDelay)+1, simPeerMessage, s.index, ep, int64(from))
+			sim.queue.schedule(sim.now+int64(sim.scenario.Fleet.NetworkDelay)+1, simPeerMessage, s.index, ep, int64(len(sim.announcements)-1))
 		}
 	}
 }
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -269,11 +269,13 @@
 	}
 }
 
-func (d *decisionLoop) Wake(after int64)         { d.wakeAt = d.clock.now() + max(after, 1) }
-func (d *decisionLoop) Watch(on bool)            { d.directory.setWatching(on) }
-func (d *decisionLoop) CloseIdle(ep int32)       { d.endpoints.closeIdle(ep) }
-func (d *decisionLoop) Forget(ep int32)          { d.forgotten = append(d.forgotten, ep) }
-func (d *decisionLoop) AnnounceHealthy(ep int32) { d.peers.announceHealthy(d.endpointIndex.ID(ep)) }
+func (d *decisionLoop) Wake(after int64)   { d.wakeAt = d.clock.now() + max(after, 1) }
+func (d *decisionLoop) Watch(on bool)      { d.directory.setWatching(on) }
+func (d *decisionLoop) CloseIdle(ep int32) { d.endpoints.closeIdle(ep) }
+func (d *decisionLoop) Forget(ep int32)    { d.forgotten = append(d.forgotten, ep) }
+func (d *decisionLoop) AnnounceHealthy(ep int32, sentAgo int64) {
+	d.peers.announceHealthy(d.endpointIndex.ID(ep), time.Duration(sentAgo))
+}
 
 // Probe only logs: the scheduler never requests a probe, and the protocol has no call for one.
 func (d *decisionLoop) Probe(ep int32) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -850,8 +850,10 @@
 		r.record("old;")
 	}
 }
-func (r *recordingScheduler) ListFailed()                        { r.record("failed") }
-func (r *recordingScheduler) PeerReportedHealthy(p int, e int32) { r.record("good %d %d", p, e) }
+func (r *recordingScheduler) ListFailed() { r.record("failed") }
+func (r *recordingScheduler) PeerReportedHealthy(p int, e int32, sentAgo int64) {
+	r.record("good %d %d %v", p, e, time.Duration(sentAgo).Truncate(time.Second))
+}
 func (r *recordingScheduler) EndpointListed(ep, dest int32, kind, zone int, state delivery.EndpointState, rate float64) {
 	r.record("%d/%d/%d/%d/%d/%v", ep, dest, kind, zone, state, rate)
 }
@@ -1158,7 +1160,7 @@
 	defer p.close()
 	go p.receive()
 	_ = d.applyList(nil, []byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","block":1},{"host":"b","block":1}]}`))
-	p.announceHealthy("b")
+	p.announceHealthy("b", 3*time.Second)
 	buf := make([]byte, 300)
 	n, from, err := sockets[1].ReadFromUDP(buf)
 	if err != nil || from.String() != addresses[0] {
@@ -1167,13 +1169,13 @@
 	to, _ := net.ResolveUDPAddr("udp", addresses[0])
 	sockets[2].WriteToUDP(buf[:n], to) // not from a peer
 	sockets[1].WriteToUDP([]byte("nonsense"), to)
-	sockets[1].WriteToUDP(peermsg.EncodeHealthyHost("unlisted", peermsg.Sequence{Incarnation: 1}), to)
+	sockets[1].WriteToUDP(peermsg.EncodeHealthyHost("unlisted", 0, peermsg.Sequence{Incarnation: 1}), to)
 	sockets[1].WriteToUDP(buf[:n], to)
-	(&testEnv{t: t}).waitFor("the datagram is received", func() bool { return strings.HasSuffix(r.joined(), "; good 1 1") })
+	(&testEnv{t: t}).waitFor("the datagram is received", func() bool { return strings.HasSuffix(r.joined(), "; good 1 1 3s") })
 	// Duplicates, and datagrams older than the latest one or from an earlier process, are ignored.
 	for _, o := range []peermsg.Sequence{{Incarnation: 5, Number: 2}, {Incarnation: 5, Number: 2}, {Incarnation: 5, Number: 1},
 		{Incarnation: 4, Number: 9}, {Incarnation: 5, Number: 3}} {
-		sockets[1].WriteToUDP(peermsg.EncodeHealthyHost("a", o), to)
+		sockets[1].WriteToUDP(peermsg.EncodeHealthyHost("a", 0, o), to)
 	}
 	(&testEnv{t: t}).waitFor("the last datagram is received", func() bool { return strings.Count(r.joined(), "good 1 0") >= 2 })
 	time.Sleep(20 * time.Millisecond)
--- a/node/peers.go
+++ b/node/peers.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		peer, known := p.peerIndex[from.String()]
-		host, sequence, ok := peermsg.DecodeHealthyHost(buf[:size])
+		host, sentAgo, sequence, ok := peermsg.DecodeHealthyHost(buf[:size])
 		if !known || !ok { // a stray datagram must not mark an endpoint as healthy
 			continue
 		}
@@ -85,9 +85,10 @@
 			lateDatagrams.Inc()
 			continue
 		}
+		sentAt := p.decisions.clock.now() - int64(sentAgo)
 		p.decisions.enqueue(func(to delivery.Handler) {
 			if ep, listed := p.decisions.endpointIndex.Lookup(host); listed {
-				to.PeerReportedHealthy(peer, ep)
+				to.PeerReportedHealthy(peer, ep, p.decisions.clock.now()-sentAt)
 			}
 		})
 	}
@@ -104,9 +105,9 @@
 	return true
 }
 
-// announceHealthy tells all peers that an endpoint answers calls.
-func (p *peerMessenger) announceHealthy(host string) {
-	data := peermsg.EncodeHealthyHost(host, peermsg.Sequence{Incarnation: p.incarnation, Number: p.sequence.Add(1)})
+// announceHealthy tells all peers that an endpoint answered a call that was sent this long ago.
+func (p *peerMessenger) announceHealthy(host string, sentAgo time.Duration) {
+	data := peermsg.EncodeHealthyHost(host, sentAgo, peermsg.Sequence{Incarnation: p.incarnation, Number: p.sequence.Add(1)})
 	if p.conn == nil || len(data) > peermsg.MaxSize {
 		return
 	}
--- a/peermsg/peermsg.go
+++ b/peermsg/peermsg.go
@@ -2,14 +2,27 @@
 // identified by number or by host name.
 package peermsg
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"math"
+	"time"
+)
 
 const (
-	kindHealthy     = 1
-	kindHealthyHost = 3 // kind 2 was an earlier format without a sequence
+	kindHealthyHostNoAge = 3 // from nodes of earlier versions; kinds 1 and 2 were earlier formats too
+	kindHealthy          = 4
+	kindHealthyHost      = 5
 )
 
-const sequenceSize = 8 + 4 // bytes
+// Sizes in bytes.
+const (
+	kindSize     = 1
+	ageSize      = 2
+	sequenceSize = 8 + 4
+)
+
+// ageUnit is the unit of an encoded age. An age beyond the largest is encoded as the largest.
+const ageUnit = time.Millisecond
 
 // Sequence is the position of a datagram in its sender's stream, across restarts of the sender. Datagrams may
 // arrive late, duplicated or out of order.
@@ -29,30 +42,51 @@
 // MaxSize is the maximum size of a datagram in bytes.
 const MaxSize = 256
 
-// EncodeHealthy encodes a report that the endpoint with this number is healthy.
-func EncodeHealthy(endpoint uint32) []byte {
-	return binary.LittleEndian.AppendUint32([]byte{kindHealthy}, endpoint)
+// EncodeHealthy encodes a report that the endpoint with this number answered a call that was sent this long ago.
+func EncodeHealthy(endpoint uint32, sentAgo time.Duration) []byte {
+	return binary.LittleEndian.AppendUint32(appendAge([]byte{kindHealthy}, sentAgo), endpoint)
 }
 
 // DecodeHealthy decodes a datagram made by EncodeHealthy; ok is false for any other data.
-func DecodeHealthy(data []byte) (endpoint uint32, ok bool) {
-	if len(data) != 5 || data[0] != kindHealthy {
-		return 0, false
+func DecodeHealthy(data []byte) (endpoint uint32, sentAgo time.Duration, ok bool) {
+	if len(data) != kindSize+ageSize+4 || data[0] != kindHealthy {
+		return 0, 0, false
 	}
-	return binary.LittleEndian.Uint32(data[1:]), true
+	return binary.LittleEndian.Uint32(data[kindSize+ageSize:]), decodeAge(data[kindSize:]), true
+}
+
+// appendAge appends an age, rounded up so that a report never seems newer than it is.
+func appendAge(data []byte, age time.Duration) []byte {
+	units := (max(age, 0) + ageUnit - 1) / ageUnit
+	return binary.LittleEndian.AppendUint16(data, uint16(min(units, math.MaxUint16)))
+}
+
+func decodeAge(data []byte) time.Duration {
+	return time.Duration(binary.LittleEndian.Uint16(data)) * ageUnit
 }
 
-// EncodeHealthyHost encodes a report that the endpoint with this host name is healthy.
-func EncodeHealthyHost(host string, s Sequence) []byte {
-	data := binary.LittleEndian.AppendUint64([]byte{kindHealthyHost}, s.Incarnation)
+// EncodeHealthyHost encodes a report that the endpoint with this host name answered a call that was sent this long ago.
+func EncodeHealthyHost(host string, sentAgo time.Duration, s Sequence) []byte {
+	data := binary.LittleEndian.AppendUint64(appendAge([]byte{kindHealthyHost}, sentAgo), s.Incarnation)
 	return append(binary.LittleEndian.AppendUint32(data, s.Number), host...)
 }
 
-// DecodeHealthyHost decodes a datagram made by EncodeHealthyHost; ok is false for any other data.
-func DecodeHealthyHost(data []byte) (host string, s Sequence, ok bool) {
-	if len(data) < 1+sequenceSize+1 || len(data) > MaxSize || data[0] != kindHealthyHost {
-		return "", Sequence{}, false
+// DecodeHealthyHost decodes a datagram made by EncodeHealthyHost; ok is false for any other data. One of an earlier version
+// tells no age, which is taken for 0.
+func DecodeHealthyHost(data []byte) (host string, sentAgo time.Duration, s Sequence, ok bool) {
+	if len(data) < kindSize || len(data) > MaxSize {
+		return "", 0, Sequence{}, false
+	}
+	kind, rest := data[0], data[kindSize:]
+	switch {
+	case kind == kindHealthyHost && len(rest) > ageSize:
+		sentAgo, rest = decodeAge(rest), rest[ageSize:]
+	case kind != kindHealthyHostNoAge:
+		return "", 0, Sequence{}, false
+	}
+	if len(rest) < sequenceSize+1 {
+		return "", 0, Sequence{}, false
 	}
-	s = Sequence{Incarnation: binary.LittleEndian.Uint64(data[1:]), Number: binary.LittleEndian.Uint32(data[9:])}
-	return string(data[1+sequenceSize:]), s, true
+	s = Sequence{Incarnation: binary.LittleEndian.Uint64(rest), Number: binary.LittleEndian.Uint32(rest[8:])}
+	return string(rest[sequenceSize:]), sentAgo, s, true
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -279,7 +279,7 @@
 			} else if wasEjected && !s.endpoints.ejected[ep] {
 				s.exec.Log("endpoint restored, warming up", ep)
 				if s.peerMessages {
-					s.exec.AnnounceHealthy(ep)
+					s.exec.AnnounceHealthy(ep, s.now-c.startedAt)
 				}
 			}
 			// Credit starts to grow at the end of a requested wait: all nodes would spend what they saved during it at once.
@@ -355,8 +355,8 @@
 }
 func (s *Scheduler) Woken() { s.wakeAt = 0 }
 
-func (s *Scheduler) PeerReportedHealthy(peer int, ep int32) {
-	if s.endpoints.suspect(ep, s.now) { // it returns as a cold endpoint
+func (s *Scheduler) PeerReportedHealthy(peer int, ep int32, sentAgo int64) {
+	if s.endpoints.suspect(ep, s.now) && s.now-sentAgo >= s.endpoints.ejectedAt[ep] { // it returns as a cold endpoint
 		s.endpoints.restore(ep, s.now, s.rng.float())
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -25,7 +25,7 @@
 //	OUTCOME E [wait D] [took D] [limit N]                  the end of the event's current send
 //	withdrawn E
 //	released E                                             the index of an ended event is free: the next event gets it
-//	peer_healthy EP                                        a peer reports the endpoint as healthy
+//	peer_healthy EP [sent D]                               a peer reports that the endpoint answered a call sent this long ago
 //	retry_after MIN MAX                                    the retry-after time without capacity is in this range
 //	list full|delta|replaced|failed EP:DEST[:STATE[:ZONE]]...
 //	                                                       replaced: changes told by a watch that is not the newest; before
@@ -264,7 +264,9 @@
 		})
 	case "peer_healthy":
 		ep := indexOf(&h.endpoints, f[1])
-		h.inputs = append(h.inputs, func(to delivery.Handler) { to.PeerReportedHealthy(1, ep) })
+		_, dur := h.options(f, 2)
+		sentAgo := dur("sent")
+		h.inputs = append(h.inputs, func(to delivery.Handler) { to.PeerReportedHealthy(1, ep, sentAgo) })
 	case "reply":
 		outcome, known := outcomes[f[2]]
 		num, _ := h.options(f, 4)
@@ -392,7 +394,7 @@
 func (h *harness) Discard(evt int32)                   { h.endEvent(evt, "discard") }
 func (h *harness) Wake(int64)                          {}
 func (h *harness) Watch(bool)                          { h.watched = true; h.record("watch") }
-func (h *harness) AnnounceHealthy(ep int32)            { h.record("announce " + h.endpoints[ep]) }
+func (h *harness) AnnounceHealthy(ep int32, _ int64)   { h.record("announce " + h.endpoints[ep]) }
 func (h *harness) Log(string, int32)                   {}
 func (h *harness) Forget(ep int32)                     { h.record("forget " + h.endpoints[ep]); h.endpoints[ep] = "" }
 func (h *harness) CloseIdle(ep int32)                  { h.record("close_idle " + h.endpoints[ep]) }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"time"
 
 	"jaspersill/delivery"
 	"jaspersill/idmap"
@@ -348,9 +349,9 @@
 					n.reportValue(r[15:], n.freeShareIndex), n.reportValue(r[15:], n.limitIndex))
 			}
 		case eventMemo:
-			if id, ok := peermsg.DecodeHealthy(input.payload); ok {
+			if id, sentAgo, ok := peermsg.DecodeHealthy(input.payload); ok {
 				if ep, known := n.endpoints.Lookup(id); known {
-					to.PeerReportedHealthy(int(le.Uint16(r[1:])), ep)
+					to.PeerReportedHealthy(int(le.Uint16(r[1:])), ep, int64(sentAgo))
 				}
 			}
 		}
@@ -528,6 +529,7 @@
 	w.textRecord(actionWriteLog, fmt.Sprintf("%s: %d", text, w.instance.endpoints.ID(ep)))
 }
 
-func (w *replyWriter) AnnounceHealthy(ep int32) {
-	le.PutUint16(w.tailRecord(actionMemoTo, 3, peermsg.EncodeHealthy(w.instance.endpoints.ID(ep)))[1:], allPeers)
+func (w *replyWriter) AnnounceHealthy(ep int32, sentAgo int64) {
+	report := peermsg.EncodeHealthy(w.instance.endpoints.ID(ep), time.Duration(sentAgo))
+	le.PutUint16(w.tailRecord(actionMemoTo, 3, report)[1:], allPeers)
 }
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -103,8 +103,8 @@
 func (s *scriptedScheduler) Probed(ep int32, outcome delivery.Outcome, latency int64, freeShare, limit float64) {
 	s.record("probed", ep, outcome)
 }
-func (s *scriptedScheduler) PeerReportedHealthy(peer int, ep int32) {
-	s.record("peer reported healthy", peer, ep)
+func (s *scriptedScheduler) PeerReportedHealthy(peer int, ep int32, sentAgo int64) {
+	s.record("peer reported healthy", peer, ep, sentAgo)
 }
 func (s *scriptedScheduler) Woken()            { s.record("woken") }
 func (s *scriptedScheduler) RetryAfter() int64 { return 0 }
@@ -119,7 +119,7 @@
 	f = new(frame).put(eventTo, uint16(3))
 	f.put(eventFinished, uint64(501), uint32(250), uint16(429), 12.5, uint16(0), byte(0), uint32(80),
 		byte(3), float32(1), float32(8), float32(0.5))
-	f.put(eventMemo, uint16(1), string([]byte{1, 90, 0, 0, 0})).put(eventReminder, uint64(0)).put(eventAbandoned, uint64(777))
+	f.put(eventMemo, uint16(1), string([]byte{4, 25, 0, 90, 0, 0, 0})).put(eventReminder, uint64(0)).put(eventAbandoned, uint64(777))
 	in.Write(f.bytes(2, 1005.25))
 	in.Write(new(frame).bytes(3, 1010))
 	s := &scriptedScheduler{}
@@ -129,7 +129,7 @@
 			w.Send(0, 1, 1500*1000)
 			w.Wake(5 * 1e6)
 			w.Watch(true)
-			w.AnnounceHealthy(2)
+			w.AnnounceHealthy(2, 30*1e6)
 		} else {
 			w.Decline(0, 700*1e6)
 			w.Log("two words", 1)
@@ -141,7 +141,7 @@
 	}
 	want := []string{"seed 99", "round 1000000000", "list started true", "listed 0 0 1 1 2 4.5", "listed 1 0 1 1 2 4.5",
 		"list ended false", "list started false", "listed 2 0 1 1 2 4.5", "list ended true", "event 0 0 1 6 2500500000 0 0",
-		"round 1005250000", "outcome 0 0 1 2 250000000 12500000 false 0.5 8", "peer reported healthy 1 2", "woken"}
+		"round 1005250000", "outcome 0 0 1 2 250000000 12500000 false 0.5 8", "peer reported healthy 1 2 25000000", "woken"}
 	if !slices.Equal(s.calls, want) {
 		t.Errorf("got\n%s\nwant\n%s", strings.Join(s.calls, "\n"), strings.Join(want, "\n"))
 	}
@@ -161,9 +161,9 @@
 	reply := func(seq, count, size uint32) string {
 		return string(le.AppendUint32(le.AppendUint32(le.AppendUint32(nil, seq), count), size))
 	}
-	wantBytes := reply(1, 5, 5*actionSize+5) + record(actionOnBehalf, uint16(3)) +
+	wantBytes := reply(1, 5, 5*actionSize+7) + record(actionOnBehalf, uint16(3)) +
 		record(actionIssue, uint64(501), uint32(80), 1.5) + record(actionRemind, 5.0, uint64(0)) + record(actionKeepInformed, byte(1)) +
-		record(actionMemoTo, uint16(allPeers), uint32(0), uint32(5)) + "\x01\x5a\x00\x00\x00" +
+		record(actionMemoTo, uint16(allPeers), uint32(0), uint32(7)) + "\x04\x1e\x00\x5a\x00\x00\x00" +
 		reply(2, 3, 3*actionSize+13) + record(actionOnBehalf, uint16(3)) + record(actionBounce, uint64(501), 700.0) +
 		record(actionWriteLog, uint32(0), uint32(13)) + "two words: 80" + reply(3, 0, 0)
 	if out.String() != wantBytes {
