Record the outcome of a call in short functions

Scheduler.Outcome had 80 lines, with what one call tells about its limiter, its endpoint, the endpoint's siblings and its connections in one nest. These are functions of their own now, in calls.go; no behaviour changes.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,13 +25,6 @@
 	rankInterval      = 1 * second   // interval between rankings of the endpoints: a few answers arrive in between
 )
 
-type call struct {
-	endpoint                     int32
-	startedAt, round, idleBefore int64 // idleBefore: how long nothing had been in flight to the endpoint
-	events                       int   // outcomes still to come
-	recorded, countedLost        bool  // its outcome has been recorded; it was counted as lost while overdue
-}
-
 // Scheduler makes the decisions of one delivery node.
 type Scheduler struct {
 	exec   delivery.Executor
@@ -144,62 +137,10 @@
 		s.limiters.holdUntil(s.endpoints.limiter[ep], s.now+retryAfter)
 		if !c.recorded {
 			c.recorded = true
-			s.limiters.recordOutcome(s.endpoints.limiter[ep], s.now, outcome, retryAfter, freeShare, reportedLimit)
-			wasEjected := s.endpoints.ejected[ep]
-			// A reset this soon suggests a dead connection; after a short idle time it must come sooner to count.
-			soon := s.endpoints.latencyMean[ep] * min(0.5, float64(c.idleBefore)/1e9)
-			if outcome == delivery.Acked || (outcome == delivery.Reset && float64(took) < soon) {
-				s.stale.record(outcome == delivery.Reset, c.idleBefore, s.now)
-			}
-			// A connect that failed between answers indicates an endpoint with too few connections, not an outage.
-			if outcome == delivery.Acked && (s.endpoints.failures[ep] == 1 || (!wasEjected && s.endpoints.failures[ep] > 0)) &&
-				s.endpoints.lastFailure[ep] == delivery.ConnectFailed && s.limiters.nodes >= crowdedMinNodes {
-				s.stale.crowdedUntil = s.now + staleDuration
-			}
-			// Some outcomes are conclusive on their own. With many nodes, each may see only one failure of an outage, such
-			// as a refused connection, and would overload the destination when it returns. When a destination that is
-			// unavailable asks for a wait, all nodes would return at its end. And where a single call waited out a
-			// silence, the backlog would follow when the silence ends.
-			silent, credit := (outcome == delivery.TimedOut && took >= unavailableWait ||
-				outcome == delivery.Cancelled && took >= minTimeout) &&
-				s.endpoints.lastAckAt[ep] < c.startedAt, s.rng.float()
-			limit := s.limiters.limit[s.endpoints.limiter[ep]]
-			smallBudget := s.endpoints.coldBudget(limit) < fewColdCalls*s.limiters.nodes
-			conclusive := silent || retryAfter >= unavailableWait || (outcome == delivery.ConnectFailed &&
-				(took >= minOverdue || (smallBudget && limit > 0 && s.now >= s.stale.crowdedUntil)))
-			if silent { // timeouts expire at different times on the nodes, so an immediate trial causes no surge
-				credit = 1
-			}
-			s.endpoints.recordOutcome(ep, s.now, c.startedAt, outcome, took, reportedLimit > 0 && freeShare < unavailableShare, conclusive, credit)
-			if !wasEjected && s.endpoints.ejected[ep] {
-				s.exec.Log("endpoint ejected", ep)
-				// An outage affects all endpoints under the limit, and many nodes would try each of them.
-				for _, sibling := range s.byDest[e.dest] {
-					if conclusive && (smallBudget || retryAfter >= unavailableWait) &&
-						s.endpoints.limiter[sibling] == s.endpoints.limiter[ep] &&
-						s.endpoints.answeredSentAt[sibling] < s.endpoints.firstFailureAt[ep] {
-						s.endpoints.eject(sibling, s.now, s.rng.float())
-					}
-				}
-			} else if wasEjected && !s.endpoints.ejected[ep] {
-				s.exec.Log("endpoint restored, warming up", ep)
-				if s.peerMessages {
-					s.exec.AnnounceHealthy(ep, s.now-c.startedAt)
-				}
-			}
-			// Credit starts to grow at the end of a requested wait: all nodes would spend what they saved during it at once.
-			for _, sibling := range s.byDest[e.dest] {
-				if s.endpoints.ejected[sibling] && s.endpoints.limiter[sibling] == s.endpoints.limiter[ep] {
-					s.endpoints.creditAt[sibling] = max(s.endpoints.creditAt[sibling], s.limiters.heldUntil[s.endpoints.limiter[ep]])
-				}
-			}
+			s.recordCallOutcome(c, callOutcome{outcome, retryAfter, took, freeShare, reportedLimit}, ep, e.dest)
 		}
 		if c.events--; c.events == 0 {
-			limiter := s.endpoints.limiter[ep]
-			s.openCalls, s.endpoints.inFlight[ep], s.limiters.inFlight[limiter] =
-				s.openCalls-1, s.endpoints.inFlight[ep]-1, s.limiters.inFlight[limiter]-1
-			s.endpoints.lastActiveAt[ep][min(s.endpoints.inFlight[ep], idleLevels-1)] = s.now
-			s.closeIdleIfCrowded(ep)
+			s.closeCall(ep)
 		}
 		e.call = -1
 	}
