Keep an event's index in the simulator while a send of it is in flight

Cause, from a trace of the double release (an event with number 0 of sends and another node's number): two faults. The defect swallowed the outcome of every send but the first of any event, not only that of its own extra send, so the scheduler went on with events that had ended, and ended them again under indices that others had by then. And the simulator freed the index of an event at the end of the round in which it ended, even if a send of it had been chosen in that round.

Change: the defect knows its extra send by event and number, and swallows that outcome alone.

Test: TestEventSentAfterItsEndKeepsItsIndex panicked before ("index out of range [78] with length 66"), panics with the first change alone ("index out of range [-1]"), and passes with both. go test ./lab/runner ./lab/search passes. Schedulers without defects are not touched.

--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -95,21 +95,41 @@
 // defectiveScheduler is the scheduler with a defect: it alters the scheduler's inputs, or sends on its own.
 type defectiveScheduler struct {
 	delivery.Scheduler
-	defect        string
-	feed          delivery.Feed
-	out           delivery.Executor
-	eventCount    int
-	extraEvent    int32 // restless: index plus 1 of an event to send again, to extraEndpoint
-	extraEndpoint int32
-	extraSent     bool // restless: the extra send has been chosen
+	defect     string
+	feed       delivery.Feed
+	out        delivery.Executor
+	eventCount int
+	extra      extraSend // restless
+}
+
+// extraSend is the send of an event after its end, of which the scheduler does not know.
+type extraSend struct {
+	event, endpoint int32
+	number          int
+	progress        extraProgress
+}
+
+// extraProgress is how far the extra send has come.
+type extraProgress uint8
+
+const (
+	extraNotChosen extraProgress = iota
+	extraChosen
+	extraInFlight
+	extraEnded
+)
+
+// isOutcome reports whether an outcome is that of the extra send.
+func (x *extraSend) isOutcome(evt int32, send int) bool {
+	return x.progress == extraInFlight && x.event == evt && x.number == send
 }
 
 func (s *defectiveScheduler) Round(now int64, feed delivery.Feed, out delivery.Executor) {
 	s.feed, s.out = feed, out
 	s.Scheduler.Round(now, s, out)
-	if s.extraEvent > 0 {
-		out.Send(s.extraEvent-1, s.extraEndpoint, int64(1e9))
-		s.extraEvent = 0
+	if s.extra.progress == extraChosen {
+		out.Send(s.extra.event, s.extra.endpoint, int64(1e9))
+		s.extra.progress = extraInFlight
 	}
 }
 
@@ -137,11 +157,12 @@
 		retryAfter = 0
 	case h.scheduler.defect == "blind" && outcome == delivery.ConnectFailed:
 		outcome = delivery.Unsent
-	case h.scheduler.defect == "restless" && ended && !h.scheduler.extraSent:
-		h.scheduler.extraEvent, h.scheduler.extraEndpoint, h.scheduler.extraSent = evt+1, ep, true
+	case h.scheduler.defect == "restless" && ended && h.scheduler.extra.progress == extraNotChosen:
+		h.scheduler.extra = extraSend{event: evt, endpoint: ep, number: send + 1, progress: extraChosen}
 	}
-	if h.scheduler.defect == "restless" && h.scheduler.extraSent && send > 0 {
-		return // the scheduler does not know of the extra send
+	if h.scheduler.extra.isOutcome(evt, send) {
+		h.scheduler.extra.progress = extraEnded
+		return
 	}
 	h.Handler.Outcome(evt, send, ep, outcome, retryAfter, latency, ended, limitLeft, limit)
 }
--- a/lab/runner/run_test.go
+++ b/lab/runner/run_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// Guards against a panic of the simulator by an index that is freed while a send of its event is in flight, and again with the
+// outcome of that send.
+func TestEventSentAfterItsEndKeepsItsIndex(t *testing.T) {
+	newScheduler, err := policy.Find("module+restless")
+	if err != nil {
+		t.Fatal(err)
+	}
+	summary := Run(findScenario(t, "clumps"), 8, 14, newScheduler, false, nil).Summary
+	if summary.ViolationCount == 0 {
+		t.Error("the send after the end of its event was not detected")
+	}
+}
+
 // Guards against false positives of the checker in runs without faults.
 func TestNoViolationsWithoutFaults(t *testing.T) {
 	sc := findScenario(t, "farm")
--- a/lab/simulator/node.go
+++ b/lab/simulator/node.go
@@ -195,6 +195,10 @@
 	}
 	for _, evt := range s.endedEvents {
 		e := &sim.events[evt]
+		if e.inFlight > 0 { // sent again after its end: it is released after that send
+			e.releaseQueued = false
+			continue
+		}
 		s.freeIndexes = append(s.freeIndexes, e.index)
 		sim.releaseEvent(evt)
 	}
