Inject faults into system calls on arm64 too

The filter of lab/sysfault let every call of an arm64 process pass, since it named the architecture of x86-64 only: the soak ran there without any fault of a system call, and passed. It now names the machine's own architecture.

--- a/lab/sysfault/launch.go
+++ b/lab/sysfault/launch.go
@@ -2,7 +2,7 @@
 //
 // The child installs a seccomp filter that notifies its parent of certain system calls. The parent lets each of them
 // proceed, fails it with an errno, shortens it or delays it. This needs no privileges and affects no other process. It
-// works only on Linux on amd64.
+// works only on Linux on amd64 and arm64.
 package sysfault
 
 import (
@@ -70,7 +70,7 @@
 	equal := func(value uint32, yes, no uint8) unix.SockFilter {
 		return unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: value, Jt: yes, Jf: no}
 	}
-	program := []unix.SockFilter{load(offsetOfArchitecture), equal(unix.AUDIT_ARCH_X86_64, 1, 0), ret(unix.SECCOMP_RET_ALLOW),
+	program := []unix.SockFilter{load(offsetOfArchitecture), equal(auditArchitecture, 1, 0), ret(unix.SECCOMP_RET_ALLOW),
 		load(offsetOfNumber)}
 	for number := range interceptedCalls {
 		program = append(program, equal(uint32(number), 0, 1), ret(unix.SECCOMP_RET_USER_NOTIF))
