Play hostile clients, clients that leave and replaced endpoints in the soak

The soak had silent and half-written connections only. It now plays clients that write slowly, stop in a body, send headers of many fields, send at full speed, read no response or leave (lab/hostile), and processes that are replaced at their address. It measures each node's memory, socket queues and files (lab/procstat), and checks memory, that usual clients are served, that nothing is forwarded for a client that has left, and that a call goes to its own destination.

--- a/cmd/jaspersill-lab/soak.go
+++ b/cmd/jaspersill-lab/soak.go
@@ -38,6 +38,9 @@
 	c.Flags().DurationVar(&s.options.Length, "length", 6*time.Second, "how long clients submit requests")
 	c.Flags().StringVar(&s.options.Only, "only", "", "use only one kind of fault: "+strings.Join(soak.FaultGroups(), ", "))
 	c.Flags().BoolVar(&s.options.PathFaults, "paths", false, "also disturb the byte streams on all connections")
+	c.Flags().IntVar(&s.options.MemoryMB, "memory", 0, "memory limit of each node in MiB; 0 for 64")
+	c.Flags().StringVar((*string)(&s.options.Clients), "clients", "", "with --only clients: how clients misbehave; if empty, drawn for each node")
+	c.Flags().IntVar(&s.options.Connections, "connections", 0, "with --only clients: connections of the misbehaving clients of each node; 0 for a number that suits the pattern")
 	c.Flags().Uint64Var(&s.firstSeed, "seed", 1, "first seed")
 	c.Flags().IntVar(&s.seeds, "seeds", 1, "number of seeds")
 	c.Flags().IntVar(&s.parallel, "parallel", 1, "number of runs at the same time")
@@ -120,7 +123,8 @@
 	}
 	if len(byRule) > 0 {
 		fmt.Fprintf(out, "  by rule: %v\n", byRule)
-		fmt.Fprintf(out, "  reproduce with: jaspersill-lab soak --seed %d --nodes %d --length %v --only %q --paths=%v\n", report.Seed, s.options.Nodes,
-			s.options.Length, s.options.Only, s.options.PathFaults)
+		options := s.options
+		options.Seed = report.Seed
+		fmt.Fprintln(out, "  reproduce with:", options.Command())
 	}
 }
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -16,6 +16,7 @@
 		h.checkFinal(r)
 		h.checkAfterEnd(r)
 		h.checkRepeats(r, dedupWindow)
+		h.checkDeparture(r)
 		h.tally(r)
 	}
 	h.checkRecovery()
@@ -74,6 +75,43 @@
 	}
 }
 
+// checkResponsive adds a violation for a node that left more than maxUnservedShare of its usual clients' requests without a
+// response in time, or refused them, although nothing but the behavior of other clients was disturbed.
+func (h *history) checkResponsive(nodes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	requests, late, refused := make([]int, nodes), make([]int, nodes), make([]int, nodes)
+	slowest := make([]time.Duration, nodes)
+	for _, r := range h.ordered {
+		if r.left != nil {
+			continue
+		}
+		requests[r.node]++
+		switch took := r.answeredAt - r.sentAt; {
+		case r.status == 0 || took > responseTimeout:
+			late[r.node]++
+		case !r.accepted():
+			refused[r.node]++
+		default:
+			slowest[r.node] = max(slowest[r.node], took)
+		}
+	}
+	for node, total := range requests {
+		h.actions = append(h.actions, fmt.Sprintf("node %d: %d usual requests: %d without a response in time, %d refused, slowest "+
+			"accepted after %v", node, total, late[node], refused[node], slowest[node].Round(time.Millisecond)))
+		if allowed := maxUnserved + int(float64(total)*maxUnservedShare); late[node]+refused[node] > allowed {
+			h.addViolationLocked(RuleResponsive, h.now(), nil, "node %d: %d of %d usual requests had no response in time and %d were "+
+				"refused, allowed are %d", node, late[node], total, refused[node], allowed)
+		}
+	}
+}
+
+// Limits of checkResponsive: they allow for pauses of the machine, not for a pattern.
+const (
+	maxUnservedShare = 0.01
+	maxUnserved      = 2
+)
+
 func (r *request) accepted() bool { return r.status == 200 || r.status == 202 }
 func (r *request) refused() bool  { return r.status == 429 || r.status == 503 }
 
@@ -206,6 +244,25 @@
 	}
 }
 
+// checkDeparture checks that a request is not forwarded for the first time after its client has left. A node may have read
+// one request of each connection by then, since it answers them one after another, and none if it was suspended for as long as
+// the connection lasted.
+func (h *history) checkDeparture(r *request) {
+	if r.left == nil || r.resubmitted || len(r.attempts) == 0 {
+		return
+	}
+	allowed, since := 1, r.left.at+processingGrace+socketGrace
+	if h.wasFrozen(r.node, r.left.connectedAt, r.left.at) {
+		allowed, since = 0, r.left.at
+	}
+	if r.attempts[0].at <= since {
+		return
+	}
+	if r.left.started++; r.left.started > allowed {
+		h.addViolationLocked(RuleAfterEnd, r.attempts[0].at, r, "forwarded after its client had left")
+	}
+}
+
 func (h *history) checkRepeats(r *request, dedupWindow time.Duration) {
 	var first *attempt
 	for i := range r.attempts {
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"jaspersill/lab/faultproxy"
@@ -86,14 +85,8 @@
 // submit sends one request. If the node closed the idle connection at the same time, it sends the request once more on
 // a new one.
 func (c *client) submit() {
-	class := []Class{Repeatable, Once, Keyed}[c.random.IntN(3)]
-	id := fmt.Sprintf("%016x", c.random.Uint64())
-	timeout := minDeadline + time.Duration(c.random.Int64N(int64(maxDeadline-minDeadline)))
-	dest := c.random.IntN(c.destinations)
-	r := c.history.recordRequest(id, class, c.node, dest, timeout)
-	text := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline-Ms: %d\r\n"+
-		"Idempotency-Key: key-%s\r\nX-Envelope: dest=%d\r\nContent-Length: %d\r\n\r\n%s", id, class, timeout.Milliseconds(), id, dest,
-		c.bodySize, strings.Repeat("b", c.bodySize))
+	r := c.newRequest([]Class{Repeatable, Once, Keyed}[c.random.IntN(3)])
+	text := c.requestText(r)
 	status, err := c.exchange(text)
 	if c.disturbed() {
 		c.finishDisturbed(r, status, err)
--- /dev/null
+++ b/lab/soak/clients_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"jaspersill/lab/hostile"
+)
+
+// leastMemoryMB is the smallest memory limit that the platform gives a node, in MiB.
+const leastMemoryMB = 32
+
+// Guards against clients whose unfinished requests, unread responses or unread bytes take more memory than the node has.
+func TestMemoryStaysWithinLimitBesideHostileClients(t *testing.T) {
+	for _, o := range []Options{
+		{Clients: hostile.SlowHeads},
+		{Clients: hostile.StalledBodies},
+		{Clients: hostile.ManyFields},
+		{Clients: hostile.StalledChunks},
+		{Clients: hostile.UnreadResponses},
+		{Clients: hostile.HugeBodies},
+		{Clients: hostile.LargeBodies, Connections: 20},
+	} {
+		t.Run(string(o.Clients), func(t *testing.T) {
+			t.Parallel()
+			o.Seed, o.Nodes, o.Length, o.Only, o.MemoryMB = 7, 1, 4*time.Second, groupClients, leastMemoryMB
+			runSoak(t, o)
+		})
+	}
+}
+
+// Guards against clients that send at full speed, on one connection or on many, and keep the others from being served.
+func TestUsualClientsAreServedBesideFloods(t *testing.T) {
+	for _, o := range []Options{
+		{Clients: hostile.InvalidRequests},
+		{Clients: hostile.InvalidRequests, Connections: 200},
+		{Clients: hostile.ReadyChecks, Connections: 100},
+		{Clients: hostile.NewNames, Connections: 100},
+		{Clients: hostile.NewIDs},
+	} {
+		t.Run(string(o.Clients), func(t *testing.T) {
+			o.Seed, o.Nodes, o.Length, o.Only, o.MemoryMB = 7, 1, 5*time.Second, groupClients, leastMemoryMB
+			runSoak(t, o)
+		})
+	}
+}
+
+// Guards against requests that are read from a connection after its client has left, and are forwarded nevertheless.
+func TestRequestsOfDepartedClientsAreNotForwarded(t *testing.T) {
+	for _, seed := range []uint64{7, 8} {
+		runSoak(t, Options{Seed: seed, Nodes: 2, Length: 6 * time.Second, Only: groupClients, Clients: Leaving, MemoryMB: leastMemoryMB})
+	}
+}
+
+// Guards against a new process that comes up at an endpoint's address and is sent the requests of the one before.
+func TestReplacedEndpointGetsNoRequestsOfItsPredecessor(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		runSoak(t, Options{Seed: seed, Nodes: 3, Length: 7 * time.Second, Only: groupReplacements})
+	}
+}
--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -30,11 +30,16 @@
 	down     bool
 	changed  chan struct{} // closed at each change
 	conns    map[net.Conn]struct{}
+	listed   []listing          // by endpoint
+	gone     []departedEndpoint // still listed as ready
 }
 
 func newDiscovery(h *history, endpoints []*endpoint, nodes int) (*discovery, error) {
 	d := &discovery{history: h, endpoints: endpoints, sequence: 1, draining: map[int]bool{}, silent: map[int]bool{},
 		changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	for _, e := range endpoints {
+		d.listed = append(d.listed, listing{process: e.process})
+	}
 	for node := range nodes {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -139,7 +144,7 @@
 		if call.URL.Query().Get("watch") == "" {
 			text, _ := d.list(node)
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-			d.recordDrains(node, conn)
+			d.recordSent(node, conn)
 			continue
 		}
 		d.watch(node, conn)
@@ -166,25 +171,35 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var hosts []string
-	for _, e := range d.endpoints {
+	add := func(number int, process identity, health string) {
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"m0","block":%d,"health":%q,`+
+			`"share":1.0,"born_ms":%d}`, process.host, d.network.endpoints[node][number].Address(), process.dest, health,
+			process.startedAt))
+	}
+	for number, l := range d.listed {
 		health := "Ready"
-		if d.draining[e.number] {
+		if d.draining[number] {
 			health = "Terminating"
 		}
-		hosts = append(hosts, fmt.Sprintf(`{"host":"e%d","dial":%q,"site":"here","class":"m0","block":%d,"health":%q,`+
-			`"share":1.0,"born_ms":0}`, e.number, d.network.endpoints[node][e.number].Address(), e.dest, health))
+		add(number, l.process, health)
+	}
+	for _, e := range d.gone {
+		add(e.number, e.process, "Ready")
 	}
 	return `{"seq":` + strconv.Itoa(d.sequence) + `,"whole":true,"hosts":[` + strings.Join(hosts, ",") + "]}\n", d.changed
 }
 
-// recordDrains records that a node has been sent the endpoints that are draining now.
-func (d *discovery) recordDrains(node int, conn net.Conn) {
+// recordSent records that a node has been sent the list as it is now: the endpoints that are draining, and the processes.
+func (d *discovery) recordSent(node int, conn net.Conn) {
 	proxyConn := d.network.discovery[node].ConnToTarget(conn.RemoteAddr())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for number := range d.draining {
 		d.endpoints[number].recordDrain(node, proxyConn)
 	}
+	for number, l := range d.listed {
+		d.endpoints[number].recordTold(node, l.generation)
+	}
 }
 
 func (d *discovery) watch(node int, conn net.Conn) {
@@ -217,7 +232,7 @@
 			if send(text) != nil {
 				return
 			}
-			d.recordDrains(node, conn)
+			d.recordSent(node, conn)
 		}
 		select {
 		case <-changed:
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -68,6 +68,9 @@
 	recoveredAt time.Duration
 	arrivals    []arrival           // calls since recoveredAt
 	drains      map[int]drainNotice // by node
+	process     identity
+	generation  int                   // number of the process, from 0
+	told        map[int]time.Duration // when a node was sent a list with the present process
 }
 
 // retryWait is a Retry-After sent to a node, and the connection that carried it. On a disturbed connection it may not
@@ -96,7 +99,7 @@
 	e := &endpoint{number: number, dest: dest, history: h, listener: listener, capacity: endpointCapacity, mode: healthy,
 		remote: p.remote, refusalRate: p.refusalRate,
 		random: random, conns: map[net.Conn]struct{}{}, retryWaits: map[int]retryWait{}, sawOutage: map[int]bool{},
-		drains: map[int]drainNotice{}}
+		drains: map[int]drainNotice{}, process: identity{host: fmt.Sprintf("e%d", number), dest: dest}, told: map[int]time.Duration{}}
 	go e.serve()
 	return e, nil
 }
@@ -241,7 +244,7 @@
 		return nil, false
 	}
 	node := parts[0].request.node
-	m, delay, refused := e.admit(node, proxyConn)
+	m, delay, refused := e.admit(parts[0].request, proxyConn)
 	report := fmt.Sprintf("Srv-Load: x0=0.5,x1=%g\r\n", e.capacity)
 	switch m {
 	case failing:
@@ -337,15 +340,16 @@
 	e.retryWaits[node] = retryWait{interval{now, max(now+retryAfter, before.to)}, conn}
 }
 
-// admit checks a call against the rules on draining, Retry-After and slow start, and decides how to answer it. A call
+// admit checks a call against the rules on draining, Retry-After, slow start and the place, and decides how to answer it. A call
 // on a disturbed connection is not checked against the first two, because the proxy may have held it back and its send
 // time is unknown.
-func (e *endpoint) admit(node int, conn *faultproxy.Connection) (m mode, delay time.Duration, refused bool) {
+func (e *endpoint) admit(r *request, conn *faultproxy.Connection) (m mode, delay time.Duration, refused bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.history.now()
+	now, node := e.history.now(), r.node
 	if !conn.Disturbed() {
 		e.checkArrival(node, now)
+		e.checkProcess(r, now)
 	}
 	if e.mode == unavailable {
 		e.sawOutage[node] = true
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jaspersill/lab/faultproxy"
+	"jaspersill/lab/hostile"
 )
 
 // Time limits of the protocol and tolerances of the checks.
@@ -49,6 +50,9 @@
 	RuleCrash      Rule = "crash"       // every process runs until it is told to stop, and is ready in time
 	RuleRecovery   Rule = "recovers"    // no node refuses all requests for long
 	RuleInternal   Rule = "internal"    // no node counts a violation in its own metrics
+	RulePlace      Rule = "place"       // a call goes only to an endpoint of its request's destination
+	RuleMemory     Rule = "memory"      // a node's memory stays within its limit
+	RuleResponsive Rule = "responsive"  // trouble with some clients does not keep the others from being served
 )
 
 // attempt is one delivery attempt whose call an endpoint read completely.
@@ -75,6 +79,8 @@
 	responseErr string // why its client has no complete response
 
 	disturbed   bool // it was written to a connection with an injected fault
+	left        *departure
+	resubmitted bool // after its client had left
 	attempts    []attempt
 	deliveredAt time.Duration // when an endpoint's 200 was written
 
@@ -83,6 +89,12 @@
 	notice      string
 }
 
+// departure is when a client closed a connection without reading the responses to its requests.
+type departure struct {
+	connectedAt, at time.Duration
+	started         int // requests of the connection that were first forwarded after it
+}
+
 // Violation is one breach of a rule.
 type Violation struct {
 	Rule     Rule
@@ -105,6 +117,7 @@
 	ordered             []*request
 	unavailable         map[int][]interval // by node, from the signal that stopped it until it was ready again
 	exits               map[int][]time.Duration
+	frozen              map[int][]interval // by node, while its process was suspended
 	writeOutages        map[int][]interval // by node, while all its socket writes fail
 	diskFaults          map[int][]interval // by node, while system calls on its state folder fail
 	readOutages         map[int][]interval // by node, while all its socket reads fail
@@ -120,7 +133,7 @@
 	return &history{startedAt: time.Now(), requests: map[string]*request{}, unavailable: map[int][]interval{},
 		exits: map[int][]time.Duration{}, writeOutages: map[int][]interval{}, diskFaults: map[int][]interval{},
 		platformFaults: map[int][]interval{}, readOutages: map[int][]interval{}, connectOutages: map[int][]interval{},
-		counts: map[string]int{}}
+		frozen: map[int][]interval{}, counts: map[string]int{}}
 }
 
 func (h *history) now() time.Duration { return time.Since(h.startedAt) }
@@ -175,6 +188,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.requests[id]
+	if r == nil && hostile.IsID(id) { // not checked, so not among the ordered ones
+		r = &request{id: id, class: Repeatable}
+		h.requests[id] = r
+	}
 	if r == nil {
 		h.addViolationLocked(RuleAnswer, h.now(), nil, "endpoint %d got a call for request %q, which no client sent", endpoint, id)
 		return nil
@@ -221,6 +238,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.requests[id]
+	if hostile.IsID(id) {
+		return
+	}
 	if r == nil {
 		h.addViolationLocked(RuleAnswer, h.now(), nil, "notice for request %q, which no client sent", id)
 		return
@@ -230,6 +250,25 @@
 	}
 }
 
+// recordLeft records that a client has closed the connection that carried these requests, without reading a response.
+func (h *history) recordLeft(requests []*request, connectedAt time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	left := &departure{connectedAt: connectedAt, at: h.now()}
+	for _, r := range requests {
+		r.left = left
+	}
+}
+
+// recordResubmitted records that a request is submitted again under its id.
+func (h *history) recordResubmitted(r *request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	r.deadline += now - r.sentAt
+	r.sentAt, r.resubmitted = now, true
+}
+
 // recordDisturbedRequest records that a request was written to a disturbed connection.
 func (h *history) recordDisturbedRequest(r *request) {
 	h.mu.Lock()
@@ -293,6 +332,18 @@
 	h.platformFaults[node] = append(h.platformFaults[node], interval{h.now(), h.now() + duration})
 }
 
+// recordFrozen records that a node's process has been suspended since the given time.
+func (h *history) recordFrozen(node int, since time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.frozen[node] = append(h.frozen[node], interval{since, h.now()})
+}
+
+// wasFrozen reports whether a node's process was suspended from one time to another.
+func (h *history) wasFrozen(node int, from, to time.Duration) bool {
+	return slices.ContainsFunc(h.frozen[node], func(s interval) bool { return s.from <= from && to <= s.to })
+}
+
 // recordExit records that a node's process has exited.
 func (h *history) recordExit(node int) {
 	h.mu.Lock()
@@ -312,6 +363,9 @@
 	}
 	list := []entry{{r.sentAt, fmt.Sprintf("request %s (%s) written to node %d for destination %d, deadline %v", r.id, r.class,
 		r.node, r.dest, r.deadline.Round(time.Millisecond))}}
+	if r.left != nil {
+		list = append(list, entry{r.left.at, "its client left without a response"})
+	}
 	if r.answeredAt > 0 {
 		list = append(list, entry{r.answeredAt, fmt.Sprintf("its client read status %d %s", r.status, r.responseErr)})
 	}
--- a/lab/soak/paths_test.go
+++ b/lab/soak/paths_test.go
@@ -22,8 +22,7 @@
 		t.Log(action)
 	}
 	for _, v := range report.Violations {
-		t.Errorf("jaspersill-lab soak --seed %d --nodes %d --length %v --only %q --paths=%v: %v", o.Seed, o.Nodes, o.Length, o.Only,
-			o.PathFaults, v)
+		t.Errorf("%s: %v", o.Command(), v)
 	}
 }
 
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -18,6 +18,8 @@
 	remote                  bool    // endpoints answer with the latency of a remote host
 	refusalRate             float64 // share of the calls that a remote endpoint refuses
 	crowded                 []bool  // by node: idle connections use up its sockets
+	hostile                 []hostileClients
+	leavingClients          bool // some clients leave before their requests are answered
 	steps                   []step
 	random                  *rand.Rand
 	length                  time.Duration
@@ -77,11 +79,15 @@
 	groupAnswers = "answers" // responses of endpoints arrive twice
 	groupNotices = "notices" // responses of the platform arrive twice
 	groupPaths   = "paths"   // all network connections are disturbed
+	groupClients = "clients" // clients misbehave
+
+	groupReplacements = "replacements" // other processes come up at the addresses of endpoints
 )
 
 // FaultGroups lists the groups of faults that a run can be limited to.
 func FaultGroups() []string {
-	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupPaths}
+	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupPaths,
+		groupClients, groupReplacements}
 }
 
 func newPlan(o Options) *plan {
@@ -100,6 +106,13 @@
 		p.remote = random.IntN(2) == 0
 		p.addPathFaults(o.Nodes)
 		return p
+	case groupClients:
+		p.addHostileClients(o)
+		return p
+	case groupReplacements:
+		p.destinations = maxDestinations
+		p.addReplacements()
+		return p
 	}
 	crowdedRun := random.IntN(3) == 0
 	for node := range o.Nodes {
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"jaspersill/lab/procstat"
 	"jaspersill/lab/sysfault"
 )
 
@@ -53,6 +55,7 @@
 	history    *history
 
 	peerListen string
+	memoryMB   int // limit
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -61,6 +64,7 @@
 	accepting    bool // the platform directs new connections to it
 	exitExpected bool // it was signalled to exit
 	settings     map[string]any
+	monitor      *procstat.Monitor
 	restarting   atomic.Bool
 }
 
@@ -68,7 +72,7 @@
 	name := "n" + strconv.Itoa(number)
 	p := &process{number: number, program: options.Program, history: h,
 		configFile: filepath.Join(options.Folder, name+".json"), folder: filepath.Join(options.Folder, name),
-		logFile: filepath.Join(options.Folder, name+".log")}
+		logFile: filepath.Join(options.Folder, name+".log"), memoryMB: cmp.Or(options.MemoryMB, defaultMemoryMB)}
 	// Each node has its own loopback address, because a port of 127.0.0.1 may be taken by another process during a
 	// restart.
 	listener, err := net.Listen("tcp", loopbackAddress(options.Seed, number))
@@ -94,7 +98,7 @@
 	p.settings = map[string]any{"name": name, "listen": p.listen, "discovery": proxies.discovery[number].Address(),
 		"peer_listen": p.peerListen, "peers": peers, "peers_all": proxies.peers[number].Address(),
 		"seed":   fmt.Sprintf("%016x", options.Seed*1000+uint64(number)+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets, "disk_mb": 8},
+		"limits": map[string]any{"cores": 1, "memory_mb": p.memoryMB, "sockets": sockets, "disk_mb": 8},
 		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}}, "settings": settings(options.Nodes, number)}
 	if err := os.MkdirAll(p.folder, 0o755); err != nil {
 		return nil, err
@@ -143,7 +147,7 @@
 	}
 	defer log.Close()
 	c := exec.Command(p.program, "serve")
-	c.Env = append(os.Environ(), "RELAY_CONFIG="+p.configFile, "RELAY_STATE="+p.folder, "GOMEMLIMIT=64MiB")
+	c.Env = append(os.Environ(), "RELAY_CONFIG="+p.configFile, "RELAY_STATE="+p.folder)
 	c.Stdout, c.Stderr = log, log
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,8 +161,11 @@
 	}
 	exited := make(chan struct{})
 	p.cmd, p.supervisor, p.exited, p.exitExpected = c, s, exited, false
+	p.monitor = procstat.Watch(context.Background(), procstat.Subject{PID: c.Process.Pid, Listen: p.listen, Folder: p.folder},
+		monitorInterval)
 	go func() {
 		c.Wait()
+		p.stopMonitor()
 		p.history.recordExit(p.number)
 		p.mu.Lock()
 		if !p.exitExpected {
@@ -249,6 +256,18 @@
 	p.cmd.Process.Signal(syscall.SIGHUP)
 }
 
+// freeze suspends the process for a while.
+func (p *process) freeze(ctx context.Context, length time.Duration) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	cmd.Process.Signal(syscall.SIGSTOP)
+	since := p.history.now()
+	sleep(ctx, length)
+	p.history.recordFrozen(p.number, since)
+	cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -15,17 +15,43 @@
 	"strings"
 	"sync"
 	"time"
+
+	"jaspersill/lab/hostile"
 )
 
 // Options configures a run.
 type Options struct {
-	Seed       uint64
-	Program    string        // of the delivery node
-	Folder     string        // for configurations, state folders and logs
-	Nodes      int           // number of node processes
-	Length     time.Duration // how long clients send requests
-	Only       string        // one of FaultGroups; if empty, all kinds of faults but answers, notices and paths
-	PathFaults bool          // also inject faults into the network connections
+	Seed        uint64
+	Program     string          // of the delivery node
+	Folder      string          // for configurations, state folders and logs
+	Nodes       int             // number of node processes
+	Length      time.Duration   // how long clients send requests
+	Only        string          // one of FaultGroups; if empty, all kinds of faults but answers, notices and paths
+	PathFaults  bool            // also inject faults into the network connections
+	MemoryMB    int             // memory limit of each node; 0 for defaultMemoryMB
+	Clients     hostile.Pattern // with Only set to "clients": how clients misbehave; if empty, drawn for each node
+	Connections int             // of the misbehaving clients of each node; 0 for a number that suits the pattern
+}
+
+// Command returns the command that repeats the run.
+func (o *Options) Command() string {
+	text := fmt.Sprintf("jaspersill-lab soak --seed %d --nodes %d --length %v", o.Seed, o.Nodes, o.Length)
+	if o.Only != "" {
+		text += " --only " + o.Only
+	}
+	if o.PathFaults {
+		text += " --paths"
+	}
+	if o.MemoryMB > 0 {
+		text += fmt.Sprintf(" --memory %d", o.MemoryMB)
+	}
+	if o.Clients != "" {
+		text += " --clients " + string(o.Clients)
+	}
+	if o.Connections > 0 {
+		text += fmt.Sprintf(" --connections %d", o.Connections)
+	}
+	return text
 }
 
 // Report is the result of a run.
@@ -53,6 +79,7 @@
 	maxDestinations = 3
 	idleConnections = 150
 	largeBodySize   = 6000 // bytes
+	defaultMemoryMB = 64
 )
 
 // run is the state of a run in progress.
@@ -94,6 +121,8 @@
 		})
 	}
 	r.startClients(running, &done)
+	r.startHostileClients(running, &done)
+	r.startLeavingClients(running, &done)
 	done.Wait()
 	sleep(ctx, settleTime)
 	if err := ctx.Err(); err != nil {
@@ -102,8 +131,12 @@
 	for _, p := range r.processes {
 		r.readViolations(ctx, p)
 	}
+	r.stopMonitors()
 	r.history.check(dedupWindow)
 	r.history.checkUntried(r.restarts)
+	if options.Only == groupClients {
+		r.history.checkResponsive(options.Nodes)
+	}
 	h := r.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
