Log and export what a node holds when its memory comes close to the limit

Three gauges at /metrics (resident memory, clients' connections, active events), and a line of the part node when resident memory rises above 0.85 of limits.memory, with connections, events and calls, and one when it falls again.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,4 +1,4 @@
-// Package metrics provides the delivery node's counters and writes them in the Prometheus text format for /metrics.
+// Package metrics provides the delivery node's counters and gauges and writes them in the Prometheus text format for /metrics.
 package metrics
 
 import (
@@ -17,6 +17,7 @@
 var (
 	mu       sync.Mutex
 	counters []*Counter
+	gauges   []*Gauge
 )
 
 // NewCounter registers a counter without labels.
@@ -37,10 +38,17 @@
 // Value returns the current count.
 func (c *Counter) Value() int64 { return c.count.Load() }
 
-// WriteText writes all registered counters in the Prometheus text format.
+// WriteText writes all registered counters and gauges in the Prometheus text format.
 func WriteText(w io.Writer) error {
 	mu.Lock()
 	defer mu.Unlock()
+	for _, g := range gauges {
+		if value, known := g.value(); known {
+			if _, err := fmt.Fprintf(w, "# HELP %[1]s %[2]s\n# TYPE %[1]s gauge\n%[1]s %[3]d\n", g.name, g.help, value); err != nil {
+				return err
+			}
+		}
+	}
 	described := map[string]bool{}
 	for _, c := range counters {
 		if !described[c.name] {
--- a/node/endpointpool.go
+++ b/node/endpointpool.go
@@ -174,6 +174,13 @@
 	p.closeLocked(conn, reason)
 }
 
+// idleConnCount returns the number of idle connections to all endpoints.
+func (p *endpointPool) idleConnCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idleCount
+}
+
 func (p *endpointPool) zone(ep int32) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/listener.go
+++ b/node/listener.go
@@ -156,6 +156,13 @@
 	l.closeIdle(len(l.conns))
 }
 
+// connCount returns the number of open connections.
+func (l *listener) connCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // isEmpty reports whether all connections are closed.
 func (l *listener) isEmpty() bool {
 	l.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -35,8 +35,9 @@
 
 // Limits bounds the resources of a node.
 type Limits struct {
-	DiskMB  float64
-	Sockets int
+	DiskMB      float64
+	Sockets     int
+	MemoryBytes int64 // 0 for no limit
 }
 
 const (
@@ -65,15 +66,16 @@
 	customerNames   []string
 	types           []delivery.StreamType
 
-	drainTimes atomic.Pointer[drainTimes]
-	restored   []*event // unfinished events from before the restart
-	journal    *journal
-	decisions  *decisionLoop
-	endpoints  *endpointPool
-	directory  *directory
-	notices    *noticeSender
-	peers      *peerMessenger
-	clients    *clientServer
+	memoryLimit int64 // bytes, 0 for none
+	drainTimes  atomic.Pointer[drainTimes]
+	restored    []*event // unfinished events from before the restart
+	journal     *journal
+	decisions   *decisionLoop
+	endpoints   *endpointPool
+	directory   *directory
+	notices     *noticeSender
+	peers       *peerMessenger
+	clients     *clientServer
 }
 
 // Open opens the journal and the sockets of a node. Run starts it.
@@ -84,7 +86,7 @@
 	}
 	c := newClock(config.StateFolder, *config.timeSource)
 	n := &Node{clock: c, maxEvents: int64(settings.Limits.MaxEvents), types: settings.StreamTypes, typeNames: settings.StreamTypeNames,
-		customerNames: settings.CustomerNames}
+		customerNames: settings.CustomerNames, memoryLimit: limits.MemoryBytes}
 	n.SetDrainTimes(drainCloseIdle, drainStopDeciding, drainExit)
 	n.setPhase(Starting)
 	var err error
@@ -135,6 +137,9 @@
 		n.journal.close()
 		return nil, err
 	}
+	residentMemory.Set(residentBytes)
+	clientConnections.Set(func() int64 { return int64(n.clients.listener.connCount()) })
+	activeEventCount.Set(n.activeEvents.Load)
 	return n, nil
 }
 
