Parse a request header only once it is complete, and with at most 64 fields

A field of four bytes takes over a hundred once fasthttp has parsed it, a header of 4 KiB some 100 KiB, and each connection kept that while its body was awaited; a header in pieces was parsed anew from its first piece. awaitHeader waits for the whole header in the read buffer and counts its fields; the context is taken from its pool only then. More fields are answered with 431.

--- a/node/clients.go
+++ b/node/clients.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	maxHeaderBytes             = 4096                    // a longer request header is answered with 431
 	defaultRequestTimeout      = 2 * time.Second         // well above the 400 ms that a client waits for its response
 	defaultFirstRequestTimeout = 2500 * time.Millisecond // counts from accepting; an error response is due within 3 s
 	defaultClientIdleTimeout   = 5 * time.Second         // clients reconnect for later requests, and some send only one
@@ -99,14 +98,12 @@
 // serveBuffered answers the request that has started to arrive and any pipelined requests that were read into the
 // buffer with it, so that no request that was read is left unanswered. It reports whether the connection stays open.
 func (c *clientServer) serveBuffered(conn *clientConn) bool {
-	in, ctx := readerPool.Get().(*bufio.Reader), contextPool.Get().(*fasthttp.RequestCtx)
+	in := readerPool.Get().(*bufio.Reader)
 	defer readerPool.Put(in)
-	defer contextPool.Put(ctx)
 	in.Reset(conn)
 	defer in.Reset(nil)
-	ctx.Init2(conn, fasthttpLogger{}, true)
 	for {
-		if !c.serveRequest(ctx, in, conn) {
+		if !c.serveRequest(in, conn) {
 			return false
 		}
 		if in.Buffered() == 0 {
@@ -118,10 +115,15 @@
 
 // serveRequest reads and answers one request. It reports whether the connection stays open. While the node drains,
 // a connection closes after the last request that was already read from it.
-func (c *clientServer) serveRequest(ctx *fasthttp.RequestCtx, in *bufio.Reader, conn *clientConn) bool {
-	ctx.Request.Reset()
-	ctx.Response.Reset()
-	switch err := readRequest(&ctx.Request, in, conn); {
+func (c *clientServer) serveRequest(in *bufio.Reader, conn *clientConn) bool {
+	_, err := awaitHeader(in)
+	ctx := contextPool.Get().(*fasthttp.RequestCtx)
+	defer releaseContext(ctx)
+	ctx.Init2(conn, fasthttpLogger{}, true)
+	if err == nil {
+		err = readRequest(&ctx.Request, in, conn)
+	}
+	switch {
 	case err == nil:
 		c.handler(ctx)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
@@ -145,7 +147,7 @@
 		return false
 	}
 	conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-	_, err := conn.Write(out.B)
+	_, err = conn.Write(out.B)
 	conn.state.MarkAnswered() // either the response was written in full or the client is gone
 	switch {
 	case err != nil:
@@ -160,7 +162,14 @@
 	return false
 }
 
-// readRequest reads a complete request. It answers "Expect: 100-continue" with 100 Continue.
+// releaseContext gives a context back to the pool, with nothing of its request.
+func releaseContext(ctx *fasthttp.RequestCtx) {
+	ctx.Request.Reset()
+	ctx.Response.Reset()
+	contextPool.Put(ctx)
+}
+
+// readRequest reads a request whose header is in the buffer. It answers "Expect: 100-continue" with 100 Continue.
 func readRequest(req *fasthttp.Request, in *bufio.Reader, conn *clientConn) error {
 	if err := req.Header.Read(in); err != nil {
 		return err
@@ -262,11 +271,10 @@
 
 // rejectUnreadable responds to input that could not be read as a request.
 func (c *clientServer) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case errors.As(err, &small):
-		c.rejectRequest(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+	case errors.Is(err, errHeaderTooLong), errors.Is(err, errTooManyFields):
+		c.rejectRequest(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, err.Error())
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		c.rejectRequest(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	case errors.As(err, &timeout) && timeout.Timeout():
