Charge each request and event to one budget out of the memory limit

A declared length of 64 KiB took its buffer at once on each of 700 connections, chunked bodies grew by doubling, and accepted events held their bodies beside: nothing related any of it to limits.memory.

membudget divides the limit: code, files, the kernel's queues, and of the Go memory what connections, remembered ids, idle connections to endpoints and requests may take. A request is charged before its body is read, an event until its end. Where there is no room, incomplete requests are ended, the oldest first, and a request that still finds none is refused with 503. A quarter of the budget is for small requests, so that large ones do not keep usual clients out. The Go runtime's soft limit comes from the same plan.

--- a/cmd/jaspersill/serve.go
+++ b/cmd/jaspersill/serve.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -56,7 +55,7 @@
 			KnownEndpoints: p.Known,
 		},
 		node.Limits{DiskMB: float64(c.Bytes("limits.disk")) / 1e6, Sockets: c.Int("limits.descriptors"),
-			MemoryBytes: c.Bytes("limits.memory")},
+			MemoryBytes: c.Bytes("limits.memory"), GoShare: c.Float("limits.heap_part")},
 		node.ClientTimeouts{FirstRequest: c.Duration("clients.first"), Request: c.Duration("clients.whole"),
 			Idle: c.Duration("clients.between")},
 		s,
@@ -86,9 +85,7 @@
 // without taking effect.
 func applyReloadable(formatter *logs.Formatter, n *node.Node, c *config.Config) {
 	configureLogs(formatter, c)
-	if memory := c.Bytes("limits.memory"); memory > 0 {
-		debug.SetMemoryLimit(int64(float64(memory) * c.Float("limits.heap_part")))
-	}
+	n.SetGoShare(c.Float("limits.heap_part"))
 	n.SetDrainTimes(c.Duration("drain.door"), c.Duration("drain.choose"), c.Duration("drain.end"))
 	n.SetDirectorySilence(c.Duration("directory.silence"))
 	n.SetNoticeTimes(c.Duration("notices.within"), c.Duration("notices.again"))
--- a/config/keys.go
+++ b/config/keys.go
@@ -70,7 +70,7 @@
 		{Name: "limits.memory", Kind: Size, Default: "0B", Min: "0B", Max: "1TiB",
 			Description: "Memory limit above which the platform kills the node; 0B for no limit."},
 		{Name: "limits.heap_part", Kind: Float, Default: "0.6", Min: "0.1", Max: "0.95", Reloadable: true,
-			Description: "Share of limits.memory available to the heap; stacks, sockets and files need the rest."},
+			Description: "Largest share of limits.memory for the Go runtime; code, sockets and files need the rest."},
 		{Name: "limits.descriptors", Kind: Int, Default: "0", Min: "0", Max: "1048576",
 			Description: "Maximum number of open file descriptors; 0 for 1024."},
 		{Name: "limits.disk", Kind: Size, Default: "0B", Min: "0B", Max: "1TiB",
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -11,6 +11,7 @@
 	"jaspersill/errclass"
 	"jaspersill/lifecycle"
 	"jaspersill/logs"
+	"jaspersill/membudget"
 	"jaspersill/metrics"
 )
 
@@ -36,12 +37,13 @@
 	responseWritten bool      // at least part of a response was written
 	framingLost     bool      // the last input was not a valid request, so no request can be parsed from what follows
 
-	busy            bool // a request has started to arrive and its response is not yet written
-	requestRead     bool // that request was read completely
-	hadValidRequest bool // it has carried at least one request to submit an event or check readiness
-	closing         bool // asked to close, or being closed
-	lingering       bool // its responses are written and it waits for the client to close
-	evicted         bool // its remaining time was cut to make room for other connections
+	busy            bool             // a request has started to arrive and its response is not yet written
+	requestRead     bool             // that request was read completely
+	hadValidRequest bool             // it has carried at least one request to submit an event or check readiness
+	closing         bool             // asked to close, or being closed
+	lingering       bool             // its responses are written and it waits for the client to close
+	charge          membudget.Charge // of the request that is read or answered
+	evicted         bool             // its remaining time was cut to make room for other connections
 }
 
 // clientCloseReason is the reason for closing a client connection, as the metrics and logs name it.
@@ -55,12 +57,13 @@
 	clientCloseByHeader   clientCloseReason = "header"      // required by the Connection header or the HTTP version
 	clientCloseDraining   clientCloseReason = "draining"    // the node is draining and this was the last request
 	clientCloseNotWritten clientCloseReason = "not_written" // the response could not be written
+	clientCloseNoMemory   clientCloseReason = "memory"      // there was no memory to read the request
 )
 
 var clientConnectionsClosed = metrics.NewCounterVec("jaspersill_client_connections_closed_total",
 	"Clients' connections that ended, by reason.", "reason", string(clientCloseRequested), string(clientCloseIdle),
 	string(clientCloseByClient), string(clientCloseUnreadable), string(clientCloseByHeader), string(clientCloseDraining),
-	string(clientCloseNotWritten))
+	string(clientCloseNotWritten), string(clientCloseNoMemory))
 
 // setCloseReason records why the connection closes; the first reason wins.
 func (c *clientConn) setCloseReason(reason clientCloseReason) {
@@ -78,6 +81,13 @@
 	}
 }
 
+// evict ends the connection's request: a busy one that is incomplete is answered with 408 Request Timeout. The listener's lock
+// is held.
+func (c *clientConn) evict() {
+	c.evicted = true
+	c.SetReadDeadline(pastDeadline)
+}
+
 // requestClose asks an idle connection to close. Its reader does so, unless a request arrives first. The listener's
 // lock is held.
 func (c *clientConn) requestClose() {
--- a/node/clients.go
+++ b/node/clients.go
@@ -116,7 +116,11 @@
 // serveRequest reads and answers one request. It reports whether the connection stays open. While the node drains,
 // a connection closes after the last request that was already read from it.
 func (c *clientServer) serveRequest(in *bufio.Reader, conn *clientConn) bool {
-	_, err := awaitHeader(in)
+	header, err := awaitHeader(in)
+	if err == nil {
+		err = c.reserveMemory(conn, header)
+	}
+	defer c.releaseMemory(conn)
 	ctx := contextPool.Get().(*fasthttp.RequestCtx)
 	defer releaseContext(ctx)
 	ctx.Init2(conn, fasthttpLogger{}, true)
@@ -126,6 +130,11 @@
 	switch {
 	case err == nil:
 		c.handler(ctx)
+	case errors.Is(err, errNoMemory):
+		conn.setCloseReason(clientCloseNoMemory)
+		conn.framingLost = true
+		c.refuse(ctx, refusedNoMemory)
+		ctx.SetConnectionClose()
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
 		conn.setCloseReason(clientCloseByClient)
 		return false
@@ -260,6 +269,12 @@
 	return <-e.response
 }
 
+// refuse tells the client of a request that was not read to come again.
+func (c *clientServer) refuse(ctx *fasthttp.RequestCtx, reason string) {
+	recordRefusal("", reason)
+	c.respond(ctx, clientResponse{status: statusDeclined, retryAfter: c.node.decisions.fullRetryAfter()})
+}
+
 // respond tells the client that its event was accepted, or when to retry.
 func (c *clientServer) respond(ctx *fasthttp.RequestCtx, response clientResponse) {
 	ctx.SetStatusCode(response.status)
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -7,6 +7,7 @@
 	"jaspersill/delivery"
 	"jaspersill/lifecycle"
 	"jaspersill/logs"
+	"jaspersill/membudget"
 	"jaspersill/metrics"
 	"jaspersill/store"
 )
@@ -18,7 +19,7 @@
 
 var refusedRequests = metrics.NewCounterVec("jaspersill_refused_requests_total",
 	"Requests that their clients heard to be refused, by reason.", "reason", refusedJournalFull, refusedWriteFailed, refusedByPolicy,
-	refusedAtCapacity, refusedUnlisted)
+	refusedAtCapacity, refusedUnlisted, refusedNoMemory)
 
 const (
 	refusedJournalFull = "full"     // the journal has no space for it
@@ -26,6 +27,7 @@
 	refusedByPolicy    = "policy"   // the scheduler declined it
 	refusedAtCapacity  = "no_room"  // the node has its maximum number of events
 	refusedUnlisted    = "unlisted" // the directory has never listed its destination
+	refusedNoMemory    = "memory"   // requests and events take all the memory that they may
 )
 
 // recordRefusal counts and logs that a client is told of the refusal of its request.
@@ -59,6 +61,7 @@
 
 // runEvent processes an event until its end.
 func (n *Node) runEvent(e *event) {
+	defer n.memory.Release(membudget.EventCharge(len(e.body)))
 	t := &eventTask{node: n, event: e, clientWaiting: e.response != nil}
 	if t.clientWaiting && !t.accept() {
 		return
--- a/node/listener.go
+++ b/node/listener.go
@@ -32,10 +32,11 @@
 	delayedSince time.Time // when accepting began to fail or to wait for room; connections accepted since may have
 	delayedUntil time.Time // queued since then, until the backlog of that time is accepted
 
-	mu          sync.Mutex
-	roomChanged sync.Cond
-	conns       map[*clientConn]struct{}
-	closed      bool
+	mu              sync.Mutex
+	memoryEvictedAt time.Time // when requests were last ended to give memory back
+	roomChanged     sync.Cond
+	conns           map[*clientConn]struct{}
+	closed          bool
 }
 
 // pastDeadline is a read deadline that has passed, which interrupts a read.
@@ -132,8 +133,7 @@
 	switch {
 	case victim == nil || (victimRank == 1 && sparedByGrace && now.Sub(victim.stateSince) < idleGrace):
 	case victim.busy, victim.lingering:
-		victim.evicted = true
-		victim.SetReadDeadline(pastDeadline) // a busy connection is answered with 408 Request Timeout
+		victim.evict()
 	default:
 		victim.requestClose()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -5,12 +5,14 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"jaspersill/delivery"
 	"jaspersill/lifecycle"
+	"jaspersill/membudget"
 	"jaspersill/settings"
 	"jaspersill/store"
 )
@@ -37,7 +39,8 @@
 type Limits struct {
 	DiskMB      float64
 	Sockets     int
-	MemoryBytes int64 // 0 for no limit
+	MemoryBytes int64   // 0 for no limit
+	GoShare     float64 // largest share of MemoryBytes for the Go runtime; 0 for no limit of its own
 }
 
 const (
@@ -66,16 +69,17 @@
 	customerNames   []string
 	types           []delivery.StreamType
 
-	memoryLimit int64 // bytes, 0 for none
-	drainTimes  atomic.Pointer[drainTimes]
-	restored    []*event // unfinished events from before the restart
-	journal     *journal
-	decisions   *decisionLoop
-	endpoints   *endpointPool
-	directory   *directory
-	notices     *noticeSender
-	peers       *peerMessenger
-	clients     *clientServer
+	memoryLimits membudget.Limits
+	memory       *membudget.Budget // of requests and events
+	drainTimes   atomic.Pointer[drainTimes]
+	restored     []*event // unfinished events from before the restart
+	journal      *journal
+	decisions    *decisionLoop
+	endpoints    *endpointPool
+	directory    *directory
+	notices      *noticeSender
+	peers        *peerMessenger
+	clients      *clientServer
 }
 
 // Open opens the journal and the sockets of a node. Run starts it.
@@ -86,7 +90,7 @@
 	}
 	c := newClock(config.StateFolder, *config.timeSource)
 	n := &Node{clock: c, maxEvents: int64(settings.Limits.MaxEvents), types: settings.StreamTypes, typeNames: settings.StreamTypeNames,
-		customerNames: settings.CustomerNames, memoryLimit: limits.MemoryBytes}
+		customerNames: settings.CustomerNames}
 	n.SetDrainTimes(drainCloseIdle, drainStopDeciding, drainExit)
 	n.setPhase(Starting)
 	var err error
@@ -104,13 +108,18 @@
 	idleClients := sockets / clientIdleDivisor
 	sockets = max(minSockets, sockets-reservedSockets)
 	idleEndpoints := sockets / endpointIdleDivisor
+	n.memoryLimits = membudget.Limits{MemoryBytes: limits.MemoryBytes, FileBytes: int64(limits.DiskMB * 1e6), GoShare: limits.GoShare,
+		ClientConns:       max(minClients, sockets-idleEndpoints-settings.Limits.MaxConcurrentCalls),
+		IdleEndpointConns: idleEndpoints}
+	plan := membudget.NewPlan(n.memoryLimits)
+	n.memory = membudget.NewBudget(plan.RequestBytes)
 	var eventsPerCall []int
 	for _, kind := range settings.DestinationKinds {
 		eventsPerCall = append(eventsPerCall, kind.MaxEventsPerCall)
 	}
 	n.decisions = newDecisionLoop(c, scheduler, settings.MinRoundInterval, append(eventsPerCall, 1))
 	n.endpoints = &endpointPool{clock: c, journal: n.journal, dial: newDialer(settings.ConnectTimeout),
-		idleTimeout: settings.ConnIdleTimeout, maxIdle: idleEndpoints}
+		idleTimeout: settings.ConnIdleTimeout, maxIdle: plan.IdleEndpointConns}
 	n.directory = &directory{address: config.Directory, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: n.decisions, endpoints: n.endpoints,
 		destinationKindNames: settings.DestinationKindNames, zoneNames: settings.ZoneNames, useRates: settings.HasRates,
@@ -129,8 +138,7 @@
 		}
 	}
 	if err == nil {
-		n.clients, err = newClientServer(n, config.Listen, timeouts,
-			max(minClients, sockets-idleEndpoints-settings.Limits.MaxConcurrentCalls), idleClients)
+		n.clients, err = newClientServer(n, config.Listen, timeouts, plan.ClientConns, min(idleClients, plan.ClientConns))
 	}
 	if err != nil {
 		n.peers.close()
@@ -140,6 +148,8 @@
 	residentMemory.Set(residentBytes)
 	clientConnections.Set(func() int64 { return int64(n.clients.listener.connCount()) })
 	activeEventCount.Set(n.activeEvents.Load)
+	requestMemory.Set(n.memory.Used)
+	requestMemoryLimit.Set(n.memory.Total)
 	return n, nil
 }
 
@@ -150,6 +160,17 @@
 	n.drainTimes.Store(&drainTimes{closeIdle, stopDeciding, exit})
 }
 
+// SetGoShare sets the largest share of the memory limit for the Go runtime, which collects garbage more often as it comes close.
+// The rest of the limit is for the program's code, the state folder's files and the kernel's socket queues. It has no effect
+// without a memory limit.
+func (n *Node) SetGoShare(share float64) {
+	limits := n.memoryLimits
+	limits.GoShare = share
+	if plan := membudget.NewPlan(limits); plan.GoBytes > 0 {
+		debug.SetMemoryLimit(plan.GoBytes)
+	}
+}
+
 // SetDirectorySilence sets how long a call to the directory may go without receiving data.
 func (n *Node) SetDirectorySilence(timeout time.Duration) {
 	n.directory.silenceTimeout.Store(int64(timeout))
@@ -177,6 +198,7 @@
 		if e.resolution == unresolved {
 			n.decisions.addEvent(e)
 		}
+		n.memory.Acquire(membudget.EventCharge(len(e.body)))
 		go n.runEvent(e)
 	}
 	n.restored = nil
@@ -188,7 +210,10 @@
 	switch {
 	case !n.directory.isKnownDest(e.dest):
 		return refusedUnlisted
+	case !n.memory.TryAcquire(membudget.EventCharge(len(e.body))):
+		return refusedNoMemory
 	case !n.admit():
+		n.memory.Release(membudget.EventCharge(len(e.body)))
 		return refusedAtCapacity
 	}
 	return ""
--- a/node/phases.go
+++ b/node/phases.go
@@ -56,7 +56,7 @@
 	go n.peers.receive()
 	go n.notices.run(stop)
 	go n.endpoints.sweepIdle(stop)
-	go n.reportMemory(n.memoryLimit, stop)
+	go n.reportMemory(n.memoryLimits.MemoryBytes, stop)
 	n.restoreEvents()
 	go n.decisions.run()
 	defer n.journal.close()
