Bound what the kernel queues for connections, and read no invalid request to its end

The kernel grows the queue of each connection to megabytes, and the node read such bodies for 0.3 s each at full speed, 512 bytes at a time. The sizes of the socket buffers and the backlog now come from the plan; a connection gets a larger receive buffer only while its large body is charged. 16 KiB of an invalid request are discarded at most. Requests that wait for memory wait in a queue instead of polling, which took a core beside 500 of them.

Beside unread responses usual clients are still late.

--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -1,6 +1,10 @@
 package membudget
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 const (
 	// MaxRequestBytes is the charge of a request with the largest body, twice the body and what any request takes.
@@ -39,10 +43,17 @@
 
 // Budget keeps account of the memory that requests and events take. It is safe for concurrent use.
 type Budget struct {
-	mu     sync.Mutex
-	total  int64
-	used   int64 // by requests and events
-	events int64 // by events
+	mu      sync.Mutex
+	total   int64
+	used    int64     // by requests and events
+	events  int64     // by events
+	waiting []*waiter // in order of arrival
+}
+
+// waiter is an Acquire that waits for room.
+type waiter struct {
+	charge  Charge
+	granted chan struct{} // closed once the charge is taken
 }
 
 // NewBudget returns a budget of this many bytes.
@@ -53,27 +64,84 @@
 func (b *Budget) TryAcquire(c Charge) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := b.total
-	if !c.small {
-		limit -= share(b.total, smallReserve)
-	}
-	if b.used > 0 && b.used+c.Bytes > limit {
-		return false
-	}
-	if c.event && b.events > 0 && b.events+c.Bytes > share(b.total, eventsShare) {
+	if !b.fits(c) {
 		return false
 	}
 	b.take(c)
 	return true
 }
 
-// Acquire takes a charge in any case: for events that an earlier process has accepted.
-func (b *Budget) Acquire(c Charge) {
+// Acquire takes a charge as soon as there is room for it, and reports whether there was before the time-out. Of those that wait,
+// the first that fits is served first.
+func (b *Budget) Acquire(c Charge, timeout time.Duration) bool {
+	b.mu.Lock()
+	if b.fits(c) {
+		b.take(c)
+		b.mu.Unlock()
+		return true
+	}
+	w := &waiter{charge: c, granted: make(chan struct{})}
+	b.waiting = append(b.waiting, w)
+	b.mu.Unlock()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-w.granted:
+		return true
+	case <-timer.C:
+		return b.giveUp(w)
+	}
+}
+
+// giveUp ends the waiting for a charge, and reports whether it was granted meanwhile.
+func (b *Budget) giveUp(w *waiter) (granted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := slices.Index(b.waiting, w)
+	if i < 0 {
+		return true
+	}
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+	return false
+}
+
+// Take takes a charge in any case: for events that an earlier process has accepted.
+func (b *Budget) Take(c Charge) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.take(c)
 }
 
+// Release gives a charge back.
+func (b *Budget) Release(c Charge) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= c.Bytes
+	if c.event {
+		b.events -= c.Bytes
+	}
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+		if !b.fits(w.charge) {
+			return false
+		}
+		b.take(w.charge)
+		close(w.granted)
+		return true
+	})
+}
+
+// fits reports whether there is room for a charge. The caller holds mu.
+func (b *Budget) fits(c Charge) bool {
+	limit := b.total
+	if !c.small {
+		limit -= share(b.total, smallReserve)
+	}
+	if b.used > 0 && b.used+c.Bytes > limit {
+		return false
+	}
+	return !c.event || b.events == 0 || b.events+c.Bytes <= share(b.total, eventsShare)
+}
+
 // take adds a charge. The caller holds mu.
 func (b *Budget) take(c Charge) {
 	b.used += c.Bytes
@@ -82,14 +150,11 @@
 	}
 }
 
-// Release gives a charge back.
-func (b *Budget) Release(c Charge) {
+// IsAwaited reports whether anything waits for room.
+func (b *Budget) IsAwaited() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= c.Bytes
-	if c.event {
-		b.events -= c.Bytes
-	}
+	return len(b.waiting) > 0
 }
 
 // Used returns the bytes in use.
--- a/membudget/plan.go
+++ b/membudget/plan.go
@@ -9,6 +9,7 @@
 	ClientConns           int   // clients' connections
 	IdleEndpointConns     int   // idle connections to endpoints
 	RequestBytes          int64 // requests from their complete header on, and events until their end
+	ClientBacklog         int   // clients' connections that wait to be accepted
 	RememberedIDs         int   // ids of ended events
 	ClientReceiveBuffer   int   // bytes that the kernel queues for one connection of a client
 	ClientSendBuffer      int
@@ -33,17 +34,20 @@
 	goBaseBytes  = 5 * mib // Go memory of a node under its usual traffic, without what clients hold
 
 	maxFileShare   = 0.25 // of the memory that files count for: the page cache can give up the rest
-	kernelShare    = 0.2  // of the memory that is left for the kernel's queues
-	usableShare    = 0.7  // of the Go memory left for what is in use: the rest is garbage until the next collection
-	connsShare     = 0.5  // of the usable memory for clients' connections
-	idsShare       = 0.12 // of the usable memory for remembered ids
-	endpointsShare = 0.08 // of the usable memory for idle connections to endpoints
+	kernelShare    = 0.3  // of the memory that is left for the kernel's queues
+	usableShare    = 0.85 // of the Go memory left for what is in use: the rest is garbage until the next collection
+	connsShare     = 0.55 // of the usable memory for clients' connections
+	idsShare       = 0.1  // of the usable memory for remembered ids
+	endpointsShare = 0.07 // of the usable memory for idle connections to endpoints
 
-	clientConnBytes   = 12 * kib // goroutine, read buffer and structures of a client's connection
+	clientConnBytes   = 10 * kib // goroutine, read buffer and structures of a client's connection
 	endpointConnBytes = 6 * kib  // the same of an idle connection to an endpoint
 	idBytes           = 256      // of a remembered id, in the journal's index and in the node
 
 	clientKernelShare = 0.75 // of the kernel's queues for clients' connections; the rest is for endpoints
+	sendShare         = 0.3  // of a client connection's queues for responses, which are shorter than requests
+	backlogShare      = 0.2  // connections that may wait to be accepted, by those that may be open
+	minClientBacklog  = 64
 	minKernelBuffer   = 2 * kib
 	maxKernelBuffer   = 64 * kib
 	kernelOverhead    = 2 // the kernel charges up to twice the payload
@@ -85,8 +89,10 @@
 	}
 	taken := int64(p.ClientConns)*clientConnBytes + int64(p.IdleEndpointConns)*endpointConnBytes + int64(p.RememberedIDs)*idBytes
 	p.RequestBytes = max(usable-taken, minRequestBytes)
-	clientQueue := share(kernel, clientKernelShare) / kernelOverhead / int64(max(1, p.ClientConns))
-	p.ClientReceiveBuffer, p.ClientSendBuffer = kernelBuffer(clientQueue/2), kernelBuffer(clientQueue/4)
+	p.ClientBacklog = max(minClientBacklog, int(share(int64(p.ClientConns), backlogShare)))
+	clientQueue := share(kernel, clientKernelShare) / kernelOverhead / int64(p.ClientConns+p.ClientBacklog)
+	p.ClientSendBuffer = kernelBuffer(share(clientQueue, sendShare))
+	p.ClientReceiveBuffer = kernelBuffer(clientQueue - int64(p.ClientSendBuffer))
 	endpointQueue := share(kernel, 1-clientKernelShare) / kernelOverhead / int64(max(1, p.IdleEndpointConns))
 	p.EndpointReceiveBuffer = kernelBuffer(endpointQueue)
 	return p
--- a/node/call_test.go
+++ b/node/call_test.go
@@ -104,7 +104,7 @@
 	t.Helper()
 	j, _ := reopenJournal(t, t.TempDir(), 3)
 	t.Cleanup(j.close)
-	p := &endpointPool{clock: clock{start: time.Now()}, journal: j, dial: newDialer(500 * ms),
+	p := &endpointPool{clock: clock{start: time.Now()}, journal: j, dial: newDialer(500*ms, socketBuffers{}),
 		idleTimeout: 15000 * ms, maxIdle: 10}
 	p.updateEndpoint(0, "e0", "zone", address)
 	return p
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"errors"
 	"os"
 	"syscall"
@@ -18,6 +19,7 @@
 const (
 	lingerTimeout      = 300 * time.Millisecond // enough for one round trip: a client that sees the end of the stream closes too
 	lingerPollInterval = 10 * time.Millisecond
+	maxDiscardedBytes  = 16 << 10
 )
 
 // clientConn is a client's connection. It waits for a request in awaitRequest, is busy from the first byte of a
@@ -28,6 +30,7 @@
 	id              uint64
 	requests        int               // number of requests read
 	closeReason     clientCloseReason // empty while the connection is in use
+	receiveBuffer   int               // size of the socket's receive buffer in bytes, 0 for the kernel's default
 	listener        *listener
 	state           lifecycle.Connection
 	acceptedAt      time.Time
@@ -215,9 +218,8 @@
 	if linger && c.CloseWrite() == nil {
 		if c.framingLost {
 			c.discardInput()
-		} else {
-			c.awaitPeerClose()
 		}
+		c.awaitPeerClose()
 	}
 	c.state.CheckClose(c.RemoteAddr().String())
 	c.recordClose()
@@ -228,13 +230,14 @@
 	c.listener.roomChanged.Signal()
 }
 
+// discardInput reads and discards the rest of an invalid request, up to maxDiscardedBytes: a client that sends without end must
+// not keep the node reading.
 func (c *clientConn) discardInput() {
-	var buf [512]byte
-	for {
-		if _, err := c.retryConn.Read(buf[:]); err != nil {
-			return
-		}
-	}
+	in := readerPool.Get().(*bufio.Reader)
+	defer readerPool.Put(in)
+	in.Reset(c.retryConn)
+	defer in.Reset(nil)
+	in.Discard(maxDiscardedBytes)
 }
 
 // receiveDelay returns how long the last request may have waited before it was read, or 0 if reading and accepting
--- a/node/clients.go
+++ b/node/clients.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"jaspersill/lifecycle"
 	"jaspersill/logs"
+	"jaspersill/membudget"
 	"jaspersill/metrics"
 )
 
@@ -45,6 +47,7 @@
 	handler        func(*fasthttp.RequestCtx) // handles each request that was read successfully
 	badRequests    throttledLog
 	recentRequests recentRequests
+	reclaiming     atomic.Bool // incomplete requests are being ended to give memory back
 }
 
 // Buffers are pooled and held only while a request is read and answered, since most connections are idle most of
@@ -62,16 +65,18 @@
 	logs.Part("clients").Debugf(format, args...)
 }
 
-func newClientServer(n *Node, address string, times ClientTimeouts, maxConns, maxIdle int) (*clientServer, error) {
-	l, err := openSocket(func() (net.Listener, error) { return net.Listen("tcp", address) })
+func newClientServer(n *Node, address string, times ClientTimeouts, plan membudget.Plan, maxIdle int) (*clientServer, error) {
+	buffers := socketBuffers{receive: plan.ClientReceiveBuffer, send: plan.ClientSendBuffer}
+	l, err := openSocket(func() (net.Listener, error) { return listenTCP(address, buffers, plan.ClientBacklog) })
 	if err != nil {
 		return nil, err
 	}
-	c := &clientServer{node: n, listener: newListener(l, maxConns, maxIdle),
+	c := &clientServer{node: n, listener: newListener(l, plan.ClientConns, min(maxIdle, plan.ClientConns)),
 		badRequests: throttledLog{part: "clients", message: "rejected invalid requests"}}
 	c.listener.firstRequestTimeout, c.listener.idleTimeout = cmp.Or(times.FirstRequest, defaultFirstRequestTimeout),
 		cmp.Or(times.Idle, defaultClientIdleTimeout)
 	c.listener.requestTimeout = cmp.Or(times.Request, defaultRequestTimeout)
+	c.listener.receiveBuffer = plan.ClientReceiveBuffer
 	c.handler = c.handle
 	return c, nil
 }
--- a/node/endpointpool.go
+++ b/node/endpointpool.go
@@ -243,8 +243,8 @@
 }
 
 // newDialer returns a dial function with a timeout in nanoseconds; 0 means that only the call's own timeout applies.
-func newDialer(timeout int64) dialFunc {
-	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(timeout)}
+func newDialer(timeout int64, buffers socketBuffers) dialFunc {
+	d := net.Dialer{KeepAlive: -1, Timeout: time.Duration(timeout), Control: buffers.control}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
 	}
--- a/node/listener.go
+++ b/node/listener.go
@@ -24,6 +24,8 @@
 	maxConns int // connections in total
 	maxIdle  int // connections that wait between requests
 
+	receiveBuffer int // size of the receive buffer of a new connection in bytes, 0 for the kernel's default
+
 	// firstRequestTimeout runs from accepting a connection until its first request is read, requestTimeout from the first
 	// byte of a later request until it is read, and idleTimeout between two requests.
 	firstRequestTimeout, requestTimeout, idleTimeout time.Duration
@@ -32,11 +34,10 @@
 	delayedSince time.Time // when accepting began to fail or to wait for room; connections accepted since may have
 	delayedUntil time.Time // queued since then, until the backlog of that time is accepted
 
-	mu              sync.Mutex
-	memoryEvictedAt time.Time // when requests were last ended to give memory back
-	roomChanged     sync.Cond
-	conns           map[*clientConn]struct{}
-	closed          bool
+	mu          sync.Mutex
+	roomChanged sync.Cond
+	conns       map[*clientConn]struct{}
+	closed      bool
 }
 
 // pastDeadline is a read deadline that has passed, which interrupts a read.
@@ -77,7 +78,8 @@
 	if now.Sub(l.delayedUntil) > acceptRetryDelay+backlogAcceptTime {
 		l.delayedSince = time.Time{}
 	}
-	c := &clientConn{retryConn: &retryConn{Conn: socket}, id: newConnectionID(), listener: l, acceptedAt: now, stateSince: now}
+	c := &clientConn{retryConn: &retryConn{Conn: socket}, id: newConnectionID(), listener: l,
+		receiveBuffer: l.receiveBuffer, acceptedAt: now, stateSince: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.maxConns && !l.closed {
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 		eventsPerCall = append(eventsPerCall, kind.MaxEventsPerCall)
 	}
 	n.decisions = newDecisionLoop(c, scheduler, settings.MinRoundInterval, append(eventsPerCall, 1))
-	n.endpoints = &endpointPool{clock: c, journal: n.journal, dial: newDialer(settings.ConnectTimeout),
+	n.endpoints = &endpointPool{clock: c, journal: n.journal, dial: newDialer(settings.ConnectTimeout, socketBuffers{receive: plan.EndpointReceiveBuffer}),
 		idleTimeout: settings.ConnIdleTimeout, maxIdle: plan.IdleEndpointConns}
 	n.directory = &directory{address: config.Directory, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: n.decisions, endpoints: n.endpoints,
@@ -138,7 +138,7 @@
 		}
 	}
 	if err == nil {
-		n.clients, err = newClientServer(n, config.Listen, timeouts, plan.ClientConns, min(idleClients, plan.ClientConns))
+		n.clients, err = newClientServer(n, config.Listen, timeouts, plan, idleClients)
 	}
 	if err != nil {
 		n.peers.close()
@@ -198,7 +198,7 @@
 		if e.resolution == unresolved {
 			n.decisions.addEvent(e)
 		}
-		n.memory.Acquire(membudget.EventCharge(len(e.body)))
+		n.memory.Take(membudget.EventCharge(len(e.body)))
 		go n.runEvent(e)
 	}
 	n.restored = nil
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -375,7 +375,7 @@
 
 func TestRestoredEventsKeepTheirOrder(t *testing.T) {
 	r := &recordingScheduler{}
-	n := &Node{decisions: newDecisionLoop(clock{start: time.Now()}, r, ms, []int{1})}
+	n := &Node{memory: membudget.NewBudget(1 << 30), decisions: newDecisionLoop(clock{start: time.Now()}, r, ms, []int{1})}
 	want := ""
 	for i := range 50 {
 		n.restored = append(n.restored, &event{id: fmt.Sprint(i), dest: uint32(i), updates: make(chan eventUpdate, updateBuffer)})
--- a/node/requestmemory.go
+++ b/node/requestmemory.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	memoryWait         = 100 * time.Millisecond // for which a request waits until others give memory back: a client waits 400 ms
-	memoryPollInterval = 5 * time.Millisecond
-	memoryEvictions    = 8 // incomplete requests that are ended at once to make room
+	memoryWait            = 250 * time.Millisecond // for which a request waits until others give memory back: a client waits 400 ms
+	memoryReclaimInterval = 10 * time.Millisecond
+	memoryEvictions       = 8 // incomplete requests that are ended at once to make room
+
+	largeBodyBytes    = 4 << 10  // a longer body is read through a larger receive buffer, which saves CPU time
+	bodyReceiveBuffer = 32 << 10 // bytes; the charge of a large body covers what the kernel holds of it
 )
 
 var (
@@ -25,27 +28,47 @@
 // reserveMemory charges a request to its connection before its body is read, so that all requests together stay within the
 // budget. While there is no room, incomplete requests that others have left waiting are ended, the oldest first.
 func (c *clientServer) reserveMemory(conn *clientConn, header headerSummary) error {
-	charge := membudget.ReadCharge(0, false) // a body over the limit is not read
+	size := 0 // a body over the limit is not read
 	switch {
 	case header.chunked:
-		charge = membudget.ReadCharge(maxBodyBytes, true)
+		size = maxBodyBytes
 	case header.contentLength <= maxBodyBytes:
-		charge = membudget.ReadCharge(int(header.contentLength), false)
+		size = int(header.contentLength)
 	}
-	for waitUntil := time.Now().Add(memoryWait); !c.node.memory.TryAcquire(charge); {
-		now := time.Now()
-		if now.After(waitUntil) {
+	charge := membudget.ReadCharge(size, header.chunked)
+	if !c.node.memory.TryAcquire(charge) {
+		c.startReclaiming()
+		if !c.node.memory.Acquire(charge, memoryWait) {
 			return errNoMemory
 		}
-		c.listener.evictForMemory(now)
-		time.Sleep(memoryPollInterval)
 	}
 	conn.setCharge(charge)
+	if size > largeBodyBytes {
+		conn.resizeReceiveBuffer(bodyReceiveBuffer)
+	}
 	return nil
 }
 
+// startReclaiming ends incomplete requests in the background for as long as others wait for memory.
+func (c *clientServer) startReclaiming() {
+	if !c.reclaiming.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.reclaiming.Store(false)
+		for idle := 0; idle < 2; idle++ {
+			c.listener.evictForMemory(time.Now())
+			time.Sleep(memoryReclaimInterval)
+			if c.node.memory.IsAwaited() {
+				idle = 0
+			}
+		}
+	}()
+}
+
 // releaseMemory gives back what the connection's request was charged.
 func (c *clientServer) releaseMemory(conn *clientConn) {
+	conn.resizeReceiveBuffer(c.listener.receiveBuffer)
 	c.node.memory.Release(conn.setCharge(membudget.Charge{}))
 }
 
@@ -57,14 +80,10 @@
 	return before
 }
 
-// evictForMemory ends the incomplete requests that have held memory for longest, unless that was done a moment ago.
+// evictForMemory ends the incomplete requests that have held memory for longest.
 func (l *listener) evictForMemory(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.memoryEvictedAt) < memoryPollInterval {
-		return
-	}
-	l.memoryEvictedAt = now
 	for range memoryEvictions {
 		var oldest *clientConn
 		for c := range l.conns {
