Hold back responses to invalid and refused requests beyond a rate

Each request cost little, and nothing limited how many one connection, or all, could have answered: 100 connections took the whole core. Each connection now has 5 unproductive requests a second answered at once; beyond that, and where an error closes the connection, all share 1,000 a second, and a response waits for its turn for 0.5 s at most. Meanwhile only the response is held. At the limit of connections those that are throttled, or whose client reads no response, make room first. Accepted events are never held back.

The Go runtime collected without end at 450 connections: its memory profile's table took 1.4 MB of the limit, and goroutines' stacks more than was planned. The table is off, the plan has 12 KiB for a connection. The hostile clients' send buffers are 64 KiB now: they took gigabytes of the machine.

--- a/cmd/jaspersill/serve.go
+++ b/cmd/jaspersill/serve.go
@@ -18,6 +18,10 @@
 	"jaspersill/scheduler"
 )
 
+func init() {
+	runtime.MemProfileRate = 0 // the table of a memory profile, which is never read, takes over a megabyte
+}
+
 // serve runs the delivery node.
 func serve(formatter *logs.Formatter, localFile string, reload <-chan os.Signal) error {
 	// Catch SIGTERM before anything is opened: otherwise it would kill the process in the middle of its start-up.
--- a/lab/hostile/hostile.go
+++ b/lab/hostile/hostile.go
@@ -61,9 +61,10 @@
 }
 
 const (
-	maxConnections = 4096
-	connectTimeout = time.Second
-	reconnectPause = 5 * time.Millisecond
+	maxConnections  = 4096
+	connectTimeout  = time.Second
+	reconnectPause  = 5 * time.Millisecond
+	writeBufferSize = 64 << 10
 )
 
 // Run plays a load until ctx ends.
@@ -116,6 +117,9 @@
 	}
 	c.counts.connected.Add(1)
 	c.conn = conn
+	if tcp, ok := conn.(*net.TCPConn); ok { // hundreds of connections must not take gigabytes of this machine
+		tcp.SetWriteBuffer(writeBufferSize)
+	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	behave(ctx, c)
--- a/membudget/plan.go
+++ b/membudget/plan.go
@@ -30,21 +30,21 @@
 	kib = int64(1) << 10
 	mib = int64(1) << 20
 
-	programBytes = 8 * mib // resident code and data of the program and the C library
-	goBaseBytes  = 5 * mib // Go memory of a node under its usual traffic, without what clients hold
+	programBytes = 15 * mib / 2 // resident code and data of the program and the C library
+	goBaseBytes  = 5 * mib      // Go memory of a node under its usual traffic, without what clients hold
 
 	maxFileShare   = 0.25 // of the memory that files count for: the page cache can give up the rest
-	kernelShare    = 0.3  // of the memory that is left for the kernel's queues
+	kernelShare    = 0.25 // of the memory that is left for the kernel's queues
 	usableShare    = 0.85 // of the Go memory left for what is in use: the rest is garbage until the next collection
 	connsShare     = 0.55 // of the usable memory for clients' connections
 	idsShare       = 0.1  // of the usable memory for remembered ids
 	endpointsShare = 0.07 // of the usable memory for idle connections to endpoints
 
-	clientConnBytes   = 10 * kib // goroutine, read buffer and structures of a client's connection
+	clientConnBytes   = 12 * kib // goroutine, read buffer and structures of a client's connection
 	endpointConnBytes = 6 * kib  // the same of an idle connection to an endpoint
 	idBytes           = 256      // of a remembered id, in the journal's index and in the node
 
-	clientKernelShare = 0.75 // of the kernel's queues for clients' connections; the rest is for endpoints
+	clientKernelShare = 0.88 // of the kernel's queues for clients' connections; the rest is for endpoints
 	sendShare         = 0.3  // of a client connection's queues for responses, which are shorter than requests
 	backlogShare      = 0.2  // connections that may wait to be accepted, by those that may be open
 	minClientBacklog  = 64
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"jaspersill/errclass"
 	"jaspersill/lifecycle"
@@ -30,6 +31,7 @@
 	id              uint64
 	requests        int               // number of requests read
 	closeReason     clientCloseReason // empty while the connection is in use
+	unproductive    *rate.Limiter     // of its requests that lead to no accepted event
 	receiveBuffer   int               // size of the socket's receive buffer in bytes, 0 for the kernel's default
 	listener        *listener
 	state           lifecycle.Connection
@@ -46,6 +48,9 @@
 	closing         bool             // asked to close, or being closed
 	lingering       bool             // its responses are written and it waits for the client to close
 	charge          membudget.Charge // of the request that is read or answered
+	responding      bool             // a response is being written
+	throttled       bool             // its response is held back, because it sends too much that is invalid or refused
+	resume          chan struct{}    // ends the throttling when closed
 	evicted         bool             // its remaining time was cut to make room for other connections
 }
 
@@ -84,11 +89,18 @@
 	}
 }
 
-// evict ends the connection's request: a busy one that is incomplete is answered with 408 Request Timeout. The listener's lock
-// is held.
+// evict ends the connection soon: an incomplete request is answered with 408 Request Timeout, a response that is not read is
+// given up, and a throttled connection closes after the requests that were read from it. The listener's lock is held.
 func (c *clientConn) evict() {
 	c.evicted = true
 	c.SetReadDeadline(pastDeadline)
+	if c.responding {
+		c.SetWriteDeadline(pastDeadline)
+	}
+	if c.resume != nil {
+		close(c.resume)
+		c.resume = nil
+	}
 }
 
 // requestClose asks an idle connection to close. Its reader does so, unless a request arrives first. The listener's
@@ -187,6 +199,20 @@
 	c.state.MarkRequestRead()
 }
 
+// respond writes a response. It fails if the client does not read it in time.
+func (c *clientConn) respond(response []byte) error {
+	c.listener.mu.Lock()
+	c.responding, c.stateSince = true, time.Now()
+	c.SetWriteDeadline(c.stateSince.Add(clientWriteTimeout))
+	c.listener.mu.Unlock()
+	_, err := c.Write(response)
+	c.state.MarkAnswered() // either the response was written in full or the client is gone
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.responding = false
+	return err
+}
+
 // markIdle records that the response was written, and that the connection may now be closed to make room.
 func (c *clientConn) markIdle() {
 	c.listener.mu.Lock()
--- a/node/clients.go
+++ b/node/clients.go
@@ -5,16 +5,13 @@
 	"bytes"
 	"cmp"
 	"errors"
-	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
 	"jaspersill/lifecycle"
@@ -48,6 +45,7 @@
 	badRequests    throttledLog
 	recentRequests recentRequests
 	reclaiming     atomic.Bool // incomplete requests are being ended to give memory back
+	throttle       *throttle
 }
 
 // Buffers are pooled and held only while a request is read and answered, since most connections are idle most of
@@ -71,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientServer{node: n, listener: newListener(l, plan.ClientConns, min(maxIdle, plan.ClientConns)),
+	c := &clientServer{node: n, listener: newListener(l, plan.ClientConns, min(maxIdle, plan.ClientConns)), throttle: newThrottle(),
 		badRequests: throttledLog{part: "clients", message: "rejected invalid requests"}}
 	c.listener.firstRequestTimeout, c.listener.idleTimeout = cmp.Or(times.FirstRequest, defaultFirstRequestTimeout),
 		cmp.Or(times.Idle, defaultClientIdleTimeout)
@@ -92,110 +90,6 @@
 	}
 }
 
-// serveConn serves one connection until it closes.
-func (c *clientServer) serveConn(conn *clientConn) {
-	defer conn.closeGracefully()
-	for conn.awaitRequest() && c.serveBuffered(conn) {
-		conn.markIdle()
-	}
-}
-
-// serveBuffered answers the request that has started to arrive and any pipelined requests that were read into the
-// buffer with it, so that no request that was read is left unanswered. It reports whether the connection stays open.
-func (c *clientServer) serveBuffered(conn *clientConn) bool {
-	in := readerPool.Get().(*bufio.Reader)
-	defer readerPool.Put(in)
-	in.Reset(conn)
-	defer in.Reset(nil)
-	for {
-		if !c.serveRequest(in, conn) {
-			return false
-		}
-		if in.Buffered() == 0 {
-			return true
-		}
-		conn.startNextRequest()
-	}
-}
-
-// serveRequest reads and answers one request. It reports whether the connection stays open. While the node drains,
-// a connection closes after the last request that was already read from it.
-func (c *clientServer) serveRequest(in *bufio.Reader, conn *clientConn) bool {
-	header, err := awaitHeader(in)
-	if err == nil {
-		err = c.reserveMemory(conn, header)
-	}
-	defer c.releaseMemory(conn)
-	ctx := contextPool.Get().(*fasthttp.RequestCtx)
-	defer releaseContext(ctx)
-	ctx.Init2(conn, fasthttpLogger{}, true)
-	if err == nil {
-		err = readRequest(&ctx.Request, in, conn)
-	}
-	switch {
-	case err == nil:
-		c.handler(ctx)
-	case errors.Is(err, errNoMemory):
-		conn.setCloseReason(clientCloseNoMemory)
-		conn.framingLost = true
-		c.refuse(ctx, refusedNoMemory)
-		ctx.SetConnectionClose()
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
-		conn.setCloseReason(clientCloseByClient)
-		return false
-	default:
-		conn.setCloseReason(clientCloseUnreadable)
-		conn.framingLost = true
-		c.rejectUnreadable(ctx, err)
-		ctx.SetConnectionClose()
-	}
-	draining := c.node.Phase() != Serving && in.Buffered() == 0
-	if ctx.Request.Header.ConnectionClose() || !ctx.Request.Header.IsHTTP11() || draining {
-		ctx.SetConnectionClose()
-	}
-	ctx.Response.SkipBody = ctx.IsHead()
-	out := bytebufferpool.Get()
-	defer bytebufferpool.Put(out)
-	if _, err := ctx.Response.WriteTo(out); err != nil {
-		logs.Part("clients").WithError(err).Error("failed to serialize the HTTP response")
-		return false
-	}
-	conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-	_, err = conn.Write(out.B)
-	conn.state.MarkAnswered() // either the response was written in full or the client is gone
-	switch {
-	case err != nil:
-		conn.setCloseReason(clientCloseNotWritten)
-	case !ctx.Response.ConnectionClose():
-		return true
-	case draining:
-		conn.setCloseReason(clientCloseDraining)
-	default:
-		conn.setCloseReason(clientCloseByHeader)
-	}
-	return false
-}
-
-// releaseContext gives a context back to the pool, with nothing of its request.
-func releaseContext(ctx *fasthttp.RequestCtx) {
-	ctx.Request.Reset()
-	ctx.Response.Reset()
-	contextPool.Put(ctx)
-}
-
-// readRequest reads a request whose header is in the buffer. It answers "Expect: 100-continue" with 100 Continue.
-func readRequest(req *fasthttp.Request, in *bufio.Reader, conn *clientConn) error {
-	if err := req.Header.Read(in); err != nil {
-		return err
-	}
-	if req.MayContinue() {
-		if _, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
-	}
-	return req.ContinueReadBody(in, maxBodyBytes, false)
-}
-
 func (c *clientServer) handle(ctx *fasthttp.RequestCtx) {
 	path, framed := string(ctx.Path()), hasValidFraming(ctx.Request.Header.RawHeaders())
 	if conn, ok := ctx.Conn().(*clientConn); ok {
@@ -289,10 +183,13 @@
 	}
 }
 
-// rejectUnreadable responds to input that could not be read as a request.
-func (c *clientServer) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
+// rejectUnreadable responds to input that could not be read as a request, and returns why its connection closes.
+func (c *clientServer) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) clientCloseReason {
 	var timeout net.Error
 	switch {
+	case errors.Is(err, errNoMemory):
+		c.refuse(ctx, refusedNoMemory)
+		return clientCloseNoMemory
 	case errors.Is(err, errHeaderTooLong), errors.Is(err, errTooManyFields):
 		c.rejectRequest(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, err.Error())
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -302,6 +199,7 @@
 	default:
 		c.rejectRequest(ctx, fasthttp.StatusBadRequest, "the request cannot be read")
 	}
+	return clientCloseUnreadable
 }
 
 // rejectRequest responds to an invalid request and counts it for the log.
--- a/node/listener.go
+++ b/node/listener.go
@@ -5,15 +5,14 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jaspersill/errclass"
 )
 
 const (
 	acceptRetryDelay  = 20 * time.Millisecond  // enough for a connection that was asked to close to be gone
 	backlogAcceptTime = 100 * time.Millisecond // within which the connections that queued up while accepting failed are accepted
-	firstByteGrace    = 10 * time.Millisecond  // at the limit, a connection that is lingering or has no first byte is spared for this long,
-	requestReadGrace  = 100 * time.Millisecond // an incomplete request for this long, as requests usually arrive in one piece,
-	idleGrace         = 150 * time.Millisecond // and an idle connection for this long while another may prove a better candidate
 )
 
 // listener accepts client connections up to a limit. At the limit it evicts, in this order: lingering connections,
@@ -79,7 +78,8 @@
 		l.delayedSince = time.Time{}
 	}
 	c := &clientConn{retryConn: &retryConn{Conn: socket}, id: newConnectionID(), listener: l,
-		receiveBuffer: l.receiveBuffer, acceptedAt: now, stateSince: now}
+		receiveBuffer: l.receiveBuffer, unproductive: rate.NewLimiter(ownUnproductiveRate, ownUnproductiveBurst), acceptedAt: now,
+		stateSince: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.maxConns && !l.closed {
@@ -102,45 +102,6 @@
 	l.delayedUntil = now
 }
 
-// evictOne makes room for a connection: it cuts short a lingering connection or an incomplete request, or asks a
-// connection to close. Otherwise hundreds of connections that send nothing, or that never complete a request, would
-// keep well-behaved clients out. The lock is held.
-func (l *listener) evictOne(now time.Time) {
-	var victim *clientConn
-	victimRank, sparedByGrace := 0, false
-	for c := range l.conns {
-		candidateRank := 0
-		switch {
-		case c.lingering && !c.evicted && now.Sub(c.stateSince) < firstByteGrace:
-			sparedByGrace = true
-		case c.lingering && !c.evicted:
-			candidateRank = 4
-		case c.closing || c.evicted:
-		case !c.busy && !c.hadValidRequest && now.Sub(c.stateSince) < firstByteGrace:
-			sparedByGrace = true
-		case !c.busy && !c.hadValidRequest:
-			candidateRank = 3
-		case c.busy && !c.requestRead && now.Sub(c.stateSince) < requestReadGrace:
-			sparedByGrace = true
-		case c.busy && !c.requestRead:
-			candidateRank = 2
-		case !c.busy && c.hadValidRequest:
-			candidateRank = 1
-		}
-		if candidateRank > victimRank ||
-			(candidateRank > 0 && candidateRank == victimRank && c.stateSince.Before(victim.stateSince)) {
-			victim, victimRank = c, candidateRank
-		}
-	}
-	switch {
-	case victim == nil || (victimRank == 1 && sparedByGrace && now.Sub(victim.stateSince) < idleGrace):
-	case victim.busy, victim.lingering:
-		victim.evict()
-	default:
-		victim.requestClose()
-	}
-}
-
 // closeIdle asks up to limit connections to close that wait for a request. The lock is held.
 func (l *listener) closeIdle(limit int) {
 	for c := range l.conns {
