Accept no request whose client has closed its connection

A socket hands out what was written before a close, and the node read, stored and forwarded it without a look at whether anybody still waited. Now it asks the kernel before it accepts: a reset ends the connection, and the rest is not read. A client that has only ended its sending is told apart by an interim response, which a closed connection answers with a reset. An event that took long to store is looked at again, and withdrawn. A request that waits for the answer of an abandoned one under its id takes its place.

--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -92,7 +92,8 @@
 // departure is when a client closed a connection without reading the responses to its requests.
 type departure struct {
 	connectedAt, at time.Duration
-	started         int // requests of the connection that were first forwarded after it
+	requests        int // on the connection
+	started         int // those that were first forwarded after it
 }
 
 // Violation is one breach of a rule.
@@ -254,7 +255,7 @@
 func (h *history) recordLeft(requests []*request, connectedAt time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	left := &departure{connectedAt: connectedAt, at: h.now()}
+	left := &departure{connectedAt: connectedAt, at: h.now(), requests: len(requests)}
 	for _, r := range requests {
 		r.left = left
 	}
--- a/lab/soak/hostile.go
+++ b/lab/soak/hostile.go
@@ -80,7 +80,7 @@
 	for number, p := range r.processes {
 		for i := range leavingClientsPerNode {
 			c := &leavingClient{client: client{history: r.history, node: number, destinations: r.plan.destinations, address: p.listen,
-				bodySize: r.plan.bodySize, random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+500+i)))}}
+				bodySize: leavingBodySize, random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+500+i)))}}
 			done.Go(func() { c.run(ctx, p.isAccepting) })
 		}
 	}
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -40,6 +40,7 @@
 	firstByte       [1]byte   // first byte of a request, read while waiting for one
 	firstByteUnread bool      // firstByte was not yet returned by Read
 	responseWritten bool      // at least part of a response was written
+	departed        bool      // the client has closed the connection
 	framingLost     bool      // the last input was not a valid request, so no request can be parsed from what follows
 
 	busy            bool             // a request has started to arrive and its response is not yet written
@@ -103,6 +104,12 @@
 	}
 }
 
+// markDeparted records that the client was found to have left: no response is due, and nothing more is read.
+func (c *clientConn) markDeparted() {
+	c.departed = true
+	c.state.MarkAnswered()
+}
+
 // requestClose asks an idle connection to close. Its reader does so, unless a request arrives first. The listener's
 // lock is held.
 func (c *clientConn) requestClose() {
--- a/node/clients.go
+++ b/node/clients.go
@@ -147,12 +147,36 @@
 		c.rejectRequest(ctx, status, problem)
 		return
 	}
-	request, first := c.recentRequests.add(e.id)
-	if first {
-		c.recentRequests.complete(request, c.acceptEvent(ctx, e))
+	conn, isClientConn := ctx.Conn().(*clientConn)
+	if isClientConn {
+		e.clientHasLeft = func() bool { return conn.hasLeft(ctx.Request.Header.IsHTTP11()) }
+	}
+	response := c.acceptOnce(ctx, e)
+	if response.abandoned {
+		conn.markDeparted()
+		departedRequests.Inc()
+		return
+	}
+	c.respond(ctx, response)
+}
+
+// acceptOnce processes an event unless its id was submitted recently, and returns the response for its client. A request whose
+// client has left is abandoned; another one under its id, which waits meanwhile, takes its place.
+func (c *clientServer) acceptOnce(ctx *fasthttp.RequestCtx, e *event) clientResponse {
+	for {
+		if e.hasClientLeft() {
+			return clientResponse{abandoned: true}
+		}
+		request, first := c.recentRequests.add(e.id)
+		if first {
+			response := c.acceptEvent(ctx, e)
+			c.recentRequests.complete(request, response)
+			return response
+		}
+		if <-request.done; !request.response.abandoned {
+			return request.response
+		}
 	}
-	<-request.done
-	c.respond(ctx, request.response)
 }
 
 // acceptEvent starts processing an event or refuses it, and returns the response for the client.
--- a/node/event.go
+++ b/node/event.go
@@ -25,7 +25,8 @@
 	arrivalSeq         uint64              // distinguishes it in the journal from other events with the same id
 	attemptCount       int                 // attempts so far; owned by the decision loop
 	request            *lifecycle.Request
-	resolution         resolution // set if its end was decided before a restart
+	clientHasLeft      func() bool // reports whether its client has closed the connection; nil for an event without a client
+	resolution         resolution  // set if its end was decided before a restart
 	retryAfter         int64
 }
 
@@ -34,10 +35,14 @@
 	return slices.ContainsFunc(e.pastAttempts, func(a store.Attempt) bool { return a.MayHaveRun() })
 }
 
+// hasClientLeft reports whether the event's client is known to wait no more.
+func (e *event) hasClientLeft() bool { return e.clientHasLeft != nil && e.clientHasLeft() }
+
 // clientResponse is what a client receives: a status, and the time after which to retry, 0 for none.
 type clientResponse struct {
 	status     int
 	retryAfter int64
+	abandoned  bool // nothing: the client has left, and its event was not accepted
 }
 
 // resolution tells how an event ends that is not delivered.
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -80,7 +80,12 @@
 // accept stores the event. It returns false if the event was refused, or if the journal already has an event with its id;
 // that one is processed on its own.
 func (t *eventTask) accept() bool {
+	began := time.Now()
 	err := t.node.journal.accept(t.event, t.node.typeNames[t.typ], t.node.customerName(t.customer))
+	if err == nil && time.Since(began) > slowStoreTime && t.hasClientLeft() {
+		t.abandon()
+		return false
+	}
 	if err == nil {
 		t.request.MarkStored()
 		return true
@@ -101,6 +106,15 @@
 	return false
 }
 
+// abandon withdraws an event that was stored while its client left: nobody was told that it is accepted, and its client may submit
+// it again.
+func (t *eventTask) abandon() {
+	t.node.journal.withdraw(t.event)
+	t.node.activeEvents.Add(-1)
+	t.clientWaiting = false
+	t.response <- clientResponse{abandoned: true}
+}
+
 // respond sends the response to the client, unless that was done before.
 func (t *eventTask) respond(status int, retryAfter int64) {
 	if t.clientWaiting {
--- a/node/journal.go
+++ b/node/journal.go
@@ -168,6 +168,11 @@
 // complete records that an event needs nothing more.
 func (j *journal) complete(e *event) *store.PendingWrite { return j.completeByID(e.id, e.arrivalSeq) }
 
+// withdraw records that an event needs nothing more and was never accepted: its id may be submitted again.
+func (j *journal) withdraw(e *event) *store.PendingWrite {
+	return j.store.Complete(e.id, e.arrivalSeq, 0)
+}
+
 // completeByID is complete for an event given by its id and arrival sequence number. The id is retained for
 // completedIDRetention, also across restarts, so that a duplicate is detected.
 func (j *journal) completeByID(id string, arrivalSeq uint64) *store.PendingWrite {
--- a/node/recentrequests.go
+++ b/node/recentrequests.go
@@ -50,13 +50,18 @@
 	return request, true
 }
 
-// complete stores the response to a request, and evicts expired requests and those beyond the maximum.
+// complete stores the response to a request, and evicts expired requests and those beyond the maximum. A request that was abandoned
+// is forgotten: the next one under its id is the first.
 func (r *recentRequests) complete(request *recentRequest, response clientResponse) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request.response, request.expiresAt = response, now.Add(recentRequestTTL)
 	close(request.done)
+	if response.abandoned {
+		delete(r.byID, request.id)
+		return
+	}
 	r.answeredOrder = append(r.answeredOrder, request)
 	for len(r.answeredOrder) > maxRecentRequests || now.After(r.answeredOrder[0].expiresAt) {
 		delete(r.byID, r.answeredOrder[0].id)
--- a/node/serveconn.go
+++ b/node/serveconn.go
@@ -81,7 +81,10 @@
 	var result answer
 	switch {
 	case err == nil:
-		c.handler(ctx)
+		if c.handler(ctx); conn.departed {
+			conn.setCloseReason(clientCloseByClient)
+			return answer{none: true}
+		}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
 		conn.setCloseReason(clientCloseByClient)
 		return answer{none: true}
