Name endpoints by process: host, start time and destination, not host or address

A host's name stood for the endpoint: a host that was started again for another destination kept the old one's index, destination and connections, and a host that was still listed as ready was sent its requests at an address that another one had taken over. endpointRegistry now gives each process (host, born_ms, block) an index of its own, which connections, calls and outcomes carry; the process that was there before is gone, its idle connections are closed and its unsent calls are recalled. Of two hosts at one address the one started later, or first listed later, has it; two that one list introduces together share it. Endpoints that a whole list leaves out lose their connections at once.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,6 +35,9 @@
 // Inc increments the counter by one.
 func (c *Counter) Inc() { c.count.Add(1) }
 
+// Add increments the counter by n.
+func (c *Counter) Add(n int64) { c.count.Add(n) }
+
 // Value returns the current count.
 func (c *Counter) Value() int64 { return c.count.Load() }
 
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jaspersill/delivery"
 	"jaspersill/idmap"
 	"jaspersill/logs"
@@ -30,7 +32,7 @@
 	eventIndex     idmap.Table[*event]
 	activeAttempts []*attempt // the attempt in flight, by event index; nil for none
 	destIndex      idmap.Table[uint32]
-	endpointIndex  idmap.Table[string]
+	registry       endpointRegistry
 	kindOf         []int   // destination kind, by endpoint index
 	forgotten      []int32 // endpoints that the scheduler has removed but calls may still use
 
@@ -112,7 +114,7 @@
 	d.forgotten = slices.DeleteFunc(d.forgotten, func(ep int32) bool {
 		free := d.endpoints.release(ep)
 		if free {
-			d.endpointIndex.Release(ep)
+			d.registry.release(ep)
 		}
 		return free
 	})
@@ -207,17 +209,44 @@
 	}
 }
 
-// registerEndpoint returns the index of an endpoint; fresh means that it was newly assigned, so nothing is known of the
-// endpoint. kind is the index of its destination kind. An endpoint that is listed again just after the scheduler removed
-// it must keep its index, so its release is cancelled.
-func (d *decisionLoop) registerEndpoint(host string, kind int) (ep int32, fresh bool) {
-	ep, fresh = d.endpointIndex.Acquire(host)
-	if int(ep) == len(d.kindOf) {
+// applyEntry takes an entry of a list from discovery: it updates the addresses of the endpoints that the entry is about, and passes
+// their states to the scheduler. An endpoint that is listed again just after the scheduler removed it must keep its index, so its
+// release is cancelled.
+func (d *decisionLoop) applyEntry(entry *listEntry, to delivery.Handler) {
+	e, state, fresh, gone := d.registry.update(entry)
+	for _, old := range gone {
+		logs.Part("directory").WithFields(logrus.Fields{"endpoint": old.String(), "by": entry.String(), "address": entry.address}).
+			Info("endpoint replaced")
+		d.listEndpoint(old, delivery.Gone, entry.rate, to)
+	}
+	if e == nil {
+		return
+	}
+	if int(e.index) == len(d.kindOf) {
 		d.kindOf = append(d.kindOf, 0)
 	}
-	d.kindOf[ep] = kind
-	d.forgotten = slices.DeleteFunc(d.forgotten, func(removed int32) bool { return removed == ep })
-	return ep, fresh
+	d.kindOf[e.index] = e.kind
+	d.forgotten = slices.DeleteFunc(d.forgotten, func(removed int32) bool { return removed == e.index })
+	if entry.address != "" || fresh {
+		d.endpoints.updateEndpoint(e.index, e.String(), e.zone, e.address)
+	}
+	d.listEndpoint(e, state, entry.rate, to)
+}
+
+// removeUnlisted removes the endpoints that a whole list does not name.
+func (d *decisionLoop) removeUnlisted(to delivery.Handler) {
+	for _, e := range d.registry.endWholeList() {
+		d.listEndpoint(e, delivery.Gone, 0, to)
+	}
+}
+
+// listEndpoint passes the state of an endpoint to the scheduler. Another process may answer at the address of one that is gone.
+func (d *decisionLoop) listEndpoint(e *listedEndpoint, state delivery.EndpointState, rate float64, to delivery.Handler) {
+	if state == delivery.Gone {
+		d.endpoints.updateEndpoint(e.index, e.String(), e.zone, "")
+	}
+	dest, _ := d.destIndex.Acquire(e.dest)
+	to.EndpointListed(e.index, dest, e.kind, d.directory.zoneIndex(e.zone), state, rate)
 }
 
 // removeEvent releases the event's index after the next round.
@@ -274,15 +303,15 @@
 func (d *decisionLoop) CloseIdle(ep int32) { d.endpoints.closeIdle(ep) }
 func (d *decisionLoop) Forget(ep int32)    { d.forgotten = append(d.forgotten, ep) }
 func (d *decisionLoop) AnnounceHealthy(ep int32, sentAgo int64) {
-	d.peers.announceHealthy(d.endpointIndex.ID(ep), time.Duration(sentAgo))
+	d.peers.announceHealthy(d.registry.name(ep), time.Duration(sentAgo))
 }
 
 // Probe only logs: the scheduler never requests a probe, and the protocol has no call for one.
 func (d *decisionLoop) Probe(ep int32) {
-	logs.Part("node").WithField("endpoint", d.endpointIndex.ID(ep)).
+	logs.Part("node").WithField("endpoint", d.registry.name(ep)).
 		Warn("probe requested, but the protocol does not support probes")
 }
 
 func (d *decisionLoop) Log(text string, ep int32) {
-	logs.Part("endpoints").WithField("endpoint", d.endpointIndex.ID(ep)).Info(text)
+	logs.Part("endpoints").WithField("endpoint", d.registry.name(ep)).Info(text)
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -249,18 +249,11 @@
 		return errors.New("no array \"hosts\"")
 	}
 	whole := v.GetBool("whole")
-	type entry struct {
-		host, dial string
-		zone       string
-		dest       uint32
-		kind       int
-		state      delivery.EndpointState
-		rate       float64
-	}
-	var list []entry
+	var list []listEntry
 	for _, h := range hosts.GetArray() {
-		e := entry{host: string(h.GetStringBytes("host")), dial: string(h.GetStringBytes("dial")),
-			dest: uint32(h.GetUint64("block")), zone: string(h.GetStringBytes("site")),
+		e := listEntry{address: string(h.GetStringBytes("dial")), zone: string(h.GetStringBytes("site")),
+			endpointIdentity: endpointIdentity{host: string(h.GetStringBytes("host")), dest: uint32(h.GetUint64("block")),
+				startedAt: max(0, h.GetInt64("born_ms"))},
 			kind: slices.Index(d.destinationKindNames, settings.NormalizeName(string(h.GetStringBytes("class"))))}
 		if e.host == "" || !h.Exists("block") { // skipping one bad entry keeps the others usable
 			logs.Part("directory").WithField("entry", fmt.Sprintf("%.200s", h)).
@@ -306,16 +299,12 @@
 	}
 	d.decisions.enqueue(func(to delivery.Handler) {
 		to.ListStarted(whole)
-		for _, e := range list {
-			ep, fresh := d.decisions.registerEndpoint(e.host, e.kind)
-			if e.dial != "" || fresh {
-				d.endpoints.updateEndpoint(ep, e.host, e.zone, e.dial)
-			}
-			if e.state == delivery.Gone { // another endpoint may answer at this address from now on
-				d.endpoints.updateEndpoint(ep, e.host, e.zone, "")
-			}
-			dest, _ := d.decisions.destIndex.Acquire(e.dest)
-			to.EndpointListed(ep, dest, e.kind, d.zoneIndex(e.zone), e.state, e.rate)
+		d.decisions.registry.beginList(whole)
+		for i := range list {
+			d.decisions.applyEntry(&list[i], to)
+		}
+		if whole {
+			d.decisions.removeUnlisted(to)
 		}
 		to.ListEnded(fromNewestWatch)
 	})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1118,11 +1118,14 @@
 }
 
 func TestForgottenEndpointKeepsIndexUntilItsCallsEnd(t *testing.T) {
-	d := newDecisionLoop(clock{start: time.Now()}, &recordingScheduler{}, ms, []int{1})
-	d.endpoints = newTestPool(t, "127.0.0.1:1")
+	scheduler := &recordingScheduler{}
+	d := newDecisionLoop(clock{start: time.Now()}, scheduler, ms, []int{1})
+	d.endpoints, d.directory = newTestPool(t, "127.0.0.1:1"), &directory{}
 	take := func(host string, want int32) {
 		t.Helper()
-		if ep, _ := d.registerEndpoint(host, 0); ep != want {
+		d.registry.beginList(false)
+		d.applyEntry(&listEntry{endpointIdentity: endpointIdentity{host: host}, state: delivery.Ready}, scheduler)
+		if ep := d.registry.byHost[host].index; ep != want {
 			t.Errorf("%s got index %d, want %d", host, ep, want)
 		}
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -87,7 +87,7 @@
 		}
 		sentAt := p.decisions.clock.now() - int64(sentAgo)
 		p.decisions.enqueue(func(to delivery.Handler) {
-			if ep, listed := p.decisions.endpointIndex.Lookup(host); listed {
+			if ep, listed := p.decisions.registry.lookup(host); listed {
 				to.PeerReportedHealthy(peer, ep, p.decisions.clock.now()-sentAt)
 			}
 		})
