Forget ids of ended events when their time is over, and bound them by the memory limit

Ids are now forgotten once their retention is over; their number, and that of remembered requests, comes from the memory plan. No id is forgotten early: where there is no room for another, events are refused, and each connection is held to its share of the room from a quarter on. Refused requests are remembered apart, so that they do not push out accepted ones. The size of a list from discovery comes from the plan too.

--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -64,3 +64,18 @@
 		t.Errorf("%d bytes are in use at the end", used)
 	}
 }
+
+// Guards against one connection that uses up the ids that are remembered for all.
+func TestIDsAreShared(t *testing.T) {
+	const limit = 1000
+	if _, limited := IDRate(limit/10, limit, 1, time.Second); limited {
+		t.Error("a connection is held to its share while most ids are free")
+	}
+	for _, connections := range []int{1, 10, 100} {
+		few, _ := IDRate(limit/2, limit, connections, 10*time.Second)
+		fewer, limited := IDRate(limit*9/10, limit, connections, 10*time.Second)
+		if !limited || fewer > few || few > max(minIDRate, limit/2/10/float64(connections)) {
+			t.Errorf("%d connections: %.1f a second each while half is taken, %.1f while little is left", connections, few, fewer)
+		}
+	}
+}
--- a/membudget/plan.go
+++ b/membudget/plan.go
@@ -37,7 +37,7 @@
 	kernelShare    = 0.25 // of the memory that is left for the kernel's queues
 	usableShare    = 0.85 // of the Go memory left for what is in use: the rest is garbage until the next collection
 	connsShare     = 0.55 // of the usable memory for clients' connections
-	idsShare       = 0.1  // of the usable memory for remembered ids
+	idsShare       = 0.12 // of the usable memory for remembered ids
 	endpointsShare = 0.07 // of the usable memory for idle connections to endpoints
 
 	clientConnBytes   = 12 * kib // goroutine, read buffer and structures of a client's connection
--- a/node/attribution_test.go
+++ b/node/attribution_test.go
@@ -306,7 +306,7 @@
 
 // Guards against request ids that are remembered forever, so that the memory for them grows without bound.
 func TestOldRequestIDsAreEvicted(t *testing.T) {
-	var r recentRequests
+	r := newRecentRequests(maxRecentRequests + 1) // no more than maxRecentRequests
 	for i := range maxRecentRequests + 10 {
 		request, first := r.add(fmt.Sprint(i))
 		if !first {
@@ -314,12 +314,23 @@
 		}
 		r.complete(request, clientResponse{status: statusAccepted})
 	}
-	if len(r.byID) != maxRecentRequests || len(r.answeredOrder) != maxRecentRequests {
-		t.Errorf("%d requests by id and %d in order, want %d", len(r.byID), len(r.answeredOrder), maxRecentRequests)
+	if len(r.accepted.byID) != maxRecentRequests || len(r.accepted.order) != maxRecentRequests || len(r.pending) > 0 {
+		t.Errorf("%d requests by id, %d in order and %d pending, want %d", len(r.accepted.byID), len(r.accepted.order), len(r.pending),
+			maxRecentRequests)
 	}
 	if _, first := r.add("0"); !first {
 		t.Error("the oldest request was not evicted")
 	}
+	for i := range maxRecentRequests { // as many refused ones do not evict an accepted one
+		request, _ := r.add(fmt.Sprint("refused", i))
+		r.complete(request, clientResponse{status: statusDeclined})
+	}
+	if _, first := r.add(fmt.Sprint(maxRecentRequests)); first {
+		t.Error("an accepted request was evicted by refused ones")
+	}
+	if held := len(r.refused.byID); held > maxRecentRequests/refusedDivisor {
+		t.Errorf("%d refused requests are remembered", held)
+	}
 }
 
 // Guards against an older endpoint list that arrives again after a newer one and restores removed endpoints.
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -32,6 +32,7 @@
 	requests        int               // number of requests read
 	closeReason     clientCloseReason // empty while the connection is in use
 	unproductive    *rate.Limiter     // of its requests that lead to no accepted event
+	acceptances     *rate.Limiter     // of its accepted events, while ids are scarce
 	receiveBuffer   int               // size of the socket's receive buffer in bytes, 0 for the kernel's default
 	listener        *listener
 	state           lifecycle.Connection
--- a/node/clients.go
+++ b/node/clients.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"jaspersill/lifecycle"
 	"jaspersill/logs"
@@ -43,7 +44,7 @@
 	listener       *listener
 	handler        func(*fasthttp.RequestCtx) // handles each request that was read successfully
 	badRequests    throttledLog
-	recentRequests recentRequests
+	recentRequests *recentRequests
 	reclaiming     atomic.Bool // incomplete requests are being ended to give memory back
 	throttle       *throttle
 }
@@ -70,7 +71,8 @@
 		return nil, err
 	}
 	c := &clientServer{node: n, listener: newListener(l, plan.ClientConns, min(maxIdle, plan.ClientConns)), throttle: newThrottle(),
-		badRequests: throttledLog{part: "clients", message: "rejected invalid requests"}}
+		recentRequests: newRecentRequests(plan.RememberedIDs),
+		badRequests:    throttledLog{part: "clients", message: "rejected invalid requests"}}
 	c.listener.firstRequestTimeout, c.listener.idleTimeout = cmp.Or(times.FirstRequest, defaultFirstRequestTimeout),
 		cmp.Or(times.Idle, defaultClientIdleTimeout)
 	c.listener.requestTimeout = cmp.Or(times.Request, defaultRequestTimeout)
@@ -181,17 +183,36 @@
 
 // acceptEvent starts processing an event or refuses it, and returns the response for the client.
 func (c *clientServer) acceptEvent(ctx *fasthttp.RequestCtx, e *event) clientResponse {
-	if reason := c.node.refusalReason(e); reason != "" {
+	conn, ok := ctx.Conn().(*clientConn)
+	reason := ""
+	if ok && !c.sharesIDs(conn) {
+		reason = refusedIDShare
+	} else {
+		reason = c.node.refusalReason(e)
+	}
+	if reason != "" {
 		recordRefusal(e.id, reason)
 		return clientResponse{status: statusDeclined, retryAfter: c.node.decisions.fullRetryAfter()}
 	}
-	if conn, ok := ctx.Conn().(*clientConn); ok && logs.DebugEnabled() {
+	if ok && logs.DebugEnabled() {
 		logs.Event("clients", e.id).WithField("connection", conn.id).Debug("request received")
 	}
 	go c.node.runEvent(e)
 	return <-e.response
 }
 
+// sharesIDs reports whether a connection may have one more event accepted. While many ids are remembered, each connection gets its
+// share of those that expire.
+func (c *clientServer) sharesIDs(conn *clientConn) bool {
+	remembered, limit := c.node.journal.store.CompletedIDs()
+	perSecond, limited := membudget.IDRate(remembered, limit, c.listener.connCount(), completedIDRetention)
+	if !limited {
+		return true
+	}
+	conn.acceptances.SetLimit(rate.Limit(perSecond))
+	return conn.acceptances.Allow()
+}
+
 // refuse tells the client of a request that was not read to come again.
 func (c *clientServer) refuse(ctx *fasthttp.RequestCtx, reason string) {
 	recordRefusal("", reason)
--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -67,7 +67,7 @@
 // Guards against a request that waits for the answer to an earlier one under its id, and is dropped with it when that one's client
 // has left.
 func TestRequestTakesThePlaceOfAnAbandonedOne(t *testing.T) {
-	var r recentRequests
+	r := newRecentRequests(10)
 	abandoned, _ := r.add("a")
 	waiting, first := r.add("a")
 	if first {
--- a/node/directory.go
+++ b/node/directory.go
@@ -30,7 +30,6 @@
 	watchHeartbeatInterval = 2 * time.Second                               // the protocol sends data or an empty line at least this often
 	defaultWatchSilence    = watchHeartbeatInterval + 500*time.Millisecond // a watch that is silent for longer has failed
 	hostsPath              = "/discovery/hosts"
-	maxListBytes           = 16 << 20 // far more than the list of the largest fleet needs
 
 	// directoryConnectTimeout limits connecting to the directory. The node is expected to know any change 6 s after a watch
 	// fell silent: that leaves time for the silence timeout, two retry delays, two connects that time out, and a response.
@@ -47,6 +46,7 @@
 	destinationKindNames []string // names of the destination kinds, by index; a list gives them as "class"
 	zoneNames            []string
 	useRates             bool // lists contain the rate limits of endpoints
+	maxListBytes         int  // a longer list is not read
 
 	watchErrors failureLog
 
@@ -191,7 +191,7 @@
 	case size >= 0:
 		body = io.LimitReader(reader, int64(size))
 	}
-	heartbeats := &heartbeatReader{body: body, remaining: maxListBytes, onRead: func(blank bool) {
+	heartbeats := &heartbeatReader{body: body, remaining: d.maxListBytes, onRead: func(blank bool) {
 		conn.SetDeadline(time.Now().Add(silence))
 		if blank {
 			d.mu.Lock()
@@ -211,7 +211,7 @@
 		if err := d.applyList(w, list); err != nil {
 			return fmt.Errorf("cannot parse the list of endpoints: %w", err)
 		}
-		heartbeats.remaining = maxListBytes
+		heartbeats.remaining = d.maxListBytes
 		d.reportSuccess(w)
 	}
 	return ctx.Err()
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -19,7 +19,7 @@
 
 var refusedRequests = metrics.NewCounterVec("jaspersill_refused_requests_total",
 	"Requests that their clients heard to be refused, by reason.", "reason", refusedJournalFull, refusedWriteFailed, refusedByPolicy,
-	refusedAtCapacity, refusedUnlisted, refusedNoMemory)
+	refusedAtCapacity, refusedUnlisted, refusedNoMemory, refusedIDShare)
 
 const (
 	refusedJournalFull = "full"     // the journal has no space for it
@@ -28,6 +28,7 @@
 	refusedAtCapacity  = "no_room"  // the node has its maximum number of events
 	refusedUnlisted    = "unlisted" // the directory has never listed its destination
 	refusedNoMemory    = "memory"   // requests and events take all the memory that they may
+	refusedIDShare     = "id_share" // its connection has had more than its share of the remembered ids
 )
 
 // recordRefusal counts and logs that a client is told of the refusal of its request.
--- a/node/listener.go
+++ b/node/listener.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"jaspersill/errclass"
+	"jaspersill/membudget"
 )
 
 const (
@@ -78,8 +79,8 @@
 		l.delayedSince = time.Time{}
 	}
 	c := &clientConn{retryConn: &retryConn{Conn: socket}, id: newConnectionID(), listener: l,
-		receiveBuffer: l.receiveBuffer, unproductive: rate.NewLimiter(ownUnproductiveRate, ownUnproductiveBurst), acceptedAt: now,
-		stateSince: now}
+		receiveBuffer: l.receiveBuffer, unproductive: rate.NewLimiter(ownUnproductiveRate, ownUnproductiveBurst),
+		acceptances: rate.NewLimiter(rate.Inf, membudget.IDShareBurst), acceptedAt: now, stateSince: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.maxConns && !l.closed {
--- a/node/node.go
+++ b/node/node.go
@@ -113,6 +113,7 @@
 		IdleEndpointConns: idleEndpoints}
 	plan := membudget.NewPlan(n.memoryLimits)
 	n.memory = membudget.NewBudget(plan.RequestBytes)
+	n.journal.store.LimitCompletedIDs(plan.RememberedIDs)
 	var eventsPerCall []int
 	for _, kind := range settings.DestinationKinds {
 		eventsPerCall = append(eventsPerCall, kind.MaxEventsPerCall)
@@ -122,7 +123,7 @@
 		idleTimeout: settings.ConnIdleTimeout, maxIdle: plan.IdleEndpointConns}
 	n.directory = &directory{address: config.Directory, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: n.decisions, endpoints: n.endpoints,
-		destinationKindNames: settings.DestinationKindNames, zoneNames: settings.ZoneNames, useRates: settings.HasRates,
+		destinationKindNames: settings.DestinationKindNames, zoneNames: settings.ZoneNames, useRates: settings.HasRates, maxListBytes: plan.ListBytes,
 		watchErrors: failureLog{part: "directory", operation: "watching the directory"}}
 	n.notices = newNoticeSender(config.Directory)
 	if n.peers, err = newPeerMessenger(config.PeerListen, config.PeersAll, config.Peers, settings.Cluster.Self, n.decisions,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -869,7 +869,7 @@
 func newTestDirectoryFor(t *testing.T, address string, s delivery.Scheduler) *directory {
 	d := newDecisionLoop(clock{start: time.Now()}, s, ms, []int{1})
 	d.endpoints = newTestPool(t, "")
-	d.directory = &directory{address: address, openWatches: make(map[*watch]struct{}),
+	d.directory = &directory{address: address, maxListBytes: 1 << 20, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: d, endpoints: d.endpoints, useRates: true,
 		destinationKindNames: []string{"big", "small_one"}, zoneNames: []string{"here", "there"}}
 	d.directory.silenceTimeout.Store(int64(300 * time.Millisecond))
--- a/store/recovery.go
+++ b/store/recovery.go
@@ -470,10 +470,15 @@
 				kind:          table.kind,
 				reservedBytes: int32(2 * (frameHeaderSize + 24 + len(name))),
 			}
-			s.insert(item)
+			if table.kind == recCompleted {
+				s.trackCompleted(item)
+			} else {
+				s.insert(item)
+			}
 			s.enqueueOnce(item, table.kind, 0, func(to []byte) []byte { return append(appendText(to, name), encodeVarint(value)...) })
 		}
 	}
+	s.sortCompleted()
 }
 
 // flushInitialQueue writes the queued records, before the writer goroutine is started.
--- a/store/store.go
+++ b/store/store.go
@@ -91,6 +91,7 @@
 	mirrorSize    int64
 	events        map[string]*indexItem
 	completed     map[string]*indexItem // IDs of completed events, retained to detect duplicates
+	completedIDs  completedIDs
 	backoffs      map[string]*indexItem
 	outages       map[string]*indexItem
 	reservedBytes int64           // sum over all indexed items
@@ -210,6 +211,7 @@
 		s.mu.Unlock()
 		return 0, errClosed
 	}
+	s.expireCompleted()
 	if s.events[e.ID] != nil {
 		s.mu.Unlock()
 		return 0, ErrAlreadyPending
@@ -218,7 +220,7 @@
 		s.mu.Unlock()
 		return 0, ErrAlreadyCompleted
 	}
-	if (s.reservedBytes+reservation)*8/maxLiveEighths > s.maxBytes || s.usedBytes()+reservation > s.maxBytes-s.segmentSize {
+	if s.completedFull() || (s.reservedBytes+reservation)*8/maxLiveEighths > s.maxBytes || s.usedBytes()+reservation > s.maxBytes-s.segmentSize {
 		s.mu.Unlock()
 		return 0, ErrFull
 	}
@@ -363,10 +365,11 @@
 		return noPendingWrite(missingRecordError(item))
 	}
 	s.remove(item)
+	s.expireCompleted()
 	var completed *indexItem
 	if until > s.clock() {
 		completed = &indexItem{name: id, value: until, kind: recCompleted, reservedBytes: int32(frameHeaderSize + 24 + len(id))}
-		s.insert(completed)
+		s.trackCompleted(completed)
 	}
 	return s.enqueueUntilWritten(completed, recCompleted, func(to []byte) []byte { return binary.AppendVarint(appendText(to, id), until) })
 }
