Play all kinds of faults in one soak, with series of signals

Memory is measured ten times a second there: 200 times, for 30 nodes, took the machine. A node that is killed again before it is ready has one interval without service, not two without an end. Exits are recorded before the measuring ends: two requests seemed unanswered by a node that had been killed.

--- a/cmd/jaspersill-lab/soak.go
+++ b/cmd/jaspersill-lab/soak.go
@@ -38,6 +38,7 @@
 	c.Flags().DurationVar(&s.options.Length, "length", 6*time.Second, "how long clients submit requests")
 	c.Flags().StringVar(&s.options.Only, "only", "", "use only one kind of fault: "+strings.Join(soak.FaultGroups(), ", "))
 	c.Flags().BoolVar(&s.options.PathFaults, "paths", false, "also disturb the byte streams on all connections")
+	c.Flags().BoolVar(&s.options.All, "all", false, "play all kinds of faults: paths, misbehaving clients, replaced endpoints and series of kills too")
 	c.Flags().IntVar(&s.options.MemoryMB, "memory", 0, "memory limit of each node in MiB; 0 for 64")
 	c.Flags().StringVar((*string)(&s.options.Clients), "clients", "", "with --only clients: how clients misbehave; if empty, drawn for each node")
 	c.Flags().IntVar(&s.options.Connections, "connections", 0, "with --only clients: connections of the misbehaving clients of each node; 0 for a number that suits the pattern")
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -111,7 +111,8 @@
 // history records what the clients, the endpoints and the platform observed. Nothing in it comes from the nodes
 // themselves, so that their own faults cannot hide a violation.
 type history struct {
-	startedAt time.Time
+	startedAt   time.Time
+	onlyClients bool // nothing but clients misbehaves
 
 	mu                  sync.Mutex
 	requests            map[string]*request
@@ -280,6 +281,9 @@
 func (h *history) recordUnavailable(node int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if list := h.unavailable[node]; len(list) > 0 && list[len(list)-1].to == math.MaxInt64 { // it was not ready since the last signal
+		return
+	}
 	h.unavailable[node] = append(h.unavailable[node], interval{h.now(), math.MaxInt64})
 }
 
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -54,8 +54,9 @@
 	logFile    string
 	history    *history
 
-	peerListen string
-	memoryMB   int // limit
+	peerListen      string
+	memoryMB        int // limit
+	monitorInterval time.Duration
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -72,7 +73,11 @@
 	name := "n" + strconv.Itoa(number)
 	p := &process{number: number, program: options.Program, history: h,
 		configFile: filepath.Join(options.Folder, name+".json"), folder: filepath.Join(options.Folder, name),
-		logFile: filepath.Join(options.Folder, name+".log"), memoryMB: cmp.Or(options.MemoryMB, defaultMemoryMB)}
+		logFile: filepath.Join(options.Folder, name+".log"), memoryMB: cmp.Or(options.MemoryMB, defaultMemoryMB),
+		monitorInterval: monitorInterval}
+	if options.Only == groupClients {
+		p.monitorInterval = closeMonitorInterval
+	}
 	// Each node has its own loopback address, because a port of 127.0.0.1 may be taken by another process during a
 	// restart.
 	listener, err := net.Listen("tcp", loopbackAddress(options.Seed, number))
@@ -162,11 +167,11 @@
 	exited := make(chan struct{})
 	p.cmd, p.supervisor, p.exited, p.exitExpected = c, s, exited, false
 	p.monitor = procstat.Watch(context.Background(), procstat.Subject{PID: c.Process.Pid, Listen: p.listen, Folder: p.folder},
-		monitorInterval)
+		p.monitorInterval)
 	go func() {
 		c.Wait()
-		p.stopMonitor()
 		p.history.recordExit(p.number)
+		p.stopMonitor()
 		p.mu.Lock()
 		if !p.exitExpected {
 			p.history.addViolation(RuleCrash, "node %d exited unexpectedly: %v", p.number, c.ProcessState)
@@ -268,6 +273,16 @@
 	cmd.Process.Signal(syscall.SIGCONT)
 }
 
+// terminateAgain sends the process that is being terminated more signals.
+func (p *process) terminateAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exitExpected {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -28,6 +28,7 @@
 	Length      time.Duration   // how long clients send requests
 	Only        string          // one of FaultGroups; if empty, all kinds of faults but answers, notices and paths
 	PathFaults  bool            // also inject faults into the network connections
+	All         bool            // beside the faults of PathFaults and of an empty Only: clients, replacements and series of kills
 	MemoryMB    int             // memory limit of each node; 0 for defaultMemoryMB
 	Clients     hostile.Pattern // with Only set to "clients": how clients misbehave; if empty, drawn for each node
 	Connections int             // of the misbehaving clients of each node; 0 for a number that suits the pattern
@@ -42,6 +43,9 @@
 	if o.PathFaults {
 		text += " --paths"
 	}
+	if o.All {
+		text += " --all"
+	}
 	if o.MemoryMB > 0 {
 		text += fmt.Sprintf(" --memory %d", o.MemoryMB)
 	}
@@ -101,6 +105,7 @@
 func Run(ctx context.Context, options Options) (*Report, error) {
 	r := &run{options: options, history: newHistory(), restarts: map[int][]interval{}}
 	r.plan = newPlan(options)
+	r.history.onlyClients = options.Only == groupClients
 	defer r.tearDown()
 	if err := r.setUp(); err != nil {
 		return nil, err
--- a/node/endpointregistry.go
+++ b/node/endpointregistry.go
@@ -33,22 +33,22 @@
 // listedEndpoint is an endpoint as the latest list that named it has it.
 type listedEndpoint struct {
 	endpointIdentity
-	index        int32
-	kind         int
-	zone         string
-	address      string
-	introducedBy uint64 // number of the list that named it first
-	namedBy      uint64 // number of the latest list that named it
-	gone         bool   // it was listed as gone, or left out of a whole list
+	index     int32
+	kind      int
+	zone      string
+	address   string
+	claimedBy uint64 // number of the list that first named it at its address
+	namedBy   uint64 // number of the latest list that named it
+	gone      bool   // it was listed as gone, or left out of a whole list
 }
 
-// supersedes reports whether an endpoint is newer than another one at its address. Of two that were started long ago and named
-// first by the same list, neither is.
+// supersedes reports whether an endpoint has taken over the address of another one: a later list named it there first. Where one list
+// names both first, it is the one that was started later; if that is not known either, they share the address.
 func (e *listedEndpoint) supersedes(other *listedEndpoint) bool {
-	if e.startedAt != other.startedAt {
-		return e.startedAt > other.startedAt
+	if e.claimedBy != other.claimedBy {
+		return e.claimedBy > other.claimedBy
 	}
-	return e.introducedBy > other.introducedBy
+	return e.startedAt > other.startedAt
 }
 
 // endpointRegistry knows which process runs at which host and address. It belongs to the decision loop's goroutine.
@@ -94,14 +94,17 @@
 		return nil, state, false, nil
 	}
 	if e == nil {
-		e = &listedEndpoint{endpointIdentity: entry.endpointIdentity, introducedBy: r.lists}
+		e = &listedEndpoint{endpointIdentity: entry.endpointIdentity, claimedBy: r.lists}
 		r.byHost[entry.host] = e
 		e.index, fresh = r.indices.Acquire(entry.endpointIdentity)
 	}
+	if e.gone && state == delivery.Ready {
+		e.claimedBy = r.lists
+	}
 	e.kind, e.zone, e.namedBy, e.gone = entry.kind, entry.zone, r.lists, state == delivery.Gone
 	if entry.address != "" && entry.address != e.address {
 		r.leaveAddress(e)
-		e.address = entry.address
+		e.address, e.claimedBy = entry.address, r.lists
 	}
 	if state != delivery.Ready {
 		r.leaveAddress(e)
