Spare requests that wait for memory or for the node itself, and hold more clients in the backlog

A connection with unread input, or that waits for memory, is not taken for a slow client any more; the backlog holds 256 or more, and its receive queues are in the plan.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -113,6 +113,9 @@
 		}
 	}
 	switch {
+	case errors.Is(err, errNoResponse) && c.crowded && c.responses == 0: // the new connection was shut unread too
+		c.history.recordResponse(r, 0, "")
+		c.closeConn()
 	case err == nil:
 		c.history.recordResponse(r, status, "")
 		c.responses++
--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -198,7 +199,8 @@
 		d.endpoints[number].recordDrain(node, proxyConn)
 	}
 	for number, l := range d.listed {
-		d.endpoints[number].recordTold(node, l.generation)
+		bothListed := slices.ContainsFunc(d.gone, func(e departedEndpoint) bool { return e.number == number })
+		d.endpoints[number].recordTold(node, l.generation, bothListed)
 	}
 }
 
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -71,6 +71,7 @@
 	process     identity
 	generation  int                   // number of the process, from 0
 	told        map[int]time.Duration // when a node was sent a list with the present process
+	restarted   map[int]bool          // nodes that were restarted since it came up
 }
 
 // retryWait is a Retry-After sent to a node, and the connection that carried it. On a disturbed connection it may not
@@ -421,4 +422,5 @@
 	defer e.mu.Unlock()
 	delete(e.retryWaits, node)
 	delete(e.sawOutage, node)
+	e.recordRestart(node)
 }
--- a/lab/soak/replacement.go
+++ b/lab/soak/replacement.go
@@ -60,7 +60,7 @@
 	if kind == bothUndated {
 		next.startedAt = 0
 	}
-	e.process, e.told = next, map[int]time.Duration{}
+	e.process, e.told, e.restarted = next, map[int]time.Duration{}, map[int]bool{}
 	for conn := range e.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
@@ -69,10 +69,14 @@
 	}
 }
 
-// recordTold records that a node was sent a list with the present process of the endpoint.
-func (e *endpoint) recordTold(node, generation int) {
+// recordTold records that a node was sent a list with the present process of the endpoint. A node that was started after the
+// replacement, and whose first list names both processes, cannot tell which is the later one if it has no start time.
+func (e *endpoint) recordTold(node, generation int, bothListed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if bothListed && e.process.startedAt == 0 && e.restarted[node] {
+		return
+	}
 	if _, known := e.told[node]; !known && generation == e.generation {
 		e.told[node] = e.history.now()
 	}
@@ -88,6 +92,13 @@
 	}
 }
 
+// recordRestart records that a node lost what it knew of the endpoint's processes. The caller holds e.mu.
+func (e *endpoint) recordRestart(node int) {
+	if delete(e.told, node); e.restarted != nil {
+		e.restarted[node] = true
+	}
+}
+
 // announce lists the present process of an endpoint. The one before may stay on the list for a while.
 func (d *discovery) announce(ctx context.Context, number int, kind replacementKind) {
 	e := d.endpoints[number]
--- a/membudget/plan.go
+++ b/membudget/plan.go
@@ -46,8 +46,8 @@
 
 	clientKernelShare = 0.88 // of the kernel's queues for clients' connections; the rest is for endpoints
 	sendShare         = 0.3  // of a client connection's queues for responses, which are shorter than requests
-	backlogShare      = 0.2  // connections that may wait to be accepted, by those that may be open
-	minClientBacklog  = 64
+	backlogShare      = 0.55 // connections that may wait to be accepted, by those that may be open
+	minClientBacklog  = 256  // fewer would turn a burst of clients away, which then try again after a second
 	minKernelBuffer   = 2 * kib
 	maxKernelBuffer   = 64 * kib
 	kernelOverhead    = 2 // the kernel charges up to twice the payload
@@ -90,9 +90,10 @@
 	taken := int64(p.ClientConns)*clientConnBytes + int64(p.IdleEndpointConns)*endpointConnBytes + int64(p.RememberedIDs)*idBytes
 	p.RequestBytes = max(usable-taken, minRequestBytes)
 	p.ClientBacklog = max(minClientBacklog, int(share(int64(p.ClientConns), backlogShare)))
-	clientQueue := share(kernel, clientKernelShare) / kernelOverhead / int64(p.ClientConns+p.ClientBacklog)
-	p.ClientSendBuffer = kernelBuffer(share(clientQueue, sendShare))
-	p.ClientReceiveBuffer = kernelBuffer(clientQueue - int64(p.ClientSendBuffer))
+	clientQueues := share(kernel, clientKernelShare) / kernelOverhead
+	p.ClientSendBuffer = kernelBuffer(share(clientQueues, sendShare) / int64(p.ClientConns))
+	// Nothing is sent on a connection that waits to be accepted.
+	p.ClientReceiveBuffer = kernelBuffer((clientQueues - int64(p.ClientConns*p.ClientSendBuffer)) / int64(p.ClientConns+p.ClientBacklog))
 	endpointQueue := share(kernel, 1-clientKernelShare) / kernelOverhead / int64(max(1, p.IdleEndpointConns))
 	p.EndpointReceiveBuffer = kernelBuffer(endpointQueue)
 	return p
--- a/node/clientconn.go
+++ b/node/clientconn.go
@@ -50,6 +50,7 @@
 	closing         bool             // asked to close, or being closed
 	lingering       bool             // its responses are written and it waits for the client to close
 	charge          membudget.Charge // of the request that is read or answered
+	awaitingMemory  bool             // its request cannot be read for want of memory
 	responding      bool             // a response is being written
 	throttled       bool             // its response is held back, because it sends too much that is invalid or refused
 	resume          chan struct{}    // ends the throttling when closed
--- a/node/eviction.go
+++ b/node/eviction.go
@@ -32,7 +32,7 @@
 		return keepConn, false
 	case c.lingering:
 		rank, grace = evictLingering, firstByteGrace
-	case c.closing:
+	case c.closing, c.awaitingMemory:
 		return keepConn, false
 	case c.throttled:
 		rank, grace = evictThrottled, firstByteGrace
@@ -66,6 +66,8 @@
 	}
 	switch {
 	case victim == nil || (victimRank == evictIdle && sparedByGrace && now.Sub(victim.stateSince) < idleGrace):
+	case victimRank == evictIncomplete && !victim.responding && victim.hasUnread(): // not its client is slow, but this node
+		victim.stateSince = now
 	case victim.busy, victim.lingering:
 		victim.evict()
 	default:
--- a/node/requestmemory.go
+++ b/node/requestmemory.go
@@ -38,7 +38,10 @@
 	charge := membudget.ReadCharge(size, header.chunked)
 	if !c.node.memory.TryAcquire(charge) {
 		c.startReclaiming()
-		if !c.node.memory.Acquire(charge, memoryWait) {
+		conn.setAwaitingMemory(true)
+		granted := c.node.memory.Acquire(charge, memoryWait)
+		conn.setAwaitingMemory(false)
+		if !granted {
 			return errNoMemory
 		}
 	}
@@ -72,6 +75,13 @@
 	c.node.memory.Release(conn.setCharge(membudget.Charge{}))
 }
 
+// setAwaitingMemory records that the connection's request waits for memory, through no fault of its client.
+func (c *clientConn) setAwaitingMemory(awaiting bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.awaitingMemory, c.stateSince = awaiting, time.Now()
+}
+
 // setCharge sets what the connection's request is charged, and returns what it was before.
 func (c *clientConn) setCharge(charge membudget.Charge) (before membudget.Charge) {
 	c.listener.mu.Lock()
