--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -36,6 +36,7 @@
 	connectTimeout        = 300 * time.Millisecond
 	minDeadline           = 300 * time.Millisecond
 	maxDeadline           = 3 * time.Second
+	shortDeadline         = time.Second
 	unavailableRetryDelay = 50 * time.Millisecond
 	lingerTime            = 1200 * time.Millisecond // longer than the proxy holds back a chunk
 )
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -138,6 +138,14 @@
 		frozen: map[int][]interval{}, counts: map[string]int{}}
 }
 
+// longestDeadline returns the longest deadline of a request. Runs in which only clients misbehave need no longer ones, and settle sooner.
+func (h *history) longestDeadline() time.Duration {
+	if h.onlyClients {
+		return shortDeadline
+	}
+	return maxDeadline
+}
+
 func (h *history) now() time.Duration { return time.Since(h.startedAt) }
 
 func (h *history) logAction(format string, arguments ...any) {
@@ -184,14 +192,14 @@
 	r.status, r.responseErr, r.answeredAt = status, responseErr, h.now()
 }
 
-// recordAttempt records that an endpoint has read a call for a request completely. It returns nil for a request that no
+// recordAttempt records that an endpoint has read a call of a node for a request completely. It returns nil for a request that no
 // client sent.
-func (h *history) recordAttempt(id string, endpoint int, conn *faultproxy.Connection) *request {
+func (h *history) recordAttempt(id string, node, endpoint int, conn *faultproxy.Connection) *request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.requests[id]
 	if r == nil && hostile.IsID(id) { // not checked, so not among the ordered ones
-		r = &request{id: id, class: Repeatable}
+		r = &request{id: id, class: Repeatable, node: node}
 		h.requests[id] = r
 	}
 	if r == nil {
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -67,6 +67,7 @@
 	settings     map[string]any
 	monitor      *procstat.Monitor
 	restarting   atomic.Bool
+	freezing     sync.Mutex // held while the process is suspended
 }
 
 func newProcess(number int, options *Options, h *history, proxies *network, crowded bool) (*process, error) {
@@ -263,6 +264,8 @@
 
 // freeze suspends the process for a while.
 func (p *process) freeze(ctx context.Context, length time.Duration) {
+	p.freezing.Lock()
+	defer p.freezing.Unlock()
 	p.mu.Lock()
 	cmd := p.cmd
 	p.mu.Unlock()
--- a/node/departure.go
+++ b/node/departure.go
@@ -71,7 +71,7 @@
 	switch {
 	case err != nil:
 		return peerOpen
-	case poll[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0:
+	case poll[0].Revents&unix.POLLERR != 0: // a reset is an error of the socket; POLLHUP alone is none
 		return peerReset
 	case poll[0].Revents&unix.POLLRDHUP != 0:
 		return peerEndOfStream
--- a/node/endpointregistry.go
+++ b/node/endpointregistry.go
@@ -17,7 +17,13 @@
 	dest      uint32
 }
 
-const startTimeSeparator = "@" // between host and start time in the name of a process
+const (
+	startTimeSeparator = "@" // between host and start time in the name of a process
+	startTimeTolerance = 500 // ms by which two start times of one process may differ, as discovery may compute them anew
+)
+
+// isLaterStart reports whether a start time is that of a later process than another one.
+func isLaterStart(startedAt, other int64) bool { return startedAt > other+startTimeTolerance }
 
 // String returns the name of the process in logs and in messages between nodes: the host, and the start time where it is known.
 func (i endpointIdentity) String() string {
@@ -48,7 +54,7 @@
 	if e.claimedBy != other.claimedBy {
 		return e.claimedBy > other.claimedBy
 	}
-	return e.startedAt > other.startedAt
+	return isLaterStart(e.startedAt, other.startedAt)
 }
 
 // endpointRegistry knows which process runs at which host and address. It belongs to the decision loop's goroutine.
@@ -86,11 +92,11 @@
 	e, state = r.byHost[entry.host], entry.state
 	switch {
 	case e == nil:
-	case state != delivery.Gone && (entry.startedAt > e.startedAt || entry.dest != e.dest):
+	case state != delivery.Gone && (isLaterStart(entry.startedAt, e.startedAt) || entry.dest != e.dest):
 		r.leaveAddress(e)
 		gone = append(gone, e)
 		e = nil
-	case entry.startedAt != 0 && entry.startedAt < e.startedAt:
+	case entry.startedAt != 0 && isLaterStart(e.startedAt, entry.startedAt):
 		return nil, state, false, nil
 	}
 	if e == nil {
@@ -162,7 +168,7 @@
 			host, started = name[:i], n
 		}
 	}
-	if e := r.byHost[host]; e != nil && e.startedAt == started {
+	if e := r.byHost[host]; e != nil && !isLaterStart(e.startedAt, started) && !isLaterStart(started, e.startedAt) {
 		return e.index, true
 	}
 	return 0, false
