Let a new process that drains at once take over its address too

Only ready endpoints held an address, so the node went on sending to it: 23, 177 and 43 calls to the wrong process, and 118 and 77 to one that drained. Any endpoint that is not gone holds its address now.

--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -200,7 +200,7 @@
 	}
 	for number, l := range d.listed {
 		bothListed := slices.ContainsFunc(d.gone, func(e departedEndpoint) bool { return e.number == number })
-		d.endpoints[number].recordTold(node, l.generation, bothListed)
+		d.endpoints[number].recordTold(node, l.generation, bothListed, proxyConn)
 	}
 }
 
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -66,12 +66,12 @@
 	retryWaits  map[int]retryWait // by node
 	sawOutage   map[int]bool      // nodes that sent calls during the last outage
 	recoveredAt time.Duration
-	arrivals    []arrival           // calls since recoveredAt
-	drains      map[int]drainNotice // by node
+	arrivals    []arrival          // calls since recoveredAt
+	drains      map[int]listNotice // by node
 	process     identity
-	generation  int                   // number of the process, from 0
-	told        map[int]time.Duration // when a node was sent a list with the present process
-	toldBefore  map[int]time.Duration // the same with the process before
+	generation  int                // number of the process, from 0
+	told        map[int]listNotice // by node, of the first list with the present process
+	toldBefore  map[int]listNotice // the same with the process before
 }
 
 // retryWait is a Retry-After sent to a node, and the connection that carried it. On a disturbed connection it may not
@@ -81,8 +81,8 @@
 	conn *faultproxy.Connection
 }
 
-// drainNotice is when a node was informed that the endpoint is draining, and the connection that carried the message.
-type drainNotice struct {
+// listNotice is when a node was sent a list that tells of an endpoint, and the connection that carried it.
+type listNotice struct {
 	at   time.Duration
 	conn *faultproxy.Connection
 }
@@ -100,7 +100,7 @@
 	e := &endpoint{number: number, dest: dest, history: h, listener: listener, capacity: endpointCapacity, mode: healthy,
 		remote: p.remote, refusalRate: p.refusalRate,
 		random: random, conns: map[net.Conn]struct{}{}, retryWaits: map[int]retryWait{}, sawOutage: map[int]bool{},
-		drains: map[int]drainNotice{}, process: identity{host: fmt.Sprintf("e%d", number), dest: dest}, told: map[int]time.Duration{}}
+		drains: map[int]listNotice{}, process: identity{host: fmt.Sprintf("e%d", number), dest: dest}, told: map[int]listNotice{}}
 	go e.serve()
 	return e, nil
 }
@@ -153,7 +153,7 @@
 		if informed {
 			at = min(at, notice.at+assumedInformedAfter)
 		}
-		e.drains[node] = drainNotice{at, conn}
+		e.drains[node] = listNotice{at, conn}
 	}
 }
 
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -111,7 +111,7 @@
 		return p
 	case groupReplacements:
 		p.destinations = maxDestinations
-		p.addReplacements()
+		p.addReplacements(append(replacementKinds, bothUndated)...)
 		return p
 	}
 	crowdedRun := random.IntN(3) == 0
--- a/lab/soak/series.go
+++ b/lab/soak/series.go
@@ -37,7 +37,7 @@
 	}
 	p.leavingClients = p.random.IntN(2) == 0
 	if p.random.IntN(2) == 0 {
-		p.addReplacements()
+		p.addReplacements(replacementKinds...)
 	}
 }
 
--- a/node/endpointregistry.go
+++ b/node/endpointregistry.go
@@ -61,7 +61,7 @@
 type endpointRegistry struct {
 	indices   idmap.Table[endpointIdentity]
 	byHost    map[string]*listedEndpoint
-	byAddress map[string]*listedEndpoint // ready endpoints
+	byAddress map[string]*listedEndpoint // endpoints that are ready or draining
 	lists     uint64                     // lists so far
 }
 
@@ -104,7 +104,7 @@
 		r.byHost[entry.host] = e
 		e.index, fresh = r.indices.Acquire(entry.endpointIdentity)
 	}
-	if e.gone && state == delivery.Ready {
+	if e.gone && state != delivery.Gone {
 		e.claimedBy = r.lists
 	}
 	e.kind, e.zone, e.namedBy, e.gone = entry.kind, entry.zone, r.lists, state == delivery.Gone
@@ -112,7 +112,7 @@
 		r.leaveAddress(e)
 		e.address, e.claimedBy = entry.address, r.lists
 	}
-	if state != delivery.Ready {
+	if state == delivery.Gone {
 		r.leaveAddress(e)
 		return e, state, fresh, gone
 	}
--- a/node/endpointregistry_test.go
+++ b/node/endpointregistry_test.go
@@ -45,7 +45,9 @@
 		"two hosts share an address from the start": {[][]*listEntry{{ready("a", "x", 0, 1), ready("b", "x", 0, 1)},
 			{ready("a", "x", 0, 1), ready("b", "x", 0, 1)}}, "0 ready; 1 ready"},
 		"the end of the process before": {[][]*listEntry{{ready("a", "x", early, 1)}, {ready("a", "x", late, 1)}, {leaving("a", early, delivery.Gone)}}, ""},
-		"it drains":                     {[][]*listEntry{{ready("a", "x", early, 1)}, {leaving("a", early, delivery.Draining)}}, "0 draining"},
+		"a new one that drains at once": {[][]*listEntry{{ready("a", "x", 0, 1)}, {ready("a", "x", 0, 1),
+			{endpointIdentity: endpointIdentity{"b", late, 2}, address: "x", state: delivery.Draining}}}, "0 ready; 1 draining, gone a"},
+		"it drains": {[][]*listEntry{{ready("a", "x", early, 1)}, {leaving("a", early, delivery.Draining)}}, "0 draining"},
 	} {
 		var r endpointRegistry
 		var got []string
