Allow in the soak for the time for which a node was suspended

Its node was suspended twice in a row for 0.56 s since freezes no longer overlap; the client had left, behind a proxy.

--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -357,6 +357,14 @@
 	return slices.ContainsFunc(h.frozen[node], func(s interval) bool { return s.from <= from && to <= s.to })
 }
 
+// frozenTime returns for how long a node's process was suspended between two times.
+func (h *history) frozenTime(node int, from, to time.Duration) (total time.Duration) {
+	for _, s := range h.frozen[node] {
+		total += max(0, min(s.to, to)-max(s.from, from))
+	}
+	return total
+}
+
 // recordExit records that a node's process has exited.
 func (h *history) recordExit(node int) {
 	h.mu.Lock()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -87,6 +87,14 @@
 			r.attempts[0].at, r.deliveredAt = 4*second, 0
 			r.noticedAt = 3 * second
 		}},
+		{"forwarded after its deadline, but its node was suspended meanwhile", "", func(r *request, h *history) {
+			r.attempts[0].at, r.deliveredAt = 32*second/10, 33*second/10
+			h.frozen[0] = []interval{{second, 13 * second / 10}}
+		}},
+		{"forwarded after its deadline by more than its node was suspended", RuleAfterEnd, func(r *request, h *history) {
+			r.attempts[0].at, r.deliveredAt, r.noticedAt = 352*second/100, 0, 353*second/100
+			h.frozen[0] = []interval{{second, 13 * second / 10}}
+		}},
 		{"forwarded after its delivery", RuleAfterEnd, func(r *request, _ *history) {
 			r.class = Keyed
 			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
