Bound the wait of a connection by the backlog, and test memory apart from usual clients

Read with it: while a crowd lasts, a connection was taken to have waited since the crowd began, so that the time left of its first request was cut by seconds; it has waited no longer than for as many accepts as the backlog holds.

--- a/lab/soak/usual_clients_test.go
+++ b/lab/soak/usual_clients_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -59,3 +60,23 @@
 		runSoak(t, Options{Seed: seed, Nodes: 3, Length: 6 * time.Second, Only: groupReplacements})
 	}
 }
+
+// Guards against a node that holds more memory than its limit, or ends, beside clients that stall, send many fields or read nothing. Whether
+// usual clients are served meanwhile depends on the machine too, and is left to the tests above.
+func TestNodeOutlastsHostileClients(t *testing.T) {
+	for _, pattern := range []hostile.Pattern{hostile.StalledBodies, hostile.ManyFields, hostile.UnreadResponses, hostile.HugeBodies} {
+		t.Run(string(pattern), func(t *testing.T) {
+			o := Options{Clients: pattern, Seed: 7, Nodes: 1, Length: 3 * time.Second, Only: groupClients, MemoryMB: leastMemoryMB,
+				Program: program, Folder: t.TempDir()}
+			report, err := Run(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range report.Violations {
+				if v.Rule == RuleMemory || v.Rule == RuleCrash || v.Rule == RuleInternal {
+					t.Errorf("%s: %v", o.Command(), v)
+				}
+			}
+		})
+	}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -76,7 +76,7 @@
 	c.listener.firstRequestTimeout, c.listener.idleTimeout = cmp.Or(times.FirstRequest, defaultFirstRequestTimeout),
 		cmp.Or(times.Idle, defaultClientIdleTimeout)
 	c.listener.requestTimeout = cmp.Or(times.Request, defaultRequestTimeout)
-	c.listener.receiveBuffer = plan.ClientReceiveBuffer
+	c.listener.receiveBuffer, c.listener.acceptTimes = plan.ClientReceiveBuffer, newAcceptTimes(plan.ClientBacklog)
 	c.handler = c.handle
 	return c, nil
 }
--- a/node/listener.go
+++ b/node/listener.go
@@ -30,6 +30,8 @@
 	// byte of a later request until it is read, and idleTimeout between two requests.
 	firstRequestTimeout, requestTimeout, idleTimeout time.Duration
 
+	acceptTimes acceptTimes
+
 	acceptErrors failureLog
 	delayedSince time.Time // when accepting began to fail or to wait for room; connections accepted since may have
 	delayedUntil time.Time // queued since then, until the backlog of that time is accepted
@@ -90,11 +92,43 @@
 		l.roomChanged.Wait()
 		recheck.Stop()
 	}
-	c.delayedSince, c.stateSince = l.delayedSince, time.Now()
+	c.delayedSince, c.stateSince = l.acceptTimes.earliestArrival(l.delayedSince), time.Now()
+	l.acceptTimes.record(now)
 	l.conns[c] = struct{}{}
 	return c, nil
 }
 
+// acceptTimes holds when the latest connections were accepted. Connections wait in the order of their arrival, so one that is accepted
+// after as many others as the backlog holds arrived after the first of those was accepted.
+type acceptTimes struct {
+	times []time.Time // as many as the backlog holds and one more; empty if its size is not known
+	next  int
+}
+
+// newAcceptTimes returns the times for a backlog of this size; 0 if it is not known.
+func newAcceptTimes(backlog int) acceptTimes {
+	if backlog <= 0 {
+		return acceptTimes{}
+	}
+	return acceptTimes{times: make([]time.Time, backlog+1)}
+}
+
+// record adds the time of the latest accept.
+func (a *acceptTimes) record(now time.Time) {
+	if len(a.times) > 0 {
+		a.times[a.next] = now
+		a.next = (a.next + 1) % len(a.times)
+	}
+}
+
+// earliestArrival returns since when the connection that is accepted next may have waited, which is delayedSince at the earliest.
+func (a *acceptTimes) earliestArrival(delayedSince time.Time) time.Time {
+	if len(a.times) == 0 || delayedSince.IsZero() || a.times[a.next].Before(delayedSince) {
+		return delayedSince
+	}
+	return a.times[a.next]
+}
+
 // markDelayed records that connections cannot be accepted at present.
 func (l *listener) markDelayed(now time.Time) {
 	if l.delayedSince.IsZero() {
