Take no turn for a throttled response that waits its longest

Callers would see the responses to invalid or refused requests held back for seconds after a flood had ended. A response waits for its turn among all for 0.5 s at most, but its turn stayed taken however far ahead it was, so that each second of a flood of 2,000 a second put the turns of later ones a second further off. Found by reading the change once more, not seen in a run of a node. A response that would wait longer gives its turn back.

--- a/node/throttle.go
+++ b/node/throttle.go
@@ -37,7 +37,7 @@
 	if !closes && conn.unproductive.AllowN(now, 1) {
 		return
 	}
-	delay := min(t.shared.ReserveN(now, 1).DelayFrom(now), maxThrottlePause)
+	delay := t.reserve(now)
 	if delay <= 0 {
 		return
 	}
@@ -55,6 +55,18 @@
 	conn.endThrottling()
 }
 
+// reserve returns how long a response waits for its turn. One that would wait too long takes no turn, so that a flood does not hold back
+// others after its end.
+func (t *throttle) reserve(now time.Time) time.Duration {
+	turn := t.shared.ReserveN(now, 1)
+	delay := turn.DelayFrom(now)
+	if delay > maxThrottlePause {
+		turn.CancelAt(now)
+		return maxThrottlePause
+	}
+	return delay
+}
+
 // startThrottling marks the connection as throttled. It returns a channel that is closed when it is evicted, or nil if it was
 // evicted already.
 func (c *clientConn) startThrottling() <-chan struct{} {
--- a/node/throttle_test.go
+++ b/node/throttle_test.go
@@ -62,3 +62,16 @@
 		t.Errorf("a new client waited %v", took)
 	}
 }
+
+// Guards against a flood that holds back the responses to others long after its end.
+func TestThrottlingEndsWithTheFlood(t *testing.T) {
+	throttle, now := newThrottle(), time.Now()
+	for range 10 * sharedUnproductiveRate {
+		if delay := throttle.reserve(now); delay > maxThrottlePause {
+			t.Fatalf("a response waits %v", delay)
+		}
+	}
+	if delay := throttle.reserve(now.Add(2 * maxThrottlePause)); delay > 0 {
+		t.Errorf("a response waits %v after the flood has ended", delay)
+	}
+}
