--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,12 +40,16 @@
 		return exitCannotRun
 	}
 	defer r.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan error, 1)
 	go func() { done <- cases[args[0]](r) }()
 	select {
 	case err = <-done:
 	case <-time.After(longestCase):
 		err = errCannotRun
+	case <-interrupted:
+		err = errCannotRun
 	}
 	r.mu.Lock()
 	faults := r.faults
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,7 @@
 	record  *os.File
 	faults  []string
 	started []*process
+	closed  bool
 }
 
 // errCannotRun means that the case could not be played, which says nothing about the rule.
@@ -58,20 +60,37 @@
 	r.faults = append(r.faults, fmt.Sprintf(format, args...))
 }
 
-// close ends all processes that the case started, by their ids, and removes its folder.
+// close ends all processes that the case started, by their ids, and removes its folder. No process is started after it.
 func (r *rig) close() {
-	for _, p := range r.started {
+	r.mu.Lock()
+	r.closed = true
+	started := r.started
+	r.mu.Unlock()
+	for _, p := range started {
 		p.kill()
 	}
 	r.record.Close()
 	os.RemoveAll(r.folder)
 }
 
+// start starts a process, unless the case has ended.
+func (r *rig) start(p *process) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return errCannotRun
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	r.started = append(r.started, p)
+	return nil
+}
+
 // process is a delivery node, started with the command of the deploy file.
 type process struct {
-	cmd    *exec.Cmd
-	ended  chan struct{}
-	killed bool
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 func (p *process) signal(s syscall.Signal) { syscall.Kill(p.cmd.Process.Pid, s) }
@@ -80,7 +99,6 @@
 	select {
 	case <-p.ended:
 	default:
-		p.killed = true
 		p.signal(syscall.SIGKILL)
 		<-p.ended
 	}
@@ -100,14 +118,17 @@
 	return "", errors.New("deploy/balancer.toml has no line run")
 }
 
-// freeAddress returns a loopback address that nobody listens at.
+// freeAddress returns a loopback address that nobody listens at. Its port is below those that the system gives to connections, so
+// that it stays free while a node restarts.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:0"
 }
 
 // nodeConfig is what the platform writes for a node.
@@ -146,10 +167,9 @@
 	p.cmd.Env = append(os.Environ(), "RELAY_NAME="+c.name, "RELAY_LISTEN="+c.listen, "RELAY_DISCOVERY="+c.discovery,
 		"RELAY_STATE="+c.state, "RELAY_CONFIG="+configFile)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := p.cmd.Start(); err != nil {
+	if err := r.start(p); err != nil {
 		return nil, err
 	}
-	r.started = append(r.started, p)
 	go func() {
 		p.cmd.Wait()
 		close(p.ended)
