Let a node run between two freezes of the soak for as long as a client waits

The plan drew freezes of one node at random, and process.freeze played those that met one after another: 557 and 419 ms on end, and a client waits 400 ms. A frozen process answers nobody, so the requests were late whatever the node did.

The plan now draws the same number of freezes of the same lengths, at least responseTimeout (400 ms) apart and within the run, and freeze keeps that gap when a step is late. The bound (1% and two) is as it was. freeze also counts a process as frozen only once all its threads are stopped: on a busy machine a node forwarded two requests 11 ms after SIGSTOP, and the check took them for forwarded by a node that had been frozen for the whole of their connection.

--- a/lab/soak/hostile.go
+++ b/lab/soak/hostile.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 	closeMonitorInterval = 5 * time.Millisecond // of a node's memory, where nothing but clients is played
 	monitorInterval      = 100 * time.Millisecond
 
-	freezes              = 4 // of each node in a run with clients that leave
+	freezeCount          = 4 // of each node in a run with clients that leave
 	minFreeze, maxFreeze = 100 * time.Millisecond, 300 * time.Millisecond
+	minFreezeGap         = responseTimeout // a client whose request meets one freeze is answered before the next
 )
 
 // Leaving selects clients that leave their requests behind.
@@ -63,13 +65,34 @@
 	}
 }
 
+// freeze is a time during which a node's process is suspended.
+type freeze struct{ at, length time.Duration }
+
+// drawFreezes draws freezes of one node within the length of the run, in order and at least minFreezeGap apart.
+func (p *plan) drawFreezes() []freeze {
+	drawn := make([]freeze, freezeCount)
+	slack := p.length - (freezeCount-1)*minFreezeGap
+	for i := range drawn {
+		drawn[i].length = minFreeze + p.randomDuration(maxFreeze-minFreeze)
+		drawn[i].at = p.randomDuration(p.length)
+		slack -= drawn[i].length
+	}
+	slices.SortFunc(drawn, func(a, b freeze) int { return cmp.Compare(a.at, b.at) })
+	occupied := time.Duration(0)
+	for i := range drawn {
+		share := float64(drawn[i].at) / float64(p.length)
+		drawn[i].at = occupied + time.Duration(share*float64(max(slack, 0)))
+		occupied += drawn[i].length + minFreezeGap
+	}
+	return drawn
+}
+
 // addFreezes suspends a node's process several times, so that clients leave before it reads their requests.
 func (p *plan) addFreezes(node int) {
-	for range freezes {
-		length := minFreeze + p.randomDuration(maxFreeze-minFreeze)
-		p.addStep(p.randomDuration(p.length), func(ctx context.Context, r *run) {
-			r.history.logAction("node %d: suspended for %v", node, length.Round(time.Millisecond))
-			r.processes[node].freeze(ctx, length)
+	for _, f := range p.drawFreezes() {
+		p.addStep(f.at, func(ctx context.Context, r *run) {
+			r.history.logAction("node %d: suspended for %v", node, f.length.Round(time.Millisecond))
+			r.processes[node].freeze(ctx, f.length)
 		})
 	}
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"jaspersill/lab/procstat"
 	"jaspersill/lab/sysfault"
 )
@@ -67,7 +69,7 @@
 	settings     map[string]any
 	monitor      *procstat.Monitor
 	restarting   atomic.Bool
-	freezing     sync.Mutex // held while the process is suspended
+	freezing     sync.Mutex // held while the process is suspended, and for minFreezeGap after that
 }
 
 func newProcess(number int, options *Options, h *history, proxies *network, crowded bool) (*process, error) {
@@ -262,7 +264,8 @@
 	p.cmd.Process.Signal(syscall.SIGHUP)
 }
 
-// freeze suspends the process for a while.
+// freeze suspends the process for a while, and lets it run for minFreezeGap before it can be suspended again: the
+// goroutine that is to suspend it next may not have been delayed as long as this one.
 func (p *process) freeze(ctx context.Context, length time.Duration) {
 	p.freezing.Lock()
 	defer p.freezing.Unlock()
@@ -270,10 +273,23 @@
 	cmd := p.cmd
 	p.mu.Unlock()
 	cmd.Process.Signal(syscall.SIGSTOP)
+	awaitStop(cmd.Process.Pid)
 	since := p.history.now()
 	sleep(ctx, length)
 	p.history.recordFrozen(p.number, since)
 	cmd.Process.Signal(syscall.SIGCONT)
+	sleep(ctx, minFreezeGap)
+}
+
+// awaitStop waits until all threads of a child process are stopped, or the process has ended: a signal takes effect only once
+// each thread has been scheduled.
+func awaitStop(pid int) {
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if err != syscall.EINTR {
+			return
+		}
+	}
 }
 
 // terminateAgain sends the process that is being terminated more signals.
--- a/lab/soak/usual_clients_test.go
+++ b/lab/soak/usual_clients_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Guards against freezes of one node that follow each other at once, and together last longer than a client waits: its requests are then
+// late whatever the node does.
+func TestFreezesOfOneNodeLeaveTimeToAnswer(t *testing.T) {
+	for seed := range uint64(1000) {
+		p := newPlan(Options{Seed: seed, Nodes: 1, Length: 5 * time.Second, Only: groupClients, Clients: Leaving})
+		end := -responseTimeout
+		for _, f := range p.drawFreezes() {
+			if f.at < end+responseTimeout {
+				t.Fatalf("seed %d: a freeze at %v follows one that ends at %v", seed, f.at, end)
+			}
+			if end = f.at + f.length; end > p.length+time.Millisecond {
+				t.Fatalf("seed %d: a freeze ends at %v, after the run of %v", seed, end, p.length)
+			}
+		}
+	}
+}
+
 // Guards against a new process that comes up at an endpoint's address and is sent the requests of the one before.
 func TestReplacedEndpointGetsNoRequestsOfItsPredecessor(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
