Count the soak's grace after a client's departure in time for which its node runs

Two rows of TestChecksDetectEachViolation: one that the check of before told ("forwarded after its client had left" where the node ran for 150 ms), and one, where it ran for 350 ms, that both tell.

--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -248,13 +248,14 @@
 // checkDeparture checks that a request is not forwarded for the first time after its client has left. A node may have read one
 // request of each connection by then, since it answers them one after another. If it was suspended for as long as the connection
 // lasted, it has read none, and it can tell that the client has left, unless there are more requests than its socket buffer holds: the
-// end of the stream then waits behind them in the client's system, until the first response is answered with a reset. Where endpoints
+// end of the stream then waits behind them in the client's system, until the first response is answered with a reset. The
+// grace that it has for a request that it had read is time in which it runs. Where endpoints
 // fail or ask for a wait, requests that were accepted in time are forwarded later, so only runs without other faults are checked.
 func (h *history) checkDeparture(r *request) {
 	if !h.onlyClients || r.left == nil || r.resubmitted || len(r.attempts) == 0 {
 		return
 	}
-	allowed, since := 1, r.left.at+processingGrace+socketGrace
+	allowed, since := 1, r.left.at+processingGrace+socketGrace+h.frozenTime(r.node, r.left.at, r.attempts[0].at)
 	if h.wasFrozen(r.node, r.left.connectedAt, r.left.at) {
 		since = r.left.at
 		if r.left.requests <= fewRequests {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// leaveBehind lets a request be the second of its connection that is forwarded 0.45 s after its client has left, and its node be
+// suspended meanwhile.
+func leaveBehind(r *request, h *history, frozen interval) {
+	const leftAt = 950 * time.Millisecond
+	h.onlyClients = true
+	h.frozen[0] = []interval{frozen}
+	r.left = &departure{at: leftAt, connectedAt: leftAt - 100*time.Millisecond, requests: fewRequests, started: 1}
+	r.attempts[0].at = leftAt + 450*time.Millisecond
+}
+
 // Guards against checks that overlook violations. Each of these histories breaks one rule, or none where a fault
 // excuses what it shows.
 func TestChecksDetectEachViolation(t *testing.T) {
@@ -95,6 +105,11 @@
 			r.attempts[0].at, r.deliveredAt, r.noticedAt = 352*second/100, 0, 353*second/100
 			h.frozen[0] = []interval{{second, 13 * second / 10}}
 		}},
+		{"forwarded after its client had left, but its node was suspended for all but the grace", "", func(r *request, h *history) {
+			leaveBehind(r, h, interval{second, 13 * second / 10})
+		}},
+		{"forwarded after its client had left by more than the grace and the time for which its node was suspended", RuleAfterEnd,
+			func(r *request, h *history) { leaveBehind(r, h, interval{second, 11 * second / 10}) }},
 		{"forwarded after its delivery", RuleAfterEnd, func(r *request, _ *history) {
 			r.class = Keyed
 			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
