Count in the lab the connections to endpoints, and notices of delivered events

Neither price of a doubt was measured by the lab: what it costs in new connections, and how many delivered events are told to the platform as undeliverable. The emulator now counts both, and a result has them as `connections` and `false_notices`.

--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -186,6 +186,7 @@
 	EndCounts                              [4]int64
 	OutcomeCounts                          [9]int64 // outcomes that nodes saw, by delivery.Outcome
 	Sends, Calls, Connections              int64
+	FalseNotices                           int64 // of delivered events as undeliverable
 	Effects                                int64
 	Arrivals, Accepted                     int64
 
@@ -572,6 +573,8 @@
 	Discarded      int64       `json:"discarded"`
 	Sends          int64       `json:"sends"`
 	Effects        int64       `json:"effects"`
+	Connections    int64       `json:"connections"`   // opened to endpoints
+	FalseNotices   int64       `json:"false_notices"` // of delivered events as undeliverable; on sockets only
 	Outcomes       [9]int64    `json:"outcomes"`
 	ViolationCount int         `json:"broken"`
 	Violations     []Violation `json:"breaks,omitempty"`
@@ -588,6 +591,8 @@
 		Discarded:      c.EndCounts[Discarded],
 		Sends:          c.Sends,
 		Effects:        c.Effects,
+		Connections:    c.Connections,
+		FalseNotices:   c.FalseNotices,
 		Outcomes:       c.OutcomeCounts,
 		ViolationCount: c.ViolationCount,
 		Violations:     c.Violations,
--- a/lab/emulator/directory.go
+++ b/lab/emulator/directory.go
@@ -239,6 +239,9 @@
 		if json.Unmarshal([]byte(text), &n) != nil {
 			continue
 		}
+		if _, delivered := em.delivered[n.ID]; delivered && n.Status == "undeliverable" {
+			em.checker.FalseNotices++
+		}
 		e := em.events[n.ID]
 		if em.acceptUnknown && e == nil {
 			em.logf("notice: event %s %s", n.ID, n.Status)
--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -51,6 +51,7 @@
 	checker          *checker.Checker
 	events           map[string]*event
 	eventTable       idmap.Table[string]
+	delivered        map[string]struct{} // ids of events that were answered as delivered
 	random           *rand.Rand
 	listeners        []*endpointListener // by endpoint
 	changes          []endpointChange
@@ -88,7 +89,7 @@
 		logf = func(string, ...any) {}
 	}
 	em := &Emulator{scenario: sc, startedAt: time.Now(), destinations: destination.New(sc, seed, noiseSeed),
-		checker: checker.New(sc), events: make(map[string]*event),
+		checker: checker.New(sc), events: make(map[string]*event), delivered: make(map[string]struct{}),
 		random: rand.New(rand.NewPCG(seed, 0x57a6+noiseSeed)), directoryChanged: make(chan struct{}),
 		conns: make(map[net.Conn]struct{}), seenOutages: make(map[nodeGroup]int64), logf: logf}
 	em.eventTable.Acquire("") // reserves index 0
@@ -215,6 +216,11 @@
 		c.Close()
 	}()
 	dk := &em.scenario.DestinationKinds[kind]
+	if result == destination.Connected {
+		em.mu.Lock()
+		em.checker.Connections++
+		em.mu.Unlock()
+	}
 	switch result {
 	case destination.ConnectRefused:
 		resetConnection(c)
@@ -373,6 +379,7 @@
 		em.checker.RecordOutcome(now, e.index, send.index, outcome)
 		if outcome == delivery.Acked && !e.ended {
 			e.ended = true
+			em.delivered[em.eventTable.ID(e.index)] = struct{}{}
 			em.checker.RecordEnd(now, e.index, checker.Acked)
 		}
 	}
