Take no rest of a connection for the proof that an answer is its call's

What callers saw: an answer came twice, its copy was read as the answer to the next call, and that call's endpoint hung.

Cause: a connection on which nothing came for the quiet period counted as in sync, at three places (checkIdle for the next call, the end of the hold, the drain). A hung endpoint rests in the same way. What proves an answer is only that it is the first of its connection, that it names its requests, that it differs from all before on a connection in sync, or that three further answers on the connection are deliveries too: had it been another call's, its own would be among these.

- Before a call a connection pauses for half of the endpoint's fastest answer, 50 ms at most, so that a copy right behind the last answer is found as surplus.
The call waits on that connection rather than open a new one.
- A delivery that is not proven is held to the event's deadline; a surplus answer, or the endpoint's end of the connection, doubts it.
Any other is told, as before.
- A refusal after an alike answer no longer counts as certain because of a rest.
An event that must not be repeated waits for it to be settled (2 s, a quarter of its time at most) rather than be given up at once; its connection carries nothing meanwhile.
- A connection whose call was recalled before its first byte goes back to the pool.
It was closed, which doubted what was read on it.

--- a/connreuse/connreuse.go
+++ b/connreuse/connreuse.go
@@ -1,7 +1,7 @@
-// Package connreuse decides which idle connections to an endpoint may carry another call, how long a connection must be
-// quiet before it counts as in sync, and how long an outcome that may belong to another call is held before it is
-// accepted. A connection is in sync when no answer to an earlier call can still arrive on it. The package keeps
-// statistics for each endpoint and does no I/O. Times are nanoseconds.
+// Package connreuse decides which idle connections to an endpoint may carry another call, for how long they pause before,
+// and when an outcome that may belong to another call is accepted. A connection is in sync when no answer
+// to an earlier call can still arrive on it. A connection that has rested seems to be in sync, which an endpoint that
+// hangs seems to be too. The package keeps statistics for each endpoint and does no I/O. Times are nanoseconds.
 package connreuse
 
 const (
@@ -14,6 +14,13 @@
 	defaultQuiet = 500 * millisecond // used until an answer has been measured
 	slowestDecay = 16                // each faster answer reduces the recorded maximum by 1/16 of it
 
+	pauseDivisor = 2                // the pause before reuse is this part of the fastest answer: copies come sooner than an answer can
+	maxPause     = 50 * millisecond // opening a connection instead would take as long
+
+	confirmingAcks  = 3 // further deliveries on a connection that confirm one: more answers than arrive in surplus on it
+	refusalHold     = 2 * second
+	refusalHoldPart = 4 // a refusal is held for at most this part of the time that its event has left
+
 	initialAlikeShare = 0.25 // share of alike refusals assumed at first: two that differ are enough to fall below maxAlikeShare
 	alikeWeight       = 0.25 // weight of a new refusal in the average
 	maxAlikeShare     = 0.15 // below this share, a refused event that must not be repeated is seldom given up for lack of proof
@@ -25,6 +32,7 @@
 // EndpointStats holds the answer statistics of one endpoint. The zero value is ready to use.
 type EndpointStats struct {
 	slowest      int64 // slowest recent answer, decaying
+	fastest      int64 // the fastest certain answer that says its event was delivered; 0 for none
 	suspectUntil int64
 	suspectTime  int64
 }
@@ -36,8 +44,19 @@
 	}
 }
 
-// QuietPeriod returns how long a connection must be idle, with nothing unread, until it counts as in sync: an answer
-// still due to an earlier call would have arrived by then.
+// RecordDelivery records how long a call took whose answer certainly was its own and says that its event was delivered.
+func (e *EndpointStats) RecordDelivery(took int64) {
+	if e.fastest == 0 || took < e.fastest {
+		e.fastest = took
+	}
+}
+
+// ReusePause returns how long a connection must have been idle before it carries another call. A copy of its last answer
+// arrives right behind that, if one is under way, and would be taken for the answer to the next call.
+func (e *EndpointStats) ReusePause() int64 { return min(e.fastest/pauseDivisor, maxPause) }
+
+// QuietPeriod returns how long a connection must be idle, with nothing unread, until it counts as rested: an answer
+// still due to an earlier call would have arrived by then, unless the endpoint hangs.
 func (e *EndpointStats) QuietPeriod() int64 {
 	if e.slowest == 0 {
 		return defaultQuiet
@@ -84,26 +103,29 @@
 	IdleTime      int64 // time since its last answer
 	InSync        bool  // its last answer certainly belonged to its call
 	RefusedBefore bool  // an answer on it said that its call was not processed
+	Awaited       bool  // an event that must not be repeated waits for what the connection shows of its refusal
 }
 
 // Choose returns the index of the idle connection to use for a call, or -1 to open a new one. idle is ordered by last
 // use, the most recent last.
 //
-// A call that must not be repeated needs a connection on which a refusal can be attributed to it with certainty: one in
-// sync that has never carried a refusal, or any in sync when refusals are distinguishable. Other calls prefer
-// connections in sync that non-repeatable calls cannot use, the most recently used first, since unused ones go stale;
-// failing that, they take the one that has been idle longest.
+// A call that must not be repeated needs a connection on which a refusal is hardly another call's: one in sync or rested
+// that has never carried a refusal, or any of these when refusals are distinguishable. Other calls prefer such
+// connections that non-repeatable calls cannot use, the most recently used first, since unused ones go stale; failing
+// that, they take the one that has been idle longest. One that need not pause is preferred to any other.
 func (e *EndpointStats) Choose(idle []Candidate, repeatable, distinguishable bool, now int64) int {
 	if !e.ReuseAllowed(now) {
 		return -1
 	}
-	quiet, best := e.QuietPeriod(), -1
+	quiet, pause, best := e.QuietPeriod(), e.ReusePause(), -1
 	inSync := func(c Candidate) bool { return c.InSync || c.IdleTime >= quiet }
 	for i, c := range idle {
 		switch {
+		case c.Awaited:
 		case !repeatable && (!inSync(c) || (c.RefusedBefore && !distinguishable)):
 		case best < 0:
 			best = i
+		case c.IdleTime < pause: // the one found has been idle for longer
 		case !inSync(c):
 		case !inSync(idle[best]) || c.RefusedBefore || !idle[best].RefusedBefore:
 			best = i
@@ -112,6 +134,37 @@
 	return best
 }
 
-// HoldUntil returns the time until which an outcome that may belong to another call is held. The endpoint was told how
-// long the caller waits and does not answer later than that. The client must get its final answer by the deadline.
-func HoldUntil(started, timeout, deadline int64) int64 { return min(started+timeout, deadline) }
+// Evidence is what is known of a delivery or refusal that may belong to another call.
+type Evidence struct {
+	Delivery   bool
+	Rested     bool  // its connection has been quiet for the quiet period since, with nothing unread
+	Repeatable bool  // its event may be sent again
+	LaterAcks  int   // answers on its connection since, if all of them are deliveries
+	HoldUntil  int64 // see HoldUntil
+}
+
+// Proven reports whether a delivery certainly belonged to its call, or to one of the next calls on the connection, whose
+// answers it would then have been taken for: each of these was delivered too.
+func (e *Evidence) Proven() bool { return e.Delivery && e.LaterAcks >= confirmingAcks }
+
+// Trusted reports whether nothing speaks against the answer, although an endpoint that hangs would leave it so too.
+func (e *Evidence) Trusted() bool { return e.Proven() || e.Rested }
+
+// AcceptAtClose reports whether the answer is accepted when its connection is closed, and can show nothing more. byEndpoint
+// tells whether the endpoint closed it, as one does that hung and ended: a delivery is then only accepted if it is proven.
+// So is one whose event may be sent again, unless its call could no longer have been answered: the repeat costs little.
+func (e *Evidence) AcceptAtClose(now int64, byEndpoint bool) bool {
+	if e.Delivery && (byEndpoint || (e.Repeatable && now < e.HoldUntil)) {
+		return e.Proven()
+	}
+	return e.Trusted()
+}
+
+// HoldUntil returns when an answer that may belong to another call is looked at again. Until then the call itself could
+// have been answered. A refusal is not held for as long, because its event waits for the result.
+func HoldUntil(now, started, timeout, deadline int64, delivery bool) int64 {
+	if !delivery {
+		return now + min(refusalHold, (deadline-now)/refusalHoldPart)
+	}
+	return min(started+timeout, deadline)
+}
--- a/connreuse/connreuse_test.go
+++ b/connreuse/connreuse_test.go
@@ -52,6 +52,9 @@
 	if !e.ReuseAllowed(3*minSuspectTime) || e.ReuseAllowed(3*minSuspectTime-1) {
 		t.Error("the second suspension does not last twice as long as the first")
 	}
+	if chosen := e.Choose([]Candidate{{IdleTime: quiet, Awaited: true}}, true, true, 3*minSuspectTime); chosen != -1 {
+		t.Error("a connection was reused while an event waits for what it shows")
+	}
 	if e.QuietPeriod() != defaultQuiet {
 		t.Error("an endpoint without measurements does not use the default quiet period")
 	}
@@ -63,3 +66,71 @@
 		t.Errorf("quiet period %d after one slow answer long ago, want the minimum", e.QuietPeriod())
 	}
 }
+
+// Guards against a copy that follows an answer at once and is read as the answer to the next call, and against opening connections
+// although one only has to pause.
+func TestConnectionsPauseBeforeReuse(t *testing.T) {
+	const recent = millisecond
+	e := &EndpointStats{}
+	if e.ReusePause() != 0 {
+		t.Error("a pause before any delivery was measured")
+	}
+	e.RecordDelivery(80 * millisecond)
+	e.RecordDelivery(60 * millisecond)
+	e.RecordDelivery(70 * millisecond)
+	if want := 60 * millisecond / pauseDivisor; e.ReusePause() != want {
+		t.Errorf("pause of %d, want %d", e.ReusePause(), want)
+	}
+	paused := e.ReusePause()
+	for _, c := range []struct {
+		name string
+		idle []Candidate
+		want int
+	}{
+		{"most recently used of those that paused", []Candidate{{IdleTime: 2 * paused, InSync: true}, {IdleTime: paused, InSync: true}, {IdleTime: recent, InSync: true}}, 1},
+		{"in sync but used just now", []Candidate{{IdleTime: paused, InSync: true}, {IdleTime: recent, InSync: true}}, 0},
+		{"none has paused", []Candidate{{IdleTime: 2 * recent}, {IdleTime: recent}}, 0},
+	} {
+		if got := e.Choose(c.idle, true, false, 0); got != c.want {
+			t.Errorf("%s: chose %d, want %d", c.name, got, c.want)
+		}
+	}
+	if e.RecordDelivery(second); e.ReusePause() > maxPause {
+		t.Error("the pause exceeds its maximum")
+	}
+}
+
+// Guards against accepting an answer as its call's because its connection rests, which it also does while the endpoint hangs.
+func TestEvidenceAtClose(t *testing.T) {
+	const now = 10 * second
+	held := Evidence{Delivery: true, Rested: true, Repeatable: true, HoldUntil: now + second}
+	over := Evidence{Delivery: true, Rested: true, Repeatable: true, HoldUntil: now - second}
+	once := Evidence{Delivery: true, Rested: true, HoldUntil: now + second}
+	for _, c := range []struct {
+		name       string
+		evidence   Evidence
+		byEndpoint bool
+		want       bool
+	}{
+		{"repeatable, its call could still be answered", held, false, false},
+		{"repeatable, held long enough", over, false, true},
+		{"repeatable, held long enough, closed by the endpoint", over, true, false},
+		{"not repeatable", once, false, true},
+		{"not repeatable, closed by the endpoint", once, true, false},
+		{"not rested", Evidence{Delivery: true, HoldUntil: now - second}, false, false},
+		{"proven", Evidence{Delivery: true, Repeatable: true, LaterAcks: confirmingAcks, HoldUntil: now + second}, true, true},
+		{"one delivery short of proven", Evidence{Delivery: true, LaterAcks: confirmingAcks - 1, HoldUntil: now + second}, false, false},
+		{"refusal", Evidence{Rested: true, LaterAcks: confirmingAcks}, true, true},
+		{"refusal, not rested", Evidence{LaterAcks: confirmingAcks}, false, false},
+	} {
+		if got := c.evidence.AcceptAtClose(now, c.byEndpoint); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if until := HoldUntil(now, now-second, 3*second, now+second, true); until != now+second {
+		t.Errorf("a delivery is held until %d, after the deadline", until)
+	}
+	if until := HoldUntil(now, now-second, 20*second, now+20*second, false); until != now+refusalHold {
+		t.Errorf("a refusal is held until %d", until)
+	}
+}
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -122,7 +122,8 @@
 // Handler receives the inputs of a round in the order of their arrival.
 type Handler interface {
 	Event(event int32, streamType, customer int, key uint64, left, work int64, dest int32)
-	// Resumed follows Event for an event that was accepted before a restart, with the number of its sends. If one of
+	// Resumed follows Event for an event that had sends before: it was accepted before a restart, or its delivery could not
+	// be confirmed. It tells the number of these sends. If one of
 	// them may have run, mayRun is set, with how long ago the first such send left and to which zone.
 	Resumed(event int32, sends int, mayRun bool, ago int64, zone int)
 	ProcessingStarted(event int32, send int)
@@ -135,6 +136,8 @@
 	Unconfirmed(event int32, send int)
 	// Confirmed revokes Unconfirmed: the answer belonged to the send.
 	Confirmed(event int32, send int)
+	// Doubted ends the wait for Confirmed: it will not come.
+	Doubted(event int32, send int)
 	Withdrawn(event int32)
 	ListStarted(whole bool)
 	EndpointListed(endpoint, dest int32, kind, zone int, state EndpointState, rate float64)
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -462,6 +462,7 @@
 
 func (p *simplePolicy) Unconfirmed(int32, int) {}
 func (p *simplePolicy) Confirmed(int32, int)   {}
+func (p *simplePolicy) Doubted(int32, int)     {}
 func (p *simplePolicy) Withdrawn(evt int32)    { p.events[evt].live = false }
 
 func (p *simplePolicy) ListStarted(whole bool) {
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -250,7 +250,8 @@
 	return r.mayHaveRun || r.unconfirmedRefusals > 0
 }
 
-// EndProvisionally records that the request was ended by a response that may belong to another call. No attempt follows.
+// EndProvisionally records that the request was ended by a response that may belong to another call. No attempt follows
+// unless it is reopened.
 // It returns false if the end was already decided.
 func (r *Request) EndProvisionally() bool {
 	r.mu.Lock()
@@ -285,6 +286,21 @@
 	return nil
 }
 
+// Reopen records that the response which ended the request provisionally could not be confirmed, and that the request is
+// pending again: it may have run, and may be repeated.
+func (r *Request) Reopen() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.state != Provisional:
+		return violation(transitionConfirm, r.id, "request is "+r.state.String())
+	case !r.repeatable:
+		return violation(transitionConfirm, r.id, "request is not repeatable")
+	}
+	r.state, r.mayHaveRun = Pending, true
+	return nil
+}
+
 // DecideEnd records that the end of the request is decided: it was delivered, or a notice or a refusal is still to be
 // reported. It returns false if the end was already decided.
 func (r *Request) DecideEnd() bool {
--- a/lifecycle/responses.go
+++ b/lifecycle/responses.go
@@ -16,7 +16,8 @@
 // whose responses do not identify their call. The connection is in sync while each call has received exactly one
 // response. The first response on a connection can only belong to the first call. On a connection in sync, a response
 // that differs from all earlier ones belongs to the current call. Any other response may be a duplicate, and after a
-// duplicate each call reads the response to the call before it.
+// duplicate each call reads the response to the call before it. An idle period does not show that a connection is back in
+// sync: while an endpoint hangs, the response that is still due does not arrive either.
 //
 // The zero value describes a new connection. It is not safe for concurrent use.
 type ResponseTracker struct {
@@ -63,9 +64,11 @@
 	return Unconfirmed
 }
 
-// MarkInSync records that the connection is in sync: it was idle, with no unread byte, for longer than a response takes
-// to arrive.
-func (t *ResponseTracker) MarkInSync() { t.outOfSync = false }
+// Seen reports whether a response with this digest was observed on the connection before.
+func (t *ResponseTracker) Seen(digest uint64) bool {
+	_, seen := t.seen[digest]
+	return seen
+}
 
 // InSync reports whether the connection is known to be in sync.
 func (t *ResponseTracker) InSync() bool { return !t.outOfSync }
--- a/node/call.go
+++ b/node/call.go
@@ -93,14 +93,14 @@
 
 // prepare obtains a connection for the call and records its attempts. It returns nil if the call has ended.
 func (c *call) prepare(ctx context.Context) *endpointConn {
-	conn, address := c.pool.takeIdle(c.endpoint, c.repeatable())
+	conn, address := c.takeIdle(ctx)
 	if conn == nil {
 		if conn = c.connect(ctx, address); conn == nil {
 			return nil
 		}
 	}
 	if !c.recordAttempts() {
-		c.pool.closeConn(conn, closeGivenUp)
+		c.pool.returnUnused(conn)
 		return nil
 	}
 	// Bytes that arrived while the attempts were being recorded cannot be a response to them.
@@ -110,14 +110,31 @@
 			return nil
 		}
 	}
-	conn.countCall()
 	if !c.startWrite(conn) {
-		c.pool.closeConn(conn, closeGivenUp)
+		c.pool.returnUnused(conn)
 		return nil
 	}
 	return conn
 }
 
+// takeIdle takes an idle connection for the call, once it has paused. It returns nil and the address to connect to if there
+// is none.
+func (c *call) takeIdle(ctx context.Context) (conn *endpointConn, address string) {
+	for {
+		conn, pause, address := c.pool.takeIdle(c.endpoint, c.repeatable())
+		if conn == nil || pause <= 0 {
+			return conn, address
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(pause)):
+		}
+		if c.pool.checkTaken(conn) {
+			return conn, address
+		}
+	}
+}
+
 // connect opens a connection for the call. If that fails, it ends the call and returns nil.
 func (c *call) connect(ctx context.Context, address string) *endpointConn {
 	conn, err := c.pool.connect(ctx, c.endpoint, address, &c.localFailure)
@@ -161,11 +178,12 @@
 	response := conn.reader.readResponse(c.attempts)
 	refusedBefore := conn.responses.SawNotRun() && response.identity.NotRun
 	attribution := conn.attribute(response)
+	c.pool.observeResponse(conn, response, attribution)
 	switch {
 	case attribution == lifecycle.Unconfirmed:
 		c.trackResponse(conn, response)
-	case response.identity.NamesRequests:
-		c.pool.markInSync(conn)
+	case response.results[0].outcome == delivery.Acked:
+		c.pool.recordDelivery(c.endpoint, c.pool.clock.now()-c.sentAt)
 	}
 	if refusedBefore {
 		c.pool.recordRefusal(attribution == lifecycle.Unconfirmed)
@@ -187,7 +205,7 @@
 		r := &response.results[i] // a response with one status for all attempts has one result for each of them
 		completes := r.outcome == delivery.Acked || r.final
 		if completes || (!r.outcome.MayHaveRun() && c.attempts[i].event.safety != delivery.Idempotent) {
-			r.confirmation = c.pool.trackOutcome(conn, c.attempts[i], r.outcome)
+			r.confirmation = c.pool.trackOutcome(conn, c.attempts[i], r)
 		}
 	}
 }
@@ -305,6 +323,9 @@
 	if c.ended {
 		return false
 	}
+	if c.conn == nil { // not a retry of the write
+		conn.countCall()
+	}
 	c.conn, c.progress, c.sentAt = conn, progressWriting, now
 	conn.expectResponse()
 	for _, a := range c.attempts {
--- a/node/clients.go
+++ b/node/clients.go
@@ -291,6 +291,7 @@
 	}
 	e.monoDeadline, e.deadlineTimeOfDay = n.clock.now()+int64(left)*1e6, n.clock.timeOfDay()+int64(left)*1e6
 	e.safety = n.safetyOf(e.typ)
+	e.reopenable = n.reopenable(e)
 	e.request = lifecycle.NewRequest(e.id, e.monoDeadline, n.repeatable(e.typ))
 	e.updates, e.response = make(chan eventUpdate, updateBuffer), make(chan clientResponse, 1)
 	return e, 0, ""
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -27,13 +27,17 @@
 		"Connections to endpoints on which an answer came that no call waited for.")
 )
 
-// confirmation tracks an outcome whose response may belong to another call. It is settled once the connection is found to
-// have been in sync, or once that can no longer be determined.
+// confirmation tracks an outcome whose response may belong to another call. It is settled once the connection shows whose
+// response it was, or can show nothing more. Its evidence is guarded by endpointPool.mu.
 type confirmation struct {
 	conn        *endpointConn
 	id          string
 	outcome     delivery.Outcome
 	respondedAt int64
+	deadline    int64 // of the event
+	evidence    connreuse.Evidence
+	refuted     bool // a later response is no delivery, so that later deliveries prove nothing
+	awaited     bool // the event waits for the settlement, because it must not be repeated
 	timer       *time.Timer
 
 	mu        sync.Mutex
@@ -111,38 +115,63 @@
 }
 
 // trackOutcome starts to track an outcome of an attempt on a connection.
-func (p *endpointPool) trackOutcome(conn *endpointConn, a *attempt, outcome delivery.Outcome) *confirmation {
+func (p *endpointPool) trackOutcome(conn *endpointConn, a *attempt, r *result) *confirmation {
 	now := p.clock.now()
-	c := &confirmation{conn: conn, id: a.event.id, outcome: outcome, respondedAt: now}
+	delivered := r.outcome == delivery.Acked || r.final
+	c := &confirmation{conn: conn, id: a.event.id, outcome: r.outcome, respondedAt: now, deadline: a.event.monoDeadline,
+		evidence: connreuse.Evidence{Delivery: delivered, Repeatable: a.event.reopenable,
+			HoldUntil: connreuse.HoldUntil(now, a.startedAt, a.timeout, a.event.monoDeadline, delivered)}}
+	c.awaited = !delivered && a.event.safety == delivery.NonIdempotent
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.unconfirmed = append(conn.unconfirmed, c)
 	p.unconfirmed++
-	hold := connreuse.HoldUntil(a.startedAt, a.timeout, a.event.monoDeadline) - now
-	c.timer = time.AfterFunc(time.Duration(max(hold, 0)), func() { p.holdExpired(c) })
+	c.timer = time.AfterFunc(time.Duration(max(c.evidence.HoldUntil-now, 0)), func() { p.holdExpired(c) })
 	return c
 }
 
-// markInSync records that a connection carrying a call is in sync: the response named the requests of that call.
-func (p *endpointPool) markInSync(conn *endpointConn) {
+// observeResponse tells the tracked outcomes of a connection about a later response on it. A response that names its requests
+// proves that all earlier ones belonged to their calls.
+func (p *endpointPool) observeResponse(conn *endpointConn, response callResponse, attribution lifecycle.Attribution) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	conn.inSyncAt = p.clock.now()
+	defer p.unlockAndSettle()
+	delivered := !response.truncated && response.results[0].outcome == delivery.Acked
+	named := response.identity.NamesRequests && attribution == lifecycle.Certain
+	conn.unconfirmed = slices.DeleteFunc(conn.unconfirmed, func(c *confirmation) bool {
+		if c.refuted = c.refuted || !delivered; !c.refuted {
+			c.evidence.LaterAcks++
+		}
+		if !named && !c.evidence.Proven() {
+			return false
+		}
+		p.queueSettlement(c, true, "later_response")
+		return true
+	})
 }
 
-// holdExpired settles an outcome whose hold time has passed. It is confirmed if its connection was found to be in sync
-// since the response.
+// holdExpired looks at an outcome whose hold time has passed. A delivery that nothing speaks against is held on until the
+// event's deadline, since an endpoint may hang for longer than its call was to wait.
 func (p *endpointPool) holdExpired(c *confirmation) {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
 	p.checkIdle(c.conn)
-	for i, other := range c.conn.unconfirmed {
-		if other == c {
-			c.conn.unconfirmed = slices.Delete(c.conn.unconfirmed, i, i+1)
-			p.queueSettlement(c, c.respondedAt <= c.conn.inSyncAt, "hold_expired")
-			return
-		}
+	i := slices.Index(c.conn.unconfirmed, c)
+	if i < 0 {
+		return
 	}
+	trusted := c.evidence.Trusted()
+	if remaining := c.deadline - p.clock.now(); trusted && c.evidence.Delivery && remaining > 0 {
+		c.timer = time.AfterFunc(time.Duration(remaining), func() { p.holdExpired(c) })
+		return
+	}
+	c.conn.unconfirmed = slices.Delete(c.conn.unconfirmed, i, i+1)
+	p.queueSettlement(c, trusted, "hold_expired")
+}
+
+// awaitsSettlement reports whether an event waits for what the connection shows of its response. The caller holds
+// endpointPool.mu.
+func (c *endpointConn) awaitsSettlement() bool {
+	return slices.ContainsFunc(c.unconfirmed, func(u *confirmation) bool { return u.awaited })
 }
 
 // queueSettlement queues the result of an outcome until the lock is released. The caller holds p.mu.
@@ -151,7 +180,7 @@
 	p.toSettle = append(p.toSettle, settlement{c, confirmed, reason})
 }
 
-// checkIdle reports whether an idle connection is still usable, and updates whether it is in sync. A connection that has
+// checkIdle reports whether an idle connection is still usable, and records whether it has rested. A connection that has
 // unread bytes or was closed by the remote side is closed. The caller holds p.mu.
 func (p *endpointPool) checkIdle(conn *endpointConn) (usable bool) {
 	if !conn.idle {
@@ -163,8 +192,9 @@
 		return false
 	}
 	if p.clock.now()-conn.lastUsedAt >= p.reuse[conn.endpoint].QuietPeriod() {
-		conn.inSyncAt = conn.lastUsedAt
-		conn.responses.MarkInSync()
+		for _, c := range conn.unconfirmed {
+			c.evidence.Rested = true
+		}
 	}
 	return true
 }
@@ -177,8 +207,9 @@
 	if unexpected && conn.callCount > 0 {
 		p.recordOutOfSync(conn, reason)
 	}
+	now, byEndpoint := p.clock.now(), reason == closeEnded || reason == closeBroken
 	for _, c := range conn.unconfirmed {
-		p.queueSettlement(c, !unexpected && c.respondedAt <= conn.inSyncAt, string(reason))
+		p.queueSettlement(c, !unexpected && c.evidence.AcceptAtClose(now, byEndpoint), string(reason))
 	}
 	conn.unconfirmed = nil
 }
@@ -190,25 +221,20 @@
 		"unconfirmed": len(conn.unconfirmed), "reason": string(reason)}).Warn("received a response that no call is waiting for")
 }
 
-// settleIdle settles the outcomes of idle connections that are in sync. If all is set, the other outcomes of idle
-// connections are settled too, as doubted.
-func (p *endpointPool) settleIdle(all bool) {
+// settleAll settles the outcomes of all idle connections: nothing more is read on them.
+func (p *endpointPool) settleAll() {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
+	now := p.clock.now()
 	for _, list := range p.idle {
 		for _, conn := range slices.Clone(list) {
-			if len(conn.unconfirmed) == 0 || !p.checkIdle(conn) {
+			if !p.checkIdle(conn) {
 				continue
 			}
-			remaining := conn.unconfirmed[:0]
 			for _, c := range conn.unconfirmed {
-				if inSync := c.respondedAt <= conn.inSyncAt; inSync || all {
-					p.queueSettlement(c, inSync, "shutdown")
-				} else {
-					remaining = append(remaining, c)
-				}
+				p.queueSettlement(c, c.evidence.AcceptAtClose(now, false), "shutdown")
 			}
-			conn.unconfirmed = remaining
+			conn.unconfirmed = nil
 		}
 	}
 }
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// addEvent hands an event to the scheduler, together with its attempts before a restart, if any.
+// addEvent hands an event to the scheduler, together with its attempts before a restart or before it was reopened, if any.
 func (d *decisionLoop) addEvent(e *event) {
 	d.enqueue(func(to delivery.Handler) {
 		if e.index, _ = d.eventIndex.Acquire(e); int(e.index) == len(d.ended) {
@@ -165,7 +165,7 @@
 	}
 }
 
-// reportPastAttempts reports the attempts before a restart. One that was in flight when the process ended may have run.
+// reportPastAttempts reports an event's earlier attempts. One that was in flight when the process ended may have run.
 func (d *decisionLoop) reportPastAttempts(e *event, to delivery.Handler) {
 	ranAgo, zone, mayRun := int64(0), 0, false
 	for _, a := range e.pastAttempts {
@@ -196,6 +196,11 @@
 	d.enqueue(func(to delivery.Handler) { to.Confirmed(e.index, a.number) })
 }
 
+// reportDoubted reports to the scheduler that an unconfirmed response to an attempt will not be confirmed.
+func (d *decisionLoop) reportDoubted(e *event, a *attempt) {
+	d.enqueue(func(to delivery.Handler) { to.Doubted(e.index, a.number) })
+}
+
 // fullRetryAfter returns the time after which a client may retry whose event was refused for lack of space. It returns 0
 // once the loop is closed.
 func (d *decisionLoop) fullRetryAfter() int64 {
--- a/node/endpointconn.go
+++ b/node/endpointconn.go
@@ -63,7 +63,6 @@
 
 	// The fields below are guarded by endpointPool.mu.
 	idle        bool            // it is in the pool's list of idle connections
-	inSyncAt    int64           // the last time it was known to be in sync: every response read until then belonged to its call
 	unconfirmed []*confirmation // outcomes read on this connection that are not settled yet
 }
 
--- a/node/endpointpool.go
+++ b/node/endpointpool.go
@@ -93,12 +93,11 @@
 
 // closeIdleLocked closes the idle connections to an endpoint. The caller holds p.mu.
 func (p *endpointPool) closeIdleLocked(ep int32, reason closeReason) {
-	list := p.idle[ep]
-	p.idleCount -= len(list)
-	p.idle[ep] = nil
-	for _, c := range list {
-		c.idle = false
-		p.closeLocked(c, reason)
+	for _, c := range slices.Clone(p.idle[ep]) {
+		if p.checkIdle(c) {
+			p.removeIdle(c)
+			p.closeLocked(c, reason)
+		}
 	}
 }
 
@@ -131,21 +130,23 @@
 	return p.idleTimeout > 0 && now-c.lastUsedAt >= max(p.idleTimeout-idleMargin, p.idleTimeout/2)
 }
 
-// takeIdle returns an idle connection for a call, or nil, and the address to connect to. It does not return one that
-// the endpoint has closed or is about to close: whether a call on such a connection has run would be unknown. repeatable
-// tells whether all events of the call may be sent again after an attempt that may have run.
-func (p *endpointPool) takeIdle(ep int32, repeatable bool) (*endpointConn, string) {
+// takeIdle returns an idle connection for a call, with how long it must pause before it carries one, or nil, and the
+// address to connect to. It does not return one that the endpoint has closed or is about to close: whether a call on such
+// a connection has run would be unknown. repeatable tells whether all events of the call may be sent again after an attempt
+// that may have run.
+func (p *endpointPool) takeIdle(ep int32, repeatable bool) (conn *endpointConn, pause int64, address string) {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
 	now := p.clock.now()
 	for {
 		candidates := make([]connreuse.Candidate, 0, len(p.idle[ep]))
 		for _, c := range p.idle[ep] {
-			candidates = append(candidates, connreuse.Candidate{IdleTime: now - c.lastUsedAt, InSync: c.responses.InSync(), RefusedBefore: c.responses.SawNotRun()})
+			candidates = append(candidates, connreuse.Candidate{IdleTime: now - c.lastUsedAt, InSync: c.responses.InSync(),
+				RefusedBefore: c.responses.SawNotRun(), Awaited: c.awaitsSettlement()})
 		}
 		i := p.reuse[ep].Choose(candidates, repeatable, p.refusals.Distinguishable(), now)
 		if i < 0 {
-			return nil, p.addresses[ep]
+			return nil, 0, p.addresses[ep]
 		}
 		c := p.idle[ep][i]
 		if !p.checkIdle(c) {
@@ -153,12 +154,23 @@
 		}
 		p.removeIdle(c)
 		if !p.idleExpired(c, now) {
-			return c, c.address
+			return c, p.reuse[ep].ReusePause() - (now - c.lastUsedAt), c.address
 		}
 		p.closeLocked(c, closeIdle)
 	}
 }
 
+// checkTaken reports whether a connection that was taken for a call and has paused can carry it. Otherwise it is closed.
+func (p *endpointPool) checkTaken(conn *endpointConn) (usable bool) {
+	p.mu.Lock()
+	defer p.unlockAndSettle()
+	state := inspectIdleConn(conn)
+	if state != idleConnOpen {
+		p.closeLocked(conn, state.closeReason())
+	}
+	return state == idleConnOpen
+}
+
 // recordRefusal updates the refusal statistics with a refusal on a connection that had carried one before. alike tells
 // whether the two look alike, so that the later one may be a copy.
 func (p *endpointPool) recordRefusal(alike bool) {
@@ -167,6 +179,13 @@
 	p.refusals.Record(alike)
 }
 
+// recordDelivery records how long a call took whose response certainly was its own and says that its event was delivered.
+func (p *endpointPool) recordDelivery(ep int32, took int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reuse[ep].RecordDelivery(took)
+}
+
 // closeConn closes a connection that carries a call.
 func (p *endpointPool) closeConn(conn *endpointConn, reason closeReason) {
 	p.mu.Lock()
@@ -187,12 +206,28 @@
 	return p.zones[ep]
 }
 
-// putIdle returns a connection to the pool after a call of the given duration. The connection is closed instead if the
-// endpoint has moved, or if the pool is full: more idle connections would take the file descriptors that clients need.
+// putIdle returns a connection to the pool after a call of the given duration.
 func (p *endpointPool) putIdle(c *endpointConn, duration int64) {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
 	p.reuse[c.endpoint].RecordAnswer(duration)
+	c.lastUsedAt = p.clock.now()
+	p.addIdle(c)
+}
+
+// returnUnused returns a connection to the pool that was taken or opened for a call of which nothing was sent.
+func (p *endpointPool) returnUnused(c *endpointConn) {
+	p.mu.Lock()
+	defer p.unlockAndSettle()
+	if c.callCount == 0 {
+		c.lastUsedAt = p.clock.now()
+	}
+	p.addIdle(c)
+}
+
+// addIdle adds a connection to the idle ones, in the order of their last use. It is closed instead if the endpoint has moved,
+// or if the pool is full: more idle connections would take the file descriptors that clients need. The caller holds p.mu.
+func (p *endpointPool) addIdle(c *endpointConn) {
 	switch {
 	case c.address != p.addresses[c.endpoint]:
 		p.closeLocked(c, closeMoved)
@@ -201,8 +236,13 @@
 		p.closeLocked(c, closeFull)
 		return
 	}
-	c.lastUsedAt, c.idle = p.clock.now(), true
-	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
+	list := p.idle[c.endpoint]
+	i := len(list)
+	for i > 0 && list[i-1].lastUsedAt > c.lastUsedAt {
+		i--
+	}
+	c.idle = true
+	p.idle[c.endpoint] = slices.Insert(list, i, c)
 	p.idleCount++
 }
 
--- a/node/event.go
+++ b/node/event.go
@@ -21,16 +21,17 @@
 	updates            chan eventUpdate    // read by its eventTask
 	response           chan clientResponse // read by its client's handler; nil for an event restored after a restart
 	index              int32               // owned by the decision loop
-	pastAttempts       []store.Attempt     // attempts before a restart, in order
+	pastAttempts       []store.Attempt     // attempts before a restart or before it was reopened, in order
 	arrivalSeq         uint64              // distinguishes it in the journal from other events with the same id
 	attemptCount       int                 // attempts so far; owned by the decision loop
+	reopenable         bool                // it is sent again if its delivery cannot be confirmed
 	request            *lifecycle.Request
 	clientHasLeft      func() bool // reports whether its client has closed the connection; nil for an event without a client
 	resolution         resolution  // set if its end was decided before a restart
 	retryAfter         int64
 }
 
-// mayHaveRun reports whether an attempt before a restart may have taken effect.
+// mayHaveRun reports whether one of pastAttempts may have taken effect.
 func (e *event) mayHaveRun() bool {
 	return slices.ContainsFunc(e.pastAttempts, func(a store.Attempt) bool { return a.MayHaveRun() })
 }
@@ -57,8 +58,9 @@
 // eventUpdate is sent to the eventTask of an event when something happens to the event.
 type eventUpdate struct {
 	kind       updateKind
-	attempt    *attempt // for updateAttemptStarted, updateAttemptEnded and updateRefusalConfirmed
-	result     result   // for updateAttemptEnded and updateRefusalConfirmed
+	attempt    *attempt // for updateAttemptStarted, updateAttemptEnded and updateRefusalSettled
+	result     result   // for updateAttemptEnded and updateRefusalSettled
+	confirmed  bool     // for updateRefusalSettled and updateDeliverySettled
 	retryAfter int64    // for updateDecline
 }
 
@@ -71,7 +73,8 @@
 	updateDecline
 	updateDiscard
 	updateNoticeAcknowledged // the platform has received the notice
-	updateRefusalConfirmed   // a refusal that might have belonged to another call was found to be the attempt's own
+	updateRefusalSettled     // whether a refusal that might have belonged to another call is the attempt's own
+	updateDeliverySettled    // whether a delivery that might have belonged to another call is the event's own
 )
 
 // updateBuffer is the capacity of an event's updates channel: each attempt produces two updates, and an event has
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"jaspersill/delivery"
@@ -21,6 +22,19 @@
 	"Requests that their clients heard to be refused, by reason.", "reason", refusedJournalFull, refusedWriteFailed, refusedByPolicy,
 	refusedAtCapacity, refusedUnlisted, refusedNoMemory, refusedIDShare)
 
+var reopenedEvents = metrics.NewCounter("jaspersill_reopened_events_total",
+	"Events that were sent again because a response that said they were delivered may have belonged to another call.")
+
+// maxReopenableBytes is the size of the largest body that is kept after a delivery that is still to be confirmed.
+const maxReopenableBytes = 16 << 10
+
+// reopenable reports whether an event is sent again if its delivery cannot be confirmed. One with an order would come behind
+// later events of its key.
+func (n *Node) reopenable(e *event) bool {
+	ordered := e.typ < len(n.types) && n.types[e.typ].Ordered
+	return n.repeatable(e.typ) && !ordered && len(e.body) <= maxReopenableBytes
+}
+
 const (
 	refusedJournalFull = "full"     // the journal has no space for it
 	refusedWriteFailed = "disk"     // writing it to the journal failed
@@ -49,7 +63,9 @@
 	released         bool // its place among the active events was given back, and no further decision is made for it
 	pending          pendingEnd
 	deadlineTimer    *time.Timer
-	endUnreported    bool // the end is decided but not reported
+	endUnreported    bool            // the end is decided but not reported
+	provisional      bool            // it is delivered according to a response that may belong to another call, and may be reopened
+	attempts         []store.Attempt // all so far, in order
 }
 
 // pendingEnd is an end that is decided but may not be reported yet.
@@ -63,7 +79,7 @@
 // runEvent processes an event until its end.
 func (n *Node) runEvent(e *event) {
 	defer n.memory.Release(membudget.EventCharge(len(e.body)))
-	t := &eventTask{node: n, event: e, clientWaiting: e.response != nil}
+	t := &eventTask{node: n, event: e, clientWaiting: e.response != nil, attempts: slices.Clone(e.pastAttempts)}
 	if t.clientWaiting && !t.accept() {
 		return
 	}
@@ -75,7 +91,7 @@
 		n.decisions.addEvent(e)
 	}
 	t.run()
-	n.decisions.removeEvent(e)
+	n.decisions.removeEvent(t.event)
 }
 
 // accept stores the event. It returns false if the event was refused, or if the journal already has an event with its id;
@@ -134,10 +150,10 @@
 	t.node.journal.complete(t.event)
 }
 
-// run handles updates until the end is decided and reported and no attempt is in flight.
+// run handles updates until the end is decided for good and reported, and no attempt is in flight.
 func (t *eventTask) run() {
 	decisionsDone := t.node.decisions.done
-	for !t.released || t.endUnreported || t.attemptsInFlight > 0 {
+	for !t.released || t.endUnreported || t.provisional || t.attemptsInFlight > 0 {
 		select {
 		case u := <-t.updates:
 			t.handle(u)
@@ -165,14 +181,16 @@
 		t.respond(statusAccepted, 0)
 	case updateAttemptStarted:
 		t.attemptsInFlight++
+		t.attempts = append(t.attempts, store.Attempt{StartedAt: t.node.clock.timeOfDay() - (t.node.clock.now() - u.attempt.startedAt),
+			Zone: t.node.endpoints.zone(u.attempt.endpoint)})
 	case updateAttemptEnded:
 		t.attemptsInFlight--
 		t.handleOutcome(u.attempt, u.result)
 		t.node.decisions.reportOutcome(t.event, u.attempt, u.result)
-	case updateRefusalConfirmed:
-		t.request.ConfirmRefusal()
-		t.node.journal.recordOutcome(t.event, u.attempt.number, u.result.outcome)
-		t.node.decisions.reportConfirmed(t.event, u.attempt)
+	case updateRefusalSettled:
+		t.settleRefusal(u)
+	case updateDeliverySettled:
+		t.settleDelivery(u.confirmed)
 	case updateDecline:
 		t.endUndelivered(declined, u.retryAfter)
 	case updateDiscard:
@@ -193,30 +211,45 @@
 }
 
 // handleOutcome handles the end of an attempt. If its response may belong to another call, it does only what is safe either
-// way: after a delivery no attempt follows, and the notice that the event may need is held back until the response is
-// confirmed or not; a refusal is not recorded, so that after a restart, too, the attempt counts as one that may have run.
+// way: after a delivery no attempt follows until it is settled whose response it was; a refusal is not recorded, so that
+// after a restart, too, the attempt counts as one that may have run.
 func (t *eventTask) handleOutcome(a *attempt, r result) {
 	ended := r.outcome == delivery.Acked || r.final
 	switch {
 	case ended && r.confirmation != nil:
 		t.completeProvisionally(r.confirmation)
 	case ended:
-		t.node.journal.recordOutcome(t.event, a.number, r.outcome)
+		t.recordOutcome(a, r.outcome)
 		t.complete()
 	case r.confirmation != nil:
-		event := t.event
+		updates := t.updates
 		r.confirmation.whenSettled(func(confirmed bool) {
-			if confirmed {
-				event.updates <- eventUpdate{kind: updateRefusalConfirmed, attempt: a, result: result{outcome: r.outcome}}
-			}
+			updates <- eventUpdate{kind: updateRefusalSettled, attempt: a, result: result{outcome: r.outcome}, confirmed: confirmed}
 		})
 	default:
-		t.node.journal.recordOutcome(t.event, a.number, r.outcome)
+		t.recordOutcome(a, r.outcome)
+	}
+}
+
+// recordOutcome records how an attempt ended.
+func (t *eventTask) recordOutcome(a *attempt, outcome delivery.Outcome) {
+	t.attempts[a.number].Ended, t.attempts[a.number].Outcome = true, outcome
+	t.node.journal.recordOutcome(t.event, a.number, outcome)
+}
+
+// settleRefusal handles what became of a refusal that might have belonged to another call.
+func (t *eventTask) settleRefusal(u eventUpdate) {
+	if !u.confirmed {
+		t.node.decisions.reportDoubted(t.event, u.attempt)
+		return
 	}
+	t.request.ConfirmRefusal()
+	t.recordOutcome(u.attempt, u.result.outcome)
+	t.node.decisions.reportConfirmed(t.event, u.attempt)
 }
 
-// completeProvisionally ends an event after a response that may belong to another call. Until that is settled, only the
-// data that its notice would need is kept.
+// completeProvisionally ends an event after a response that may belong to another call. If the event may be repeated, it is
+// kept, also in the journal, until that is settled. Otherwise only the data that its notice would need is kept.
 func (t *eventTask) completeProvisionally(c *confirmation) {
 	if t.released {
 		return
@@ -226,11 +259,41 @@
 	if !t.request.EndProvisionally() {
 		return
 	}
+	if t.reopenable {
+		t.provisional = true
+		updates := t.updates
+		c.whenSettled(func(confirmed bool) {
+			updates <- eventUpdate{kind: updateDeliverySettled, confirmed: confirmed}
+		})
+		return
+	}
 	end := &provisionalCompletion{node: t.node, id: t.id, arrivalSeq: t.arrivalSeq, deadline: t.monoDeadline, request: t.request,
 		record: t.node.journal.recordResolutionAndTrim(t.event, discarded)}
 	c.whenSettled(end.settle)
 }
 
+// settleDelivery handles what became of a delivery that might have belonged to another call. If it is doubted, the event is
+// handed to the scheduler once more, as one whose attempts may have run.
+func (t *eventTask) settleDelivery(confirmed bool) {
+	t.provisional = false
+	if confirmed {
+		t.request.ConfirmEnd()
+		t.node.journal.complete(t.event)
+		return
+	}
+	if t.request.Reopen() != nil {
+		return
+	}
+	reopenedEvents.Inc()
+	t.released = false
+	t.node.activeEvents.Add(1)
+	t.node.decisions.removeEvent(t.event)
+	reopened := *t.event // the scheduler's index for it is new, and attempts of before refer to the old one
+	reopened.pastAttempts = slices.Clone(t.attempts)
+	t.event = &reopened
+	t.node.decisions.addEvent(t.event)
+}
+
 // complete ends an event after a response that says that it was delivered or needs no further attempt. The outcome of an
 // attempt that arrives after the end of the event has no effect.
 func (t *eventTask) complete() {
--- a/node/node.go
+++ b/node/node.go
@@ -194,7 +194,7 @@
 	n.activeEvents.Add(int64(len(n.restored)))
 	for _, e := range n.restored {
 		e.monoDeadline = n.clock.now() + e.deadlineTimeOfDay - n.clock.timeOfDay()
-		e.safety = n.safetyOf(e.typ)
+		e.safety, e.reopenable = n.safetyOf(e.typ), n.reopenable(e)
 		e.request = lifecycle.RestoreRequest(e.id, e.monoDeadline, n.repeatable(e.typ), e.mayHaveRun())
 		if e.resolution == unresolved {
 			n.decisions.addEvent(e)
--- a/node/phases.go
+++ b/node/phases.go
@@ -81,7 +81,7 @@
 	n.waitUntil(start.Add(drain.stopDeciding), n.noUnfinishedEvents) // for events admitted just before
 	n.decisions.close()
 	n.waitUntil(start.Add(drain.exit-drainNoticeReserve), n.confirmationsSettled)
-	n.endpoints.settleIdle(true)
+	n.endpoints.settleAll()
 	n.waitUntil(start.Add(drain.exit), n.quiesced)
 	n.clients.listener.Close()
 	n.clients.listener.closeAllIdle()
@@ -105,7 +105,6 @@
 
 // confirmationsSettled reports whether no end awaits confirmation and none can occur any more that would need it.
 func (n *Node) confirmationsSettled() bool {
-	n.endpoints.settleIdle(false)
 	return n.endpoints.unconfirmedCount() == 0 && (n.endpoints.activeCalls.Load() == 0 || n.noUnfinishedEvents())
 }
 
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -81,7 +81,7 @@
 	})
 	for _, ref := range s.waiting {
 		e := &s.events[ref.index]
-		if ordered := s.types[e.typ].Ordered; s.isWaiting(ref) && s.now >= e.notBefore &&
+		if ordered := s.types[e.typ].Ordered; s.isWaiting(ref) && s.now >= e.notBefore && !s.awaitsConfirmation(e) &&
 			(!ordered || s.keyQueues.mayStart(e.key, ref.index, e.sends > 0, s.now)) {
 			if ep := s.pickEndpoint(e); ep >= 0 {
 				s.send(ref.index, ep)
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -73,7 +73,7 @@
 		delay += int64(s.rng.float() * min(s.limiters.nodes/limit*float64(second), maxSpread))
 	}
 	e.notBefore = s.now + delay
-	if e.notBefore >= s.lastSendTime(e) {
+	if e.notBefore >= s.lastSendTime(e) && !s.awaitsConfirmation(e) {
 		s.finish(evt, delay)
 		return
 	}
@@ -84,12 +84,20 @@
 // effect twice because the destination no longer recognizes the duplicate, or never does.
 func (s *Scheduler) lastSendTime(e *event) int64 {
 	switch t := &s.types[e.typ]; {
-	case e.sends >= s.limits.MaxAttempts || (e.mayHaveRun() && t.Safety == delivery.NonIdempotent):
+	case s.awaitsConfirmation(e):
+		return e.deadline
+	case e.sends >= s.limits.MaxAttempts || (e.possiblyRan && t.Safety == delivery.NonIdempotent):
 		return min(s.now, e.deadline)
 	}
 	return min(e.deadline, s.dedupWindowEnd(e))
 }
 
+// awaitsConfirmation reports whether an event may only be sent again once its refusals are confirmed. Until then it is
+// neither sent nor ended: most of them are.
+func (s *Scheduler) awaitsConfirmation(e *event) bool {
+	return len(e.unconfirmed) > 0 && !e.possiblyRan && s.types[e.typ].Safety == delivery.NonIdempotent
+}
+
 // dedupWindowEnd returns the time until which a repeat of the event is safely recognized as a duplicate.
 func (s *Scheduler) dedupWindowEnd(e *event) int64 {
 	if t := &s.types[e.typ]; e.mayHaveRun() && t.Safety == delivery.Deduplicated {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -98,8 +98,8 @@
 	s.enqueue(evt)
 }
 
-// Resumed counts sends before a restart towards the maximum. One that was in flight then may have run, and may still be
-// running.
+// Resumed counts sends before a restart, or before a delivery that could not be confirmed, towards the maximum. One that was
+// in flight then may have run, and may still be running.
 func (s *Scheduler) Resumed(evt int32, sends int, mayRun bool, ago int64, zone int) {
 	e := &s.events[evt]
 	e.sends, e.possiblyRan, e.ranAt, e.ranZone = sends, mayRun, s.now-ago, zone
@@ -126,6 +126,21 @@
 func (s *Scheduler) Confirmed(evt int32, send int) {
 	e := &s.events[evt]
 	e.unconfirmed = slices.DeleteFunc(e.unconfirmed, func(u unconfirmed) bool { return u.send == send })
+	if e.live && e.call < 0 && e.notBefore >= s.lastSendTime(e) {
+		s.finish(evt, max(0, e.notBefore-s.now))
+	}
+}
+
+// Doubted notes that a send may have run for good.
+func (s *Scheduler) Doubted(evt int32, send int) {
+	e := &s.events[evt]
+	i := slices.IndexFunc(e.unconfirmed, func(u unconfirmed) bool { return u.send == send })
+	if i < 0 {
+		return
+	}
+	at, zone := e.firstPossibleRun()
+	e.possiblyRan, e.ranAt, e.ranZone = true, at, zone
+	e.unconfirmed = slices.Delete(e.unconfirmed, i, i+1)
 }
 
 func (s *Scheduler) Outcome(evt int32, send int, ep int32, outcome delivery.Outcome, retryAfter, took int64, ended bool,
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -23,6 +23,8 @@
 //
 //	event E TYPE DEST [left D] [key N] [sends N] [ran D]   sends and ran: for an event accepted before a restart
 //	OUTCOME E [wait D] [took D] [limit N]                  the end of the event's current send
+//	unconfirmed E                                          the outcome of the event's current send, which follows, may be another send's
+//	confirmed E, doubted E                                 what became of the first unconfirmed outcome of the event
 //	withdrawn E
 //	released E                                             the index of an ended event is free: the next event gets it
 //	peer_healthy EP [sent D]                               a peer reports that the endpoint answered a call sent this long ago
@@ -111,6 +113,7 @@
 	ready                    map[string]bool
 	watched                  bool // a watch has been asked for
 	pending                  []pendingOutcome
+	unconfirmed              int // number of the send whose outcome is unconfirmed
 	replies                  map[string]pendingOutcome
 	inputs                   []func(delivery.Handler)
 	decisions                []decision
@@ -246,6 +249,16 @@
 				to.Resumed(e, sends, ran > 0, ran, 0)
 			}
 		})
+	case "unconfirmed":
+		e := indexOf(&h.events, f[1])
+		h.unconfirmed = h.sends[e] - 1
+		h.inputs = append(h.inputs, func(to delivery.Handler) { to.Unconfirmed(e, h.unconfirmed) })
+	case "confirmed":
+		e := indexOf(&h.events, f[1])
+		h.inputs = append(h.inputs, func(to delivery.Handler) { to.Confirmed(e, h.unconfirmed) })
+	case "doubted":
+		e := indexOf(&h.events, f[1])
+		h.inputs = append(h.inputs, func(to delivery.Handler) { to.Doubted(e, h.unconfirmed) })
 	case "withdrawn":
 		e := indexOf(&h.events, f[1])
 		h.ended[e] = true
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -92,6 +92,7 @@
 func (s *scriptedScheduler) Withdrawn(e int32)             { s.record("withdrawn", e) }
 func (s *scriptedScheduler) Unconfirmed(e int32, send int) { s.record("unconfirmed", e, send) }
 func (s *scriptedScheduler) Confirmed(e int32, send int)   { s.record("confirmed", e, send) }
+func (s *scriptedScheduler) Doubted(e int32, send int)     { s.record("doubted", e, send) }
 func (s *scriptedScheduler) ListStarted(complete bool)     { s.record("list started", complete) }
 func (s *scriptedScheduler) EndpointListed(ep, dest int32, kind, zone int, state delivery.EndpointState, rate float64) {
 	s.record("listed", ep, dest, kind, zone, state, rate)
