Wait for the first pushed list for as long as its call may bring it

Cause: sends waited 1 s for the first list, then went out by the one from before the restart, although the call to discovery was open and neither failed nor refused. What the agent has counts as told from the first moment of a new process; only a failed, refused or given-up call allows up to 6 s.

Sends now wait until the first call ends, with a list or a failure. The node's call ends by itself: 1 s to connect, 2.5 s without a byte. In the scheduler the bound is that after which it repeats the call, 4 s. A discovery that refuses or answers 503 ends the wait at once, as before, and one that hangs after 2.5 s; what was accepted is sent by the list that there is.

New too: accepted events are delivered with discovery hung or down at the start (4 s deadline), and after a kill 0.8 s after the start.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,10 +51,13 @@
 	maxEvents       int     // limit of events in progress
 	diskMB          float64 // limit of the folder
 	hosts           []string
-	noticesToRefuse int // the first notices are refused, this many
+	knownHosts      []string // of the list from before the start, if it differs
+	noticesToRefuse int      // the first notices are refused, this many
 	disk            store.FS
 	timeSource      *timeSource
 	beforeRun       func(*Node) // called with the node before it runs
+	pushedLists     bool
+	beforeList      func() bool // called before a list is sent; if it returns false, the call fails
 	mu              sync.Mutex
 	notices         []string
 	*Node
@@ -74,11 +77,23 @@
 	return p
 }
 
+// listOf returns a whole list of endpoints on one line.
+func listOf(version int, hosts []string) string {
+	return strings.ReplaceAll(fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, version, strings.Join(hosts, ",")), "\n", "")
+}
+
 func (env *testEnv) startNode() {
 	env.t.Helper()
-	list := strings.ReplaceAll(`{"seq":4,"whole":true,"hosts":[`+strings.Join(env.hosts, ",")+`]}`, "\n", "")
+	list := listOf(4, env.hosts)
+	known := list
+	if env.knownHosts != nil {
+		known = listOf(3, env.knownHosts)
+	}
 	directory := newTestEndpoint(env.t, func(conn net.Conn, body string) bool {
 		if body == "" {
+			if env.beforeList != nil && !env.beforeList() {
+				return respond(httpResponse("503 Down", "", ""))(conn, body)
+			}
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
 			return true
 		}
@@ -94,10 +109,10 @@
 	if err != nil {
 		env.t.Fatal(err)
 	}
-	s.Directory.RequiresWatch = true
+	s.Directory.RequiresWatch, s.Directory.Automatic = true, env.pushedLists
 	sched := scheduler.New(1, s.StreamTypes, s.DestinationKinds, s.Limits, s.Recovery, s.Directory, s.Cluster, s.OrderPause)
 	env.Node, err = Open(Config{Listen: "127.0.0.1:0", Directory: directory.Addr().String(), StateFolder: env.folder,
-		KnownEndpoints: []byte(list), disk: env.disk, timeSource: env.timeSource},
+		KnownEndpoints: []byte(known), disk: env.disk, timeSource: env.timeSource},
 		Limits{DiskMB: env.diskMB}, ClientTimeouts{}, s, sched)
 	if err != nil {
 		env.t.Fatal(err)
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -10,7 +10,6 @@
 	minWatchRetry = second / 2     // delay before the directory is asked again after one failure, then doubling
 	maxWatchRetry = 3 * second / 2 // longest such delay: its changes count as known 6 s after it becomes reachable
 	watchTimeout  = 4 * second     // a watch call without any result is repeated after this; sockets give up sooner
-	firstListWait = 1 * second     // sends wait this long for the first list where the directory is automatic
 )
 
 // directory tracks the watch on the list of endpoints.
@@ -28,11 +27,12 @@
 	}
 }
 
-// holdsSends reports whether sends wait for the first list. The list kept from before a restart is outdated, and with
-// an automatic directory later changes count as known from the first moment. A directory that cannot be reached must not
-// hold back accepted events for long.
+// holdsSends reports whether sends wait for the first list. With an automatic directory, the changes since the list that was
+// kept from before a restart count as known from the first moment, so nothing is sent by that list while the first call may
+// still bring them. Once that call has failed, or could have been answered, accepted events are sent by the list that there
+// is: the directory may stay unreachable for longer than they have left.
 func (d *directory) holdsSends(now int64) bool {
-	return d.automatic && !d.firstCallEnded && now < d.firstWatchAt+firstListWait
+	return d.automatic && !d.firstCallEnded && now < d.firstWatchAt+watchTimeout
 }
 
 // confirmed records that the newest watch has delivered a list.
