Play hangs after repeated answers in the soak, and say what a repeat of a delivered request is allowed to

Endpoints with the latency of remote hosts answer 2 to 30% of calls twice, 1 to 16 ms apart; half of the copies make the endpoint hang under its next call for 0.5 to 12 s and end that with 429, 503, a reset or a close, without executing it. Nodes are terminated meanwhile, up to twice each.

The check now allows it only for responses that were not the first of their connection, of classes that may be repeated: always once the endpoint has closed that connection, where a node can learn no more, and else for 1% of the deliveries and two. Rows of TestChecksDetectEachViolation for each side.

Fewer such repeats: one further delivery on a connection proves the one before (three until now), and a connection that the node itself closes after a rest is believed, as before.

--- a/connreuse/connreuse.go
+++ b/connreuse/connreuse.go
@@ -17,7 +17,7 @@
 	pauseDivisor = 2                // the pause before reuse is this part of the fastest answer: copies come sooner than an answer can
 	maxPause     = 50 * millisecond // opening a connection instead would take as long
 
-	confirmingAcks  = 3 // further deliveries on a connection that confirm one: more answers than arrive in surplus on it
+	confirmingAcks  = 1 // further deliveries on a connection that confirm one: as many as answers arrive in surplus on it
 	refusalHold     = 2 * second
 	refusalHoldPart = 4 // a refusal is held for at most this part of the time that its event has left
 
@@ -152,9 +152,17 @@
 
 // AcceptAtClose reports whether the answer is accepted when its connection is closed, and can show nothing more. byEndpoint
 // tells whether the endpoint closed it, as one does that hung and ended: a delivery is then only accepted if it is proven.
-// So is one whose event may be sent again, unless its call could no longer have been answered: the repeat costs little.
-func (e *Evidence) AcceptAtClose(now int64, byEndpoint bool) bool {
-	if e.Delivery && (byEndpoint || (e.Repeatable && now < e.HoldUntil)) {
+func (e *Evidence) AcceptAtClose(byEndpoint bool) bool {
+	if e.Delivery && byEndpoint {
+		return e.Proven()
+	}
+	return e.Trusted()
+}
+
+// AcceptAtShutdown reports whether the answer is accepted when the process ends. The next process sends an event again that
+// may be repeated, unless its call could no longer have been answered.
+func (e *Evidence) AcceptAtShutdown(now int64) bool {
+	if e.Delivery && e.Repeatable && now < e.HoldUntil {
 		return e.Proven()
 	}
 	return e.Trusted()
--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -220,6 +220,13 @@
 	requestsEnded atomic.Bool // the client has closed its sending direction
 }
 
+// MarkDisturbed records that one of the connection's ends injected a fault. It has no effect on nil.
+func (c *Connection) MarkDisturbed() {
+	if c != nil {
+		c.disturbed.Store(true)
+	}
+}
+
 // Disturbed reports whether a fault was injected into the connection. It returns false for nil.
 func (c *Connection) Disturbed() bool { return c != nil && c.disturbed.Load() }
 
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -19,9 +19,45 @@
 		h.checkDeparture(r)
 		h.tally(r)
 	}
+	h.checkRepeatedShare()
 	h.checkRecovery()
 }
 
+// checkRepeatedDelivery checks that a delivered request is forwarded again only where its node cannot know whose response it read. All
+// responses look alike here, so that one which is not the first of its connection may have been another call's, and an endpoint answers a
+// repeat as delivered once more. A node learns no more once the endpoint has closed the connection; elsewhere, few repeats are allowed.
+func (h *history) checkRepeatedDelivery(r *request, at time.Duration) {
+	by := r.attempts[r.deliveredBy]
+	switch {
+	case r.class == Once || !by.reused:
+		h.addViolationLocked(RuleAfterEnd, at, r, "forwarded after its delivery")
+	case by.ended.Load():
+		h.counts[countRepeatedAfterClose]++
+	default:
+		h.counts[countRepeated]++
+	}
+}
+
+// Limits of checkRepeatedShare.
+const (
+	maxRepeatedShare = 0.01
+	maxRepeated      = 2
+)
+
+// checkRepeatedShare adds a violation if more than a few delivered requests were forwarded again.
+func (h *history) checkRepeatedShare() {
+	repeated, delivered := h.counts[countRepeated], h.counts["delivered"]
+	if allowed := maxRepeated + int(maxRepeatedShare*float64(delivered)); repeated > allowed {
+		h.addViolationLocked(RuleAfterEnd, h.now(), nil, "%d of %d delivered requests were forwarded again, allowed are %d", repeated, delivered, allowed)
+	}
+}
+
+// Counts of delivered requests that were forwarded again, on connections that the endpoint had not closed and on those that it had.
+const (
+	countRepeated           = "delivered, forwarded again"
+	countRepeatedAfterClose = "delivered, forwarded again after its endpoint closed the connection"
+)
+
 // checkRecovery adds a violation for a node that refuses at least maxConsecutiveRefusals requests in succession over
 // maxRefusalTime or longer.
 func (h *history) checkRecovery() {
@@ -219,7 +255,7 @@
 
 // checkAfterEnd checks that no request was forwarded after its refusal, notice, delivery or deadline. A node may
 // forward a repeatable request again after its delivery if it exited before it had time to store the delivery, or if
-// the response came on a disturbed connection. Calls on a disturbed connection are skipped, because the proxy may have
+// the response came on a disturbed connection; see also checkRepeatedDelivery. Calls on a disturbed connection are skipped, because the proxy may have
 // held them back; for the same reason, requests on one are not checked against their deadline. Neither is one of many that a client
 // left behind. A node that was suspended meanwhile cannot tell for how long a request waited to be read.
 func (h *history) checkAfterEnd(r *request) {
@@ -235,7 +271,7 @@
 			h.addViolationLocked(RuleAfterEnd, a.at, r, "forwarded after its notice")
 		case r.deliveredAt > 0 && a.at > r.deliveredAt+processingGrace && (r.class == Once ||
 			!(exitedUnrecorded(r.deliveredAt) || r.attempts[r.deliveredBy].conn.Disturbed())):
-			h.addViolationLocked(RuleAfterEnd, a.at, r, "forwarded after its delivery")
+			h.checkRepeatedDelivery(r, a.at)
 		case a.at > r.deadline+processingGrace+socketGrace+h.frozenTime(r.node, r.sentAt, a.at) && !r.disturbed && !r.leftAmongMany():
 			h.addViolationLocked(RuleAfterEnd, a.at, r, "forwarded after its deadline")
 		default:
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jaspersill/lab/faultproxy"
@@ -62,6 +63,13 @@
 	ran      bool // the endpoint started to execute the request
 	outcome  string
 	conn     *faultproxy.Connection
+	connUse
+}
+
+// connUse is what an endpoint knows of the connection that carried a call.
+type connUse struct {
+	reused bool         // it had carried a call before
+	ended  *atomic.Bool // the endpoint has closed it, so that the node could see no more on it
 }
 
 type interval struct{ from, to time.Duration }
@@ -194,7 +202,7 @@
 
 // recordAttempt records that an endpoint has read a call of a node for a request completely. It returns nil for a request that no
 // client sent.
-func (h *history) recordAttempt(id string, node, endpoint int, conn *faultproxy.Connection) *request {
+func (h *history) recordAttempt(id string, node, endpoint int, conn *faultproxy.Connection, use connUse) *request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.requests[id]
@@ -206,7 +214,7 @@
 		h.addViolationLocked(RuleAnswer, h.now(), nil, "endpoint %d got a call for request %q, which no client sent", endpoint, id)
 		return nil
 	}
-	r.attempts = append(r.attempts, attempt{at: h.now(), endpoint: endpoint, outcome: "no answer", conn: conn})
+	r.attempts = append(r.attempts, attempt{at: h.now(), endpoint: endpoint, outcome: "no answer", conn: conn, connUse: use})
 	return r
 }
 
--- a/lab/soak/paths_test.go
+++ b/lab/soak/paths_test.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// Guards against an endpoint that hangs being taken for a connection in sync, also while a node drains.
+func TestHangAfterRepeatedResponseLosesNoRequest(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		runSoak(t, Options{Seed: seed, Nodes: 4, Length: 6 * time.Second, Only: groupHangs})
+	}
+}
+
 // Guards against an unread notice that counts as delivered because the response to the notice before it arrived twice.
 func TestUnreadNoticeIsSentAgain(t *testing.T) {
 	runSoak(t, Options{Seed: 1, Nodes: 4, Length: 6 * time.Second, Only: groupNotices})
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -19,7 +19,8 @@
 	refusalRate             float64 // share of the calls that a remote endpoint refuses
 	crowded                 []bool  // by node: idle connections use up its sockets
 	hostile                 []hostileClients
-	leavingClients          bool // some clients leave before their requests are answered
+	leavingClients          bool   // some clients leave before their requests are answered
+	hangs                   *hangs // nil if no endpoint hangs after a copy
 	steps                   []step
 	random                  *rand.Rand
 	length                  time.Duration
@@ -78,6 +79,7 @@
 	groupCalls   = "calls"   // system calls of all kinds fail
 	groupAnswers = "answers" // responses of endpoints arrive twice
 	groupNotices = "notices" // responses of the platform arrive twice
+	groupHangs   = "hangs"   // responses of endpoints come twice, and their endpoint hangs under the next call; nodes drain meanwhile
 	groupPaths   = "paths"   // all network connections are disturbed
 	groupClients = "clients" // clients misbehave
 
@@ -86,7 +88,7 @@
 
 // FaultGroups lists the groups of faults that a run can be limited to.
 func FaultGroups() []string {
-	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupPaths,
+	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupHangs, groupPaths,
 		groupClients, groupReplacements}
 }
 
@@ -102,6 +104,9 @@
 	case groupAnswers, groupNotices:
 		p.addRepeatedResponses(o.Nodes, o.Only == groupNotices)
 		return p
+	case groupHangs:
+		p.addHangs(o.Nodes)
+		return p
 	case groupPaths:
 		p.remote = random.IntN(2) == 0
 		p.addPathFaults(o.Nodes)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,6 +116,21 @@
 			r.class = Keyed
 			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
 		}},
+		{"forwarded after a delivery that may have been another call's", "", func(r *request, h *history) {
+			r.class = Keyed
+			r.attempts[0].connUse = connUse{reused: true, ended: new(atomic.Bool)}
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+		}},
+		{"forwarded after many such deliveries", RuleAfterEnd, func(r *request, h *history) {
+			r.class = Keyed
+			r.attempts[0].connUse = connUse{reused: true, ended: new(atomic.Bool)}
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+			h.ordered = slices.Repeat(h.ordered, maxRepeated+1)
+		}},
+		{"forwarded after a delivery that may have been another call's, although it may not be repeated", RuleAfterEnd, func(r *request, h *history) {
+			r.attempts[0].connUse = connUse{reused: true, ended: new(atomic.Bool)}
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+		}},
 		{"forwarded after a delivery that its node could not read before it exited", "", func(r *request, h *history) {
 			r.class = Keyed
 			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -207,9 +207,9 @@
 	if unexpected && conn.callCount > 0 {
 		p.recordOutOfSync(conn, reason)
 	}
-	now, byEndpoint := p.clock.now(), reason == closeEnded || reason == closeBroken
+	byEndpoint := reason == closeEnded || reason == closeBroken
 	for _, c := range conn.unconfirmed {
-		p.queueSettlement(c, !unexpected && c.evidence.AcceptAtClose(now, byEndpoint), string(reason))
+		p.queueSettlement(c, !unexpected && c.evidence.AcceptAtClose(byEndpoint), string(reason))
 	}
 	conn.unconfirmed = nil
 }
@@ -232,7 +232,7 @@
 				continue
 			}
 			for _, c := range conn.unconfirmed {
-				p.queueSettlement(c, c.evidence.AcceptAtClose(now, false), "shutdown")
+				p.queueSettlement(c, c.evidence.AcceptAtShutdown(now), "shutdown")
 			}
 			conn.unconfirmed = nil
 		}
