Let the lab's checker on sockets count repeats of delivered events, and play answers that all look alike

The checker counts these on sockets (`repeated_acks`), and the test allows two and 2% of the deliveries; in the simulator, where outcomes are certain, and for events that must not be repeated the rule is as it was.

TestAlikeAnswersCostNothingWithoutFaults: no repeat, no notice and at most one connection for four events where all answers look alike.

--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -187,8 +187,14 @@
 	OutcomeCounts                          [9]int64 // outcomes that nodes saw, by delivery.Outcome
 	Sends, Calls, Connections              int64
 	FalseNotices                           int64 // of delivered events as undeliverable
-	Effects                                int64
-	Arrivals, Accepted                     int64
+	RepeatedAcks                           int64 // sends of events that had been acked, where RepeatsAcked is set
+
+	// RepeatsAcked permits such sends of events that may be repeated, which are answered as delivered once more. On sockets an
+	// answer names no event, and a node sends an event again whose answer may have been another one's.
+	RepeatsAcked bool
+
+	Effects            int64
+	Arrivals, Accepted int64
 
 	OnDelivery func(typ int, latency int64) // called with the time from arrival to delivery; may be nil
 }
@@ -279,6 +285,8 @@
 	case !e.inUse:
 		c.violate(RuleSingleEnd, now, e, "send of an event that the node has not accepted")
 		return
+	case e.end == Acked && c.RepeatsAcked && t.Safety != delivery.NonIdempotent:
+		c.RepeatedAcks++
 	case e.end != Open:
 		c.violate(RuleSingleEnd, now, e, "send after the event was "+e.end.String())
 	case now > e.deadline+overdueTolerance:
@@ -574,6 +582,7 @@
 	Sends          int64       `json:"sends"`
 	Effects        int64       `json:"effects"`
 	Connections    int64       `json:"connections"`   // opened to endpoints
+	RepeatedAcks   int64       `json:"repeated_acks"` // sends of events that had been acked; on sockets only
 	FalseNotices   int64       `json:"false_notices"` // of delivered events as undeliverable; on sockets only
 	Outcomes       [9]int64    `json:"outcomes"`
 	ViolationCount int         `json:"broken"`
@@ -592,6 +601,7 @@
 		Sends:          c.Sends,
 		Effects:        c.Effects,
 		Connections:    c.Connections,
+		RepeatedAcks:   c.RepeatedAcks,
 		FalseNotices:   c.FalseNotices,
 		Outcomes:       c.OutcomeCounts,
 		ViolationCount: c.ViolationCount,
--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -92,6 +92,7 @@
 		checker: checker.New(sc), events: make(map[string]*event), delivered: make(map[string]struct{}),
 		random: rand.New(rand.NewPCG(seed, 0x57a6+noiseSeed)), directoryChanged: make(chan struct{}),
 		conns: make(map[net.Conn]struct{}), seenOutages: make(map[nodeGroup]int64), logf: logf}
+	em.checker.RepeatsAcked = true
 	em.eventTable.Acquire("") // reserves index 0
 	for ep := range em.destinations.Endpoints {
 		if err := em.openEndpoint(int32(ep)); err != nil {
--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -140,11 +140,40 @@
 	for _, violation := range sum.Violations {
 		t.Error(violation)
 	}
+	if allowed := 2 + sum.Acked/50; sum.RepeatedAcks > allowed {
+		t.Errorf("%d of %d acked events were sent again, allowed are %d", sum.RepeatedAcks, sum.Acked, allowed)
+	}
 	if sum.Arrivals < 200 || sum.Overall < 0.5 || sum.Outcomes[0] == 0 || sum.Outcomes[5]+sum.Outcomes[8] == 0 {
 		t.Errorf("the scenario did not run as expected: %+v", sum)
 	}
 }
 
+// Guards against paying for what answers prove while nothing is wrong, although all of them look alike: by notices of delivered
+// events, by sending them again, or by a connection for each call.
+func TestAlikeAnswersCostNothingWithoutFaults(t *testing.T) {
+	sc := loadScenario(t, shortScenario+`
+[[partner]]
+name = "plain"
+destinations = 6
+endpoints = 1
+workers = 4
+queue = 12
+handshake = "20ms"
+idle_for = "15s"
+`)
+	sum := runScenario(t, sc)
+	for _, violation := range sum.Violations {
+		t.Error(violation)
+	}
+	if sum.Acked < 200 || sum.FalseNotices > 0 || sum.RepeatedAcks > 0 || sum.Sends != sum.Acked {
+		t.Errorf("%d events acked with %d sends, %d sent again after that, %d false notices", sum.Acked, sum.Sends, sum.RepeatedAcks,
+			sum.FalseNotices)
+	}
+	if allowed := sum.Acked / 4; sum.Connections > allowed {
+		t.Errorf("%d connections for %d events, allowed are %d", sum.Connections, sum.Acked, allowed)
+	}
+}
+
 // Guards against a checker that misses violations on sockets: a node that sends each event twice must be reported, as
 // in the simulator.
 func TestNodeThatSendsTwiceIsDetected(t *testing.T) {
