Give what becomes of provisional deliveries a file of its own

Cause: confirmation.go and eventtask.go each held half of what happens to an event whose delivery is not confirmed. Change: node/provisional.go has it all; confirmation.go is left with whose response it was, eventtask.go with the event's course. A field that nothing read any more is gone, and an outcome of an attempt that its task has not heard of is no index out of range. No change of behaviour.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -12,7 +12,6 @@
 	"jaspersill/lifecycle"
 	"jaspersill/logs"
 	"jaspersill/metrics"
-	"jaspersill/store"
 )
 
 const (
@@ -30,15 +29,14 @@
 // confirmation tracks an outcome whose response may belong to another call. It is settled once the connection shows whose
 // response it was, or can show nothing more. Its evidence is guarded by endpointPool.mu.
 type confirmation struct {
-	conn        *endpointConn
-	id          string
-	outcome     delivery.Outcome
-	respondedAt int64
-	deadline    int64 // of the event
-	evidence    connreuse.Evidence
-	refuted     bool // a later response is no delivery, so that later deliveries prove nothing
-	awaited     bool // the event waits for the settlement, because it must not be repeated
-	timer       *time.Timer
+	conn     *endpointConn
+	id       string
+	outcome  delivery.Outcome
+	deadline int64 // of the event
+	evidence connreuse.Evidence
+	refuted  bool // a later response is no delivery, so that later deliveries prove nothing
+	awaited  bool // the event waits for the settlement, because it must not be repeated
+	timer    *time.Timer
 
 	mu        sync.Mutex
 	settled   bool
@@ -118,10 +116,10 @@
 func (p *endpointPool) trackOutcome(conn *endpointConn, a *attempt, r *result) *confirmation {
 	now := p.clock.now()
 	delivered := r.outcome == delivery.Acked || r.final
-	c := &confirmation{conn: conn, id: a.event.id, outcome: r.outcome, respondedAt: now, deadline: a.event.monoDeadline,
+	c := &confirmation{conn: conn, id: a.event.id, outcome: r.outcome, deadline: a.event.monoDeadline,
 		evidence: connreuse.Evidence{Delivery: delivered, Repeatable: a.event.reopenable,
-			HoldUntil: connreuse.HoldUntil(now, a.startedAt, a.timeout, a.event.monoDeadline, delivered)}}
-	c.awaited = !delivered && a.event.safety == delivery.NonIdempotent
+			HoldUntil: connreuse.HoldUntil(now, a.startedAt, a.timeout, a.event.monoDeadline, delivered)},
+		awaited: !delivered && a.event.safety == delivery.NonIdempotent}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.unconfirmed = append(conn.unconfirmed, c)
@@ -245,48 +243,3 @@
 	defer p.mu.Unlock()
 	return p.unconfirmed
 }
-
-// provisionalCompletion is the completion of an event by a response that may belong to another call.
-type provisionalCompletion struct {
-	node       *Node
-	id         string
-	arrivalSeq uint64
-	deadline   int64
-	request    *lifecycle.Request
-	record     *store.PendingWrite
-}
-
-// settle completes the event. If the response is confirmed as its own, nothing more is to be done; otherwise the
-// platform is sent a notice, which does no harm if the event was delivered after all.
-func (p *provisionalCompletion) settle(confirmed bool) {
-	if confirmed {
-		p.request.ConfirmEnd()
-		p.node.journal.completeByID(p.id, p.arrivalSeq)
-		return
-	}
-	if p.request.FailConfirmation() != nil {
-		return
-	}
-	p.node.unreportedEnds.Add(1)
-	go p.notifyUndeliverable()
-}
-
-// notifyUndeliverable notifies the platform that the event was not delivered. It waits until this is recorded or the event's
-// deadline has passed, so that a restart cannot send the event again after the notice.
-func (p *provisionalCompletion) notifyUndeliverable() {
-	written := false
-	if !p.request.MayReportEnd(p.node.clock.now(), false) {
-		select {
-		case <-p.record.Written():
-			written = true
-		case <-time.After(time.Duration(p.deadline - p.node.clock.now())):
-		}
-	}
-	if p.request.ReportEnd(p.node.clock.now(), written) != nil {
-		return
-	}
-	p.node.notices.enqueue(notice{id: p.id, resolution: discarded, onAcknowledged: func() {
-		p.node.unreportedEnds.Add(-1)
-		p.node.journal.completeByID(p.id, p.arrivalSeq)
-	}})
-}
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -22,19 +22,6 @@
 	"Requests that their clients heard to be refused, by reason.", "reason", refusedJournalFull, refusedWriteFailed, refusedByPolicy,
 	refusedAtCapacity, refusedUnlisted, refusedNoMemory, refusedIDShare)
 
-var reopenedEvents = metrics.NewCounter("jaspersill_reopened_events_total",
-	"Events that were sent again because a response that said they were delivered may have belonged to another call.")
-
-// maxReopenableBytes is the size of the largest body that is kept after a delivery that is still to be confirmed.
-const maxReopenableBytes = 16 << 10
-
-// reopenable reports whether an event is sent again if its delivery cannot be confirmed. One with an order would come behind
-// later events of its key.
-func (n *Node) reopenable(e *event) bool {
-	ordered := e.typ < len(n.types) && n.types[e.typ].Ordered
-	return n.repeatable(e.typ) && !ordered && len(e.body) <= maxReopenableBytes
-}
-
 const (
 	refusedJournalFull = "full"     // the journal has no space for it
 	refusedWriteFailed = "disk"     // writing it to the journal failed
@@ -233,7 +220,9 @@
 
 // recordOutcome records how an attempt ended.
 func (t *eventTask) recordOutcome(a *attempt, outcome delivery.Outcome) {
-	t.attempts[a.number].Ended, t.attempts[a.number].Outcome = true, outcome
+	if a.number < len(t.attempts) {
+		t.attempts[a.number].Ended, t.attempts[a.number].Outcome = true, outcome
+	}
 	t.node.journal.recordOutcome(t.event, a.number, outcome)
 }
 
@@ -248,52 +237,6 @@
 	t.node.decisions.reportConfirmed(t.event, u.attempt)
 }
 
-// completeProvisionally ends an event after a response that may belong to another call. If the event may be repeated, it is
-// kept, also in the journal, until that is settled. Otherwise only the data that its notice would need is kept.
-func (t *eventTask) completeProvisionally(c *confirmation) {
-	if t.released {
-		return
-	}
-	t.release()
-	t.respond(statusAccepted, 0)
-	if !t.request.EndProvisionally() {
-		return
-	}
-	if t.reopenable {
-		t.provisional = true
-		updates := t.updates
-		c.whenSettled(func(confirmed bool) {
-			updates <- eventUpdate{kind: updateDeliverySettled, confirmed: confirmed}
-		})
-		return
-	}
-	end := &provisionalCompletion{node: t.node, id: t.id, arrivalSeq: t.arrivalSeq, deadline: t.monoDeadline, request: t.request,
-		record: t.node.journal.recordResolutionAndTrim(t.event, discarded)}
-	c.whenSettled(end.settle)
-}
-
-// settleDelivery handles what became of a delivery that might have belonged to another call. If it is doubted, the event is
-// handed to the scheduler once more, as one whose attempts may have run.
-func (t *eventTask) settleDelivery(confirmed bool) {
-	t.provisional = false
-	if confirmed {
-		t.request.ConfirmEnd()
-		t.node.journal.complete(t.event)
-		return
-	}
-	if t.request.Reopen() != nil {
-		return
-	}
-	reopenedEvents.Inc()
-	t.released = false
-	t.node.activeEvents.Add(1)
-	t.node.decisions.removeEvent(t.event)
-	reopened := *t.event // the scheduler's index for it is new, and attempts of before refer to the old one
-	reopened.pastAttempts = slices.Clone(t.attempts)
-	t.event = &reopened
-	t.node.decisions.addEvent(t.event)
-}
-
 // complete ends an event after a response that says that it was delivered or needs no further attempt. The outcome of an
 // attempt that arrives after the end of the event has no effect.
 func (t *eventTask) complete() {
