Show that requests are forwarded again after their endpoint has ended them by 410

Cause, as far as the reproduction shows it: a 410 that looks like an earlier answer on its connection is held as provisional. When the connection is closed behind it, reset, given up under the next call, or brings a surplus answer, the end is doubted and the request is handed to the scheduler again.

Change: tests only. The soak gets the group `ends`: endpoints end a share of the requests by 410 (or `void`), close connections behind responses and hang; in half of the runs responses come twice; nodes are killed and terminated, also in series, while clients go on to use their connections; a third of the runs are crowded; some accepted requests come again under their id. Each request is checked against its end by 410.

--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -100,6 +100,8 @@
 	switch {
 	case r.deliveredAt > 0:
 		h.counts["delivered"]++
+	case r.goneAt > 0:
+		h.counts[countGone]++
 	case r.noticedAt > 0:
 		h.counts["ended by a notice: "+r.notice]++
 	case r.refused():
@@ -107,6 +109,7 @@
 	default:
 		h.counts["no final answer"]++
 	}
+	h.tallyEnds(r)
 	if r.accepted() && r.noticedAt > 0 && r.deliveredAt == 0 && len(r.attempts) == 0 {
 		h.counts["accepted, ended without an attempt"]++
 	}
@@ -174,8 +177,10 @@
 		}
 	}
 	end := r.deliveredAt
-	if end == 0 || (r.noticedAt > 0 && r.noticedAt < end) {
-		end = r.noticedAt
+	for _, other := range []time.Duration{r.noticedAt, r.goneAt} {
+		if end == 0 || (other > 0 && other < end) {
+			end = other
+		}
 	}
 	switch {
 	case end == 0:
@@ -266,6 +271,7 @@
 		}
 		exitedUnrecorded := func(since time.Duration) bool { return h.exitedBeforeRecording(r.node, since, a.at) }
 		switch {
+		case h.checkAfterGone(r, &a):
 		case r.refused() && r.answeredAt-r.sentAt <= responseTimeout:
 			h.addViolationLocked(RuleAfterEnd, a.at, r, "refused request was forwarded")
 		case r.noticedAt > 0 && a.at > r.noticedAt+processingGrace:
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -29,6 +29,7 @@
 	responses    int  // number of responses read on the connection
 	closing      bool // the node announced that it closes the connection
 
+	repeats bool // it submits some accepted requests again
 	crowded bool // its node is at its socket limit, where the protocol permits it to close new connections unread
 }
 
@@ -56,7 +57,7 @@
 				continue
 			}
 		}
-		c.submit()
+		c.submit(ctx)
 	}
 }
 
@@ -85,7 +86,7 @@
 
 // submit sends one request. If the node closed the idle connection at the same time, it sends the request once more on
 // a new one.
-func (c *client) submit() {
+func (c *client) submit(ctx context.Context) {
 	r := c.newRequest([]Class{Repeatable, Once, Keyed}[c.random.IntN(3)])
 	text := c.requestText(r)
 	status, err := c.exchange(text)
@@ -120,6 +121,9 @@
 	case err == nil:
 		c.history.recordResponse(r, status, "")
 		c.responses++
+		if c.repeats && r.accepted() && c.random.Float64() < repeatShare {
+			go c.repeatLater(ctx, text, time.Duration(c.random.Int64N(int64(maxRepeatDelay))))
+		}
 		if c.closing {
 			c.closeConn()
 		}
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -56,6 +56,7 @@
 	listener     net.Listener
 	capacity     float64 // reported in Srv-Load, calls per second
 	hangs        *hangs
+	endings      *endings
 	remote       bool // answers with the latency of a remote host, and refuses a share of the calls
 	refusalRate  float64
 	proxies      []*faultproxy.Proxy // leading to this endpoint, by node
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	e := &endpoint{number: number, dest: dest, history: h, listener: listener, capacity: endpointCapacity, mode: healthy,
-		remote: p.remote, refusalRate: p.refusalRate, hangs: p.hangs,
+		remote: p.remote, refusalRate: p.refusalRate, hangs: p.hangs, endings: p.endings,
 		random: random, conns: map[net.Conn]struct{}{}, retryWaits: map[int]retryWait{}, sawOutage: map[int]bool{},
 		drains: map[int]listNotice{}, process: identity{host: fmt.Sprintf("e%d", number), dest: dest}, told: map[int]listNotice{}}
 	go e.serve()
@@ -119,6 +120,7 @@
 		e.mu.Lock()
 		e.conns[conn] = struct{}{}
 		e.mu.Unlock()
+		e.history.count("connections to endpoints")
 		go e.handle(conn)
 	}
 }
@@ -211,7 +213,7 @@
 
 // requestIDs returns the IDs of the requests in a call.
 func requestIDs(call *http.Request, body []byte) (list []string) {
-	if !strings.HasSuffix(call.URL.Path, "/bulk") {
+	if !strings.HasSuffix(call.URL.Path, bulkPathSuffix) {
 		return []string{call.Header.Get("Req-Id")}
 	}
 	for len(body) > 0 {
@@ -257,8 +259,11 @@
 	if hang, end := e.nextHang(); hang > 0 {
 		return nil, e.endHang(conn, hang, end, record)
 	}
+	if hang, end := e.drawCallHang(); hang > 0 {
+		return nil, e.endHang(conn, hang, end, record)
+	}
 	m, delay, refused := e.admit(parts[0].request, proxyConn)
-	report := fmt.Sprintf("Srv-Load: x0=0.5,x1=%g\r\n", e.capacity)
+	report := e.loadReport()
 	switch m {
 	case failing:
 		record("500", true, false)
@@ -292,27 +297,35 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\n%sContent-Length: 0\r\n\r\n", report)
 		return nil, err == nil
 	}
-	record("executing", true, false)
+	gone := e.drawGone(parts)
+	recordOutcomes := func(outcome string, delivered bool) {
+		for i, p := range parts {
+			e.history.recordOutcome(p.request, p.attempt, outcome, !gone[i], delivered && !gone[i])
+		}
+	}
+	recordOutcomes("executing", false)
 	time.Sleep(delay)
 	if !isOpen(conn, in) {
-		record("abandoned by the node", true, false)
+		recordOutcomes("abandoned by the node", false)
 		return nil, false
 	}
-	lines := ""
-	if strings.HasSuffix(call.URL.Path, "/bulk") {
-		for _, p := range parts {
-			lines += p.request.id + " done\r\n"
+	response := e.responseText(call, parts, gone)
+	_, err := io.WriteString(conn, response)
+	recordOutcomes(outcomeDelivered, err == nil)
+	for i, p := range parts {
+		if gone[i] && err == nil {
+			e.history.recordGone(p)
 		}
 	}
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", report, len(lines), lines)
-	_, err := io.WriteString(conn, response)
-	record("200", true, err == nil)
 	if err == nil && in.Buffered() == 0 {
 		e.repeat(conn, proxyConn, response)
 	}
-	return parts, err == nil
+	return parts, err == nil && !e.closesBehindResponse()
 }
 
+// loadReport returns the header field in which the endpoint reports its load.
+func (e *endpoint) loadReport() string { return fmt.Sprintf("Srv-Load: x0=0.5,x1=%g\r\n", e.capacity) }
+
 // isOpen reports whether the peer has not closed a connection. Buffered input means that it is open: the peer has sent
 // its next call already, because it took another response for the one to this call.
 func isOpen(conn net.Conn, in *bufio.Reader) (open bool) {
--- a/lab/soak/hangs.go
+++ b/lab/soak/hangs.go
@@ -74,8 +74,13 @@
 		return 0, ""
 	}
 	e.hangNext = false
+	return minHang + time.Duration(e.random.Int64N(int64(maxHang-minHang))), e.drawHangEnd()
+}
+
+// drawHangEnd draws how the endpoint ends a call under which it hangs. The caller holds e.mu.
+func (e *endpoint) drawHangEnd() hangEnd {
 	ends := []hangEnd{hangEnd429, hangEnd503, hangEndReset, hangEndClose}
-	return minHang + time.Duration(e.random.Int64N(int64(maxHang-minHang))), ends[e.random.IntN(len(ends))]
+	return ends[e.random.IntN(len(ends))]
 }
 
 // endHang hangs under a call and ends it. It reports whether the connection stays open.
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -92,7 +92,9 @@
 	attempts    []attempt
 	deliveredAt time.Duration // when an endpoint's 200 was written
 
-	deliveredBy int // index of the attempt that the 200 answered
+	deliveredBy int           // index of the attempt that the 200 answered
+	goneAt      time.Duration // when an endpoint's 410 was written
+	goneBy      int           // index of the attempt that the 410 answered
 	noticedAt   time.Duration
 	notice      string
 }
@@ -242,6 +244,9 @@
 		if p.request.deliveredBy == p.attempt {
 			p.request.deliveredAt = 0
 		}
+		if p.request.goneBy == p.attempt {
+			p.request.goneAt = 0
+		}
 	}
 }
 
@@ -405,6 +410,9 @@
 	if r.deliveredAt > 0 {
 		list = append(list, entry{r.deliveredAt, "delivered"})
 	}
+	if r.goneAt > 0 {
+		list = append(list, entry{r.goneAt, "ended by 410"})
+	}
 	if r.noticedAt > 0 {
 		list = append(list, entry{r.noticedAt, "the platform got the notice " + r.notice})
 	}
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -19,8 +19,9 @@
 	refusalRate             float64 // share of the calls that a remote endpoint refuses
 	crowded                 []bool  // by node: idle connections use up its sockets
 	hostile                 []hostileClients
-	leavingClients          bool   // some clients leave before their requests are answered
-	hangs                   *hangs // nil if no endpoint hangs after a copy
+	leavingClients          bool     // some clients leave before their requests are answered
+	hangs                   *hangs   // nil if no endpoint hangs after a copy
+	endings                 *endings // nil if no endpoint ends requests that it did not execute
 	steps                   []step
 	random                  *rand.Rand
 	length                  time.Duration
@@ -82,6 +83,7 @@
 	groupHangs   = "hangs"   // responses of endpoints come twice, and their endpoint hangs under the next call; nodes drain meanwhile
 	groupPaths   = "paths"   // all network connections are disturbed
 	groupClients = "clients" // clients misbehave
+	groupEnds    = "ends"    // endpoints end requests by 410, close connections behind responses and hang; nodes are stopped in series
 
 	groupReplacements = "replacements" // other processes come up at the addresses of endpoints
 )
@@ -89,7 +91,7 @@
 // FaultGroups lists the groups of faults that a run can be limited to.
 func FaultGroups() []string {
 	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupHangs, groupPaths,
-		groupClients, groupReplacements}
+		groupClients, groupReplacements, groupEnds}
 }
 
 func newPlan(o Options) *plan {
@@ -107,6 +109,9 @@
 	case groupHangs:
 		p.addHangs(o.Nodes)
 		return p
+	case groupEnds:
+		p.addEndings(o.Nodes)
+		return p
 	case groupPaths:
 		p.remote = random.IntN(2) == 0
 		p.addPathFaults(o.Nodes)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -204,7 +204,7 @@
 	for number, p := range r.processes {
 		for i := range clientsPerNode {
 			c := &client{history: r.history, node: number, destinations: r.plan.destinations, address: r.network.clients[number].Address(),
-				proxy: r.network.clients[number], bodySize: r.plan.bodySize, crowded: r.plan.crowded[number],
+				proxy: r.network.clients[number], bodySize: r.plan.bodySize, crowded: r.plan.crowded[number], repeats: r.plan.endings != nil,
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(1000*number+i)))}
 			done.Go(func() { c.run(ctx, clientInterval, p.isAccepting) })
 		}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -57,6 +57,21 @@
 	r.attempts[0].at = leftAt + 450*time.Millisecond
 }
 
+// endByGone lets a request that may be repeated be forwarded and delivered 1 s after an endpoint has ended it by 410.
+func endByGone(r *request) {
+	r.class, r.goneAt, r.goneBy, r.deliveredBy = Repeatable, time.Second, 0, 1
+	r.attempts[0].ran = false
+	r.attempts = append(r.attempts, attempt{at: r.goneAt + time.Second, ran: true})
+}
+
+// Guards against requests that are forwarded again after their endpoint has ended them by 410, or lost by a copy of one, while endpoints
+// close connections behind their responses and hang, and nodes are stopped in series.
+func TestEndedRequestsAreNotForwardedAgain(t *testing.T) {
+	for _, seed := range []uint64{2, 3, 5} { // with a copy of some responses: 3
+		runSoak(t, Options{Seed: seed, Nodes: 3, Length: 4 * time.Second, Only: groupEnds})
+	}
+}
+
 // Guards against checks that overlook violations. Each of these histories breaks one rule, or none where a fault
 // excuses what it shows.
 func TestChecksDetectEachViolation(t *testing.T) {
@@ -144,6 +159,16 @@
 				h.readOutages[0] = []interval{{second, 22 * second / 10}}
 				h.exits[0] = []time.Duration{3 * second}
 			}},
+		{"forwarded after its end by 410", RuleAfterEnd, func(r *request, _ *history) { endByGone(r) }},
+		{"forwarded after its end by 410, which its node had no time to store before it exited", "", func(r *request, h *history) {
+			endByGone(r)
+			h.exits[0] = []time.Duration{r.goneAt + maxRecordDelay/2}
+		}},
+		{"forwarded after its end by 410, which its node had time to store before it exited", RuleAfterEnd, func(r *request, h *history) {
+			endByGone(r)
+			h.exits[0] = []time.Duration{r.goneAt + 2*maxRecordDelay}
+		}},
+		{"ended by 410", "", func(r *request, _ *history) { r.deliveredAt, r.goneAt = 0, 2*second }},
 		{"executed twice", RuleRepeat, func(r *request, _ *history) {
 			r.attempts = append(r.attempts, attempt{at: second + second/10, ran: true})
 		}},
--- a/node/hang_test.go
+++ b/node/hang_test.go
@@ -18,8 +18,9 @@
 // hangingEndpoint is an endpoint whose response to the first call on its first connection arrives a second time, under the
 // next call. It hangs under that call, does not execute it, and ends it with hangEnd.
 type hangingEndpoint struct {
-	hang    time.Duration
-	hangEnd string
+	hang     time.Duration
+	hangEnd  string
+	response string // to all other calls; the one to the first call is copied
 
 	mu       sync.Mutex
 	first    net.Conn
@@ -29,7 +30,7 @@
 }
 
 func newHangingEndpoint(hang time.Duration, hangEnd string) *hangingEndpoint {
-	return &hangingEndpoint{hang: hang, hangEnd: hangEnd, received: map[string]int{}, executed: map[string]int{}}
+	return &hangingEndpoint{hang: hang, hangEnd: hangEnd, response: httpResponse("200 OK", "", ""), received: map[string]int{}, executed: map[string]int{}}
 }
 
 func (e *hangingEndpoint) handle(conn net.Conn, body string) bool {
@@ -48,11 +49,11 @@
 	}
 	e.mu.Unlock()
 	if !hangs {
-		io.WriteString(conn, httpResponse("200 OK", "", ""))
+		io.WriteString(conn, e.response)
 		return true
 	}
 	time.Sleep(hangCopyDelay)
-	io.WriteString(conn, httpResponse("200 OK", "", ""))
+	io.WriteString(conn, e.response)
 	time.Sleep(e.hang)
 	if e.hangEnd == hangReset {
 		conn.(*net.TCPConn).SetLinger(0)
