Send nothing more for a request that an endpoint has ended by 410 or void

Cause: a 410 that may be another call's answer (it looks like an earlier one of its connection) was treated as a delivery in doubt.

Evidence: in the reproduction each request forwarded again had a 410 on a connection that was closed behind it, given up under the next call or rested until the hold ended, and `jaspersill_reopened_events_total` counted it.

Only a delivery in doubt may be undone, before its deadline and while this process still decides; a 410 or void in doubt leads to a notice, which does no harm to a request that is over, and the record that a kill finds is that notice. As evidence, a further answer that ends its event proves an end, not only a further delivery; a rest proves no 410, so a copy of one loses no request. Withdrawals are recorded with their owner.

--- a/connreuse/connreuse.go
+++ b/connreuse/connreuse.go
@@ -17,7 +17,7 @@
 	pauseDivisor = 2                // the pause before reuse is this part of the fastest answer: copies come sooner than an answer can
 	maxPause     = 50 * millisecond // opening a connection instead would take as long
 
-	confirmingAcks  = 1 // further deliveries on a connection that confirm one: as many as answers arrive in surplus on it
+	confirmingEnds  = 1 // further ends on a connection that confirm one: as many as answers arrive in surplus on it
 	refusalHold     = 2 * second
 	refusalHoldPart = 4 // a refusal is held for at most this part of the time that its event has left
 
@@ -134,26 +134,39 @@
 	return best
 }
 
-// Evidence is what is known of a delivery or refusal that may belong to another call.
+// Claim is what an answer says of its event.
+type Claim uint8
+
+const (
+	NotRun    Claim = iota // it was not processed, and is still to be delivered
+	Delivered              // it was delivered
+	Gone                   // it was not processed and is over: nothing more may be sent for it
+)
+
+// ends reports whether the answer says that nothing more is to be done for its event.
+func (c Claim) ends() bool { return c != NotRun }
+
+// Evidence is what is known of an answer that may belong to another call.
 type Evidence struct {
-	Delivery   bool
+	Claim      Claim
 	Rested     bool  // its connection has been quiet for the quiet period since, with nothing unread
 	Repeatable bool  // its event may be sent again
-	LaterAcks  int   // answers on its connection since, if all of them are deliveries
+	LaterEnds  int   // answers on its connection since, if all of them end their events
 	HoldUntil  int64 // see HoldUntil
 }
 
-// Proven reports whether a delivery certainly belonged to its call, or to one of the next calls on the connection, whose
-// answers it would then have been taken for: each of these was delivered too.
-func (e *Evidence) Proven() bool { return e.Delivery && e.LaterAcks >= confirmingAcks }
+// Proven reports whether the event has certainly ended: if the answer belonged to an earlier call, a later one was the event's own,
+// and each of these ended its event too.
+func (e *Evidence) Proven() bool { return e.Claim.ends() && e.LaterEnds >= confirmingEnds }
 
-// Trusted reports whether nothing speaks against the answer, although an endpoint that hangs would leave it so too.
-func (e *Evidence) Trusted() bool { return e.Proven() || e.Rested }
+// Trusted reports whether nothing speaks against the answer, although an endpoint that hangs would leave it so too. One that says that
+// an event is over is only trusted if it is proven: a notice for an event that is over does no harm.
+func (e *Evidence) Trusted() bool { return e.Proven() || (e.Rested && e.Claim != Gone) }
 
 // AcceptAtClose reports whether the answer is accepted when its connection is closed, and can show nothing more. byEndpoint
 // tells whether the endpoint closed it, as one does that hung and ended: a delivery is then only accepted if it is proven.
 func (e *Evidence) AcceptAtClose(byEndpoint bool) bool {
-	if e.Delivery && byEndpoint {
+	if e.Claim == Delivered && byEndpoint {
 		return e.Proven()
 	}
 	return e.Trusted()
@@ -162,7 +175,7 @@
 // AcceptAtShutdown reports whether the answer is accepted when the process ends. The next process sends an event again that
 // may be repeated, unless its call could no longer have been answered.
 func (e *Evidence) AcceptAtShutdown(now int64) bool {
-	if e.Delivery && e.Repeatable && now < e.HoldUntil {
+	if e.Claim == Delivered && e.Repeatable && now < e.HoldUntil {
 		return e.Proven()
 	}
 	return e.Trusted()
@@ -170,8 +183,8 @@
 
 // HoldUntil returns when an answer that may belong to another call is looked at again. Until then the call itself could
 // have been answered. A refusal is not held for as long, because its event waits for the result.
-func HoldUntil(now, started, timeout, deadline int64, delivery bool) int64 {
-	if !delivery {
+func HoldUntil(now, started, timeout, deadline int64, claim Claim) int64 {
+	if !claim.ends() {
 		return now + min(refusalHold, (deadline-now)/refusalHoldPart)
 	}
 	return min(started+timeout, deadline)
--- a/connreuse/connreuse_test.go
+++ b/connreuse/connreuse_test.go
@@ -103,11 +103,11 @@
 // Guards against accepting an answer as its call's because its connection rests, which it also does while the endpoint hangs.
 func TestEvidenceAtClose(t *testing.T) {
 	const now = 10 * second
-	held := Evidence{Delivery: true, Rested: true, Repeatable: true, HoldUntil: now + second}
-	over := Evidence{Delivery: true, Rested: true, Repeatable: true, HoldUntil: now - second}
-	once := Evidence{Delivery: true, Rested: true, HoldUntil: now + second}
-	proven := Evidence{Delivery: true, Repeatable: true, LaterAcks: confirmingAcks, HoldUntil: now + second}
-	unproven := Evidence{Delivery: true, LaterAcks: confirmingAcks - 1, HoldUntil: now + second}
+	held := Evidence{Claim: Delivered, Rested: true, Repeatable: true, HoldUntil: now + second}
+	over := Evidence{Claim: Delivered, Rested: true, Repeatable: true, HoldUntil: now - second}
+	once := Evidence{Claim: Delivered, Rested: true, HoldUntil: now + second}
+	proven := Evidence{Claim: Delivered, Repeatable: true, LaterEnds: confirmingEnds, HoldUntil: now + second}
+	unproven := Evidence{Claim: Delivered, LaterEnds: confirmingEnds - 1, HoldUntil: now + second}
 	for _, c := range []struct {
 		name                   string
 		evidence               Evidence
@@ -116,11 +116,13 @@
 		{"repeatable, its call could still be answered", held, true, false, false},
 		{"repeatable, held long enough", over, true, false, true},
 		{"not repeatable", once, true, false, true},
-		{"not rested", Evidence{Delivery: true, HoldUntil: now - second}, false, false, false},
+		{"not rested", Evidence{Claim: Delivered, HoldUntil: now - second}, false, false, false},
 		{"proven", proven, true, true, true},
 		{"one delivery short of proven", unproven, false, false, false},
-		{"refusal", Evidence{Rested: true, LaterAcks: confirmingAcks}, true, true, true},
-		{"refusal, not rested", Evidence{LaterAcks: confirmingAcks}, false, false, false},
+		{"event is over", Evidence{Claim: Gone, Rested: true, Repeatable: true, HoldUntil: now - second}, false, false, false},
+		{"event is over, proven", Evidence{Claim: Gone, LaterEnds: confirmingEnds, HoldUntil: now + second}, true, true, true},
+		{"refusal", Evidence{Rested: true, LaterEnds: confirmingEnds}, true, true, true},
+		{"refusal, not rested", Evidence{LaterEnds: confirmingEnds}, false, false, false},
 	} {
 		if here, there := c.evidence.AcceptAtClose(false), c.evidence.AcceptAtClose(true); here != c.here || there != c.there {
 			t.Errorf("%s: %v and %v at close, want %v and %v", c.name, here, there, c.here, c.there)
@@ -129,10 +131,10 @@
 			t.Errorf("%s: %v at shutdown, want %v", c.name, got, c.atTheExit)
 		}
 	}
-	if until := HoldUntil(now, now-second, 3*second, now+second, true); until != now+second {
+	if until := HoldUntil(now, now-second, 3*second, now+second, Delivered); until != now+second {
 		t.Errorf("a delivery is held until %d, after the deadline", until)
 	}
-	if until := HoldUntil(now, now-second, 20*second, now+20*second, false); until != now+refusalHold {
+	if until := HoldUntil(now, now-second, 20*second, now+20*second, NotRun); until != now+refusalHold {
 		t.Errorf("a refusal is held until %d", until)
 	}
 }
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -27,6 +27,7 @@
 var (
 	ErrDeadlinePassed = &Denial{"deadline has passed"}
 	ErrEndDecided     = &Denial{"end of the request is already decided"}
+	ErrHandedOver     = &Denial{"request is left to the next process"}
 )
 
 // ErrViolation means that the program requested a transition which its own state forbids.
@@ -47,13 +48,14 @@
 	logPart           = "node"
 	denialDeadline    = "deadline"
 	denialEnded       = "ended"
+	denialHandedOver  = "handed_over"
 )
 
 var (
 	violations = metrics.NewCounterVec(violationsMetric, violationsHelp, "transition", transitionAttempt, transitionSend,
 		transitionOutcome, transitionReport, transitionStore, transitionClose, transitionConfirm)
-	denials      = metrics.NewCounterVec(denialsMetric, denialsHelp, "reason", denialDeadline, denialEnded)
-	denialLabels = map[*Denial]string{ErrDeadlinePassed: denialDeadline, ErrEndDecided: denialEnded}
+	denials      = metrics.NewCounterVec(denialsMetric, denialsHelp, "reason", denialDeadline, denialEnded, denialHandedOver)
+	denialLabels = map[*Denial]string{ErrDeadlinePassed: denialDeadline, ErrEndDecided: denialEnded, ErrHandedOver: denialHandedOver}
 )
 
 // Violations returns the number of violations in this process.
@@ -101,7 +103,10 @@
 	attemptState        State // Pending, Recording or InFlight: progress of that attempt, independent of state
 	mayHaveRun          bool
 	stored              bool
-	unconfirmedRefusals int // attempts reported as not run by responses that may belong to another call
+	unconfirmedRefusals int    // attempts reported as not run by responses that may belong to another call
+	end                 End    // how it ended, provisionally or for good
+	sequel              Sequel // while it is ended provisionally: what follows if the end stays in doubt
+	handedOver          bool
 }
 
 // NewRequest returns the state of a request that was just read. If repeatable, it may be sent again after an attempt that
@@ -117,6 +122,13 @@
 	return r
 }
 
+// End returns how the request ended.
+func (r *Request) End() End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end
+}
+
 // State returns the progress of the request.
 func (r *Request) State() State {
 	r.mu.Lock()
@@ -250,17 +262,21 @@
 	return r.mayHaveRun || r.unconfirmedRefusals > 0
 }
 
-// EndProvisionally records that the request was ended by a response that may belong to another call. No attempt follows
-// unless it is reopened.
-// It returns false if the end was already decided.
-func (r *Request) EndProvisionally() bool {
+// EndProvisionally records that the request was ended by a response that may belong to another call. It returns what follows
+// if that stays in doubt, which is also what a record of the request has to allow for until then: a restart leaves it in doubt. It
+// returns false if the end was already decided. resendable tells whether the request may be sent again and is kept for that.
+func (r *Request) EndProvisionally(end End, resendable bool) (sequel Sequel, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.endDecided() {
-		return false
+		return NoSequel, false
 	}
-	r.state = Provisional
-	return true
+	if sequel = end.inDoubt(resendable && r.repeatable); sequel == NoSequel {
+		violation(transitionConfirm, r.id, "request cannot be "+end.String()+" by a response")
+		return NoSequel, false
+	}
+	r.state, r.end, r.sequel = Provisional, end, sequel
+	return sequel, true
 }
 
 // ConfirmEnd records that the response which ended the request provisionally did belong to it: nothing is left to do.
@@ -282,37 +298,60 @@
 	if r.state != Provisional {
 		return violation(transitionConfirm, r.id, "request is "+r.state.String())
 	}
-	r.state = Ending
+	r.state, r.end = Ending, Undelivered
 	return nil
 }
 
 // Reopen records that the response which ended the request provisionally could not be confirmed, and that the request is
-// pending again: it may have run, and may be repeated.
-func (r *Request) Reopen() error {
+// pending again: it may have run, and may be repeated. It is the only transition that undoes an end.
+func (r *Request) Reopen(now int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case r.state != Provisional:
 		return violation(transitionConfirm, r.id, "request is "+r.state.String())
-	case !r.repeatable:
-		return violation(transitionConfirm, r.id, "request is not repeatable")
+	case r.sequel != RepeatSends:
+		return violation(transitionConfirm, r.id, "request is "+r.end.String()+" and must not be sent again")
+	case r.handedOver:
+		return denied(ErrHandedOver)
+	case now >= r.deadline:
+		return denied(ErrDeadlinePassed)
 	}
-	r.state, r.mayHaveRun = Pending, true
+	r.state, r.end, r.sequel, r.mayHaveRun = Pending, NotEnded, NoSequel, true
 	return nil
 }
 
+// HandOver records that this process decides nothing more: a request that has not ended is left to the next process, as its
+// record says. An attempt that was chosen before may still be sent, and end the request.
+func (r *Request) HandOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handedOver = true
+}
+
 // DecideEnd records that the end of the request is decided: it was delivered, or a notice or a refusal is still to be
 // reported. It returns false if the end was already decided.
-func (r *Request) DecideEnd() bool {
+func (r *Request) DecideEnd(end End) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.endDecided() {
 		return false
 	}
-	r.state = Ending
+	r.state, r.end = Ending, end
 	return true
 }
 
+// Withdraw records that the client left before it was told that the request is accepted. Nothing is owed.
+func (r *Request) Withdraw() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Received {
+		return violation(transitionStore, r.id, "request is "+r.state.String())
+	}
+	r.state, r.end = Ended, Withdrawn
+	return nil
+}
+
 // MayReportEnd reports whether the end may be reported now, which is so once no restart would send anything more for the
 // request. written tells whether the record of the end is durable.
 func (r *Request) MayReportEnd(now int64, written bool) bool {
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -34,7 +34,7 @@
 		{"sent after the end is decided", func(r *Request) error {
 			r.MarkStored()
 			r.StartAttempt(first, early)
-			r.DecideEnd()
+			r.DecideEnd(Undelivered)
 			return r.SendAttempt(first, early)
 		}, ErrEndDecided},
 		{"repeated although it may have run", func(r *Request) error {
@@ -58,18 +58,18 @@
 			return r.StartAttempt(third, early)
 		}, ErrViolation},
 		{"reported before the end is decided", func(r *Request) error { r.MarkStored(); return r.ReportEnd(early, true) }, ErrViolation},
-		{"reported before the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(); return r.ReportEnd(early, false) }, ErrViolation},
-		{"reported after the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(); return r.ReportEnd(early, true) }, nil},
-		{"reported after the deadline", func(r *Request) error { r.MarkStored(); r.DecideEnd(); return r.ReportEnd(deadline, false) }, nil},
-		{"reported without being stored", func(r *Request) error { r.DecideEnd(); return r.ReportEnd(early, false) }, nil},
+		{"reported before the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(Undelivered); return r.ReportEnd(early, false) }, ErrViolation},
+		{"reported after the record is written", func(r *Request) error { r.MarkStored(); r.DecideEnd(Undelivered); return r.ReportEnd(early, true) }, nil},
+		{"reported after the deadline", func(r *Request) error { r.MarkStored(); r.DecideEnd(Undelivered); return r.ReportEnd(deadline, false) }, nil},
+		{"reported without being stored", func(r *Request) error { r.DecideEnd(Undelivered); return r.ReportEnd(early, false) }, nil},
 		{"reported twice", func(r *Request) error {
-			r.DecideEnd()
+			r.DecideEnd(Undelivered)
 			return errors.Join(r.ReportEnd(early, true), r.ReportEnd(early, true))
 		}, ErrViolation},
 		{"sent after a provisional end", func(r *Request) error {
 			r.MarkStored()
 			r.StartAttempt(first, early)
-			r.EndProvisionally()
+			r.EndProvisionally(Delivered, false)
 			return r.SendAttempt(first, early)
 		}, ErrEndDecided},
 		{"repeated although a refusal is unconfirmed", func(r *Request) error {
@@ -85,18 +85,22 @@
 			return errors.Join(r.ConfirmRefusal(), attempt(r, second))
 		}, nil},
 		{"confirmation without a refusal", func(r *Request) error { return r.ConfirmRefusal() }, ErrViolation},
-		{"reported while provisional", func(r *Request) error { r.MarkStored(); r.EndProvisionally(); return r.ReportEnd(early, true) }, ErrViolation},
+		{"reported while provisional", func(r *Request) error {
+			r.MarkStored()
+			r.EndProvisionally(Delivered, false)
+			return r.ReportEnd(early, true)
+		}, ErrViolation},
 		{"reported after a failed confirmation", func(r *Request) error {
 			r.MarkStored()
-			r.EndProvisionally()
+			r.EndProvisionally(Delivered, false)
 			return errors.Join(r.FailConfirmation(), r.ReportEnd(early, true))
 		}, nil},
 		{"end confirmed twice", func(r *Request) error {
-			r.EndProvisionally()
+			r.EndProvisionally(Delivered, false)
 			return errors.Join(r.ConfirmEnd(), r.ConfirmEnd())
 		}, ErrViolation},
 		{"confirmation failed after the end was confirmed", func(r *Request) error {
-			r.EndProvisionally()
+			r.EndProvisionally(Delivered, false)
 			return errors.Join(r.ConfirmEnd(), r.FailConfirmation())
 		}, ErrViolation},
 	} {
--- a/node/call.go
+++ b/node/call.go
@@ -203,8 +203,7 @@
 func (c *call) trackResponse(conn *endpointConn, response callResponse) {
 	for i := range response.results {
 		r := &response.results[i] // a response with one status for all attempts has one result for each of them
-		completes := r.outcome == delivery.Acked || r.final
-		if completes || (!r.outcome.MayHaveRun() && c.attempts[i].event.safety != delivery.Idempotent) {
+		if r.ends() || (!r.outcome.MayHaveRun() && c.attempts[i].event.safety != delivery.Idempotent) {
 			r.confirmation = c.pool.trackOutcome(conn, c.attempts[i], r)
 		}
 	}
@@ -463,7 +462,7 @@
 	r.duration = c.pool.clock.now() - a.startedAt
 	c.logAttempt(a, "attempt finished", logrus.Fields{"outcome": r.outcome.String(), "took_ms": r.duration / 1e6, "wait_ms": r.retryAfter / 1e6})
 	attemptsEnded.With(r.outcome.String()).Inc()
-	if r.confirmation != nil && !r.outcome.MayHaveRun() && !r.final {
+	if r.confirmation != nil && !r.outcome.MayHaveRun() && !r.ends() {
 		a.event.request.FinishUnconfirmedRefusal(a.number)
 	} else {
 		a.event.request.FinishAttempt(a.number, r.outcome.MayHaveRun() && c.progress != progressNone && c.progress != progressRecording)
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -34,7 +34,7 @@
 	outcome  delivery.Outcome
 	deadline int64 // of the event
 	evidence connreuse.Evidence
-	refuted  bool // a later response is no delivery, so that later deliveries prove nothing
+	refuted  bool // a later response ends no event, so that those behind it prove nothing
 	awaited  bool // the event waits for the settlement, because it must not be repeated
 	timer    *time.Timer
 
@@ -115,11 +115,11 @@
 // trackOutcome starts to track an outcome of an attempt on a connection.
 func (p *endpointPool) trackOutcome(conn *endpointConn, a *attempt, r *result) *confirmation {
 	now := p.clock.now()
-	delivered := r.outcome == delivery.Acked || r.final
+	claim := r.claim()
 	c := &confirmation{conn: conn, id: a.event.id, outcome: r.outcome, deadline: a.event.monoDeadline,
-		evidence: connreuse.Evidence{Delivery: delivered, Repeatable: a.event.reopenable,
-			HoldUntil: connreuse.HoldUntil(now, a.startedAt, a.timeout, a.event.monoDeadline, delivered)},
-		awaited: !delivered && a.event.safety == delivery.NonIdempotent}
+		evidence: connreuse.Evidence{Claim: claim, Repeatable: a.event.reopenable,
+			HoldUntil: connreuse.HoldUntil(now, a.startedAt, a.timeout, a.event.monoDeadline, claim)},
+		awaited: claim == connreuse.NotRun && a.event.safety == delivery.NonIdempotent}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.unconfirmed = append(conn.unconfirmed, c)
@@ -133,11 +133,11 @@
 func (p *endpointPool) observeResponse(conn *endpointConn, response callResponse, attribution lifecycle.Attribution) {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
-	delivered := !response.truncated && response.results[0].outcome == delivery.Acked
+	ends := response.endsAll()
 	named := response.identity.NamesRequests && attribution == lifecycle.Certain
 	conn.unconfirmed = slices.DeleteFunc(conn.unconfirmed, func(c *confirmation) bool {
-		if c.refuted = c.refuted || !delivered; !c.refuted {
-			c.evidence.LaterAcks++
+		if c.refuted = c.refuted || !ends; !c.refuted {
+			c.evidence.LaterEnds++
 		}
 		if !named && !c.evidence.Proven() {
 			return false
@@ -158,7 +158,7 @@
 		return
 	}
 	trusted := c.evidence.Trusted()
-	if remaining := c.deadline - p.clock.now(); trusted && c.evidence.Delivery && remaining > 0 {
+	if remaining := c.deadline - p.clock.now(); trusted && c.evidence.Claim == connreuse.Delivered && remaining > 0 {
 		c.timer = time.AfterFunc(time.Duration(remaining), func() { p.holdExpired(c) })
 		return
 	}
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -96,6 +96,16 @@
 	<-d.done
 }
 
+// isClosed reports whether no decision is made any more.
+func (d *decisionLoop) isClosed() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // round runs one round of the scheduler and carries out its decisions.
 func (d *decisionLoop) round(now int64) {
 	d.scheduler.Round(now, d, d)
@@ -178,7 +188,7 @@
 
 // reportOutcome reports to the scheduler how an attempt ended.
 func (d *decisionLoop) reportOutcome(e *event, a *attempt, r result) {
-	ended := r.outcome == delivery.Acked || r.final
+	ended := r.ends()
 	d.enqueue(func(to delivery.Handler) {
 		if d.activeAttempts[e.index] == a {
 			d.activeAttempts[e.index] = nil
--- a/node/event.go
+++ b/node/event.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"jaspersill/connreuse"
 	"jaspersill/delivery"
 	"jaspersill/lifecycle"
 	"jaspersill/store"
@@ -90,3 +91,28 @@
 
 	confirmation *confirmation // set if the response may belong to another call and acting on it would then do harm
 }
+
+// end returns how the result ends its event.
+func (r *result) end() lifecycle.End {
+	switch {
+	case r.outcome == delivery.Acked:
+		return lifecycle.Delivered
+	case r.final:
+		return lifecycle.Gone
+	}
+	return lifecycle.NotEnded
+}
+
+// ends reports whether the result ends its event.
+func (r *result) ends() bool { return r.end() != lifecycle.NotEnded }
+
+// claim returns what a response with this result says of its event.
+func (r *result) claim() connreuse.Claim {
+	switch r.end() {
+	case lifecycle.Delivered:
+		return connreuse.Delivered
+	case lifecycle.Gone:
+		return connreuse.Gone
+	}
+	return connreuse.NotRun
+}
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -113,6 +113,7 @@
 // abandon withdraws an event that was stored while its client left: nobody was told that it is accepted, and its client may submit
 // it again.
 func (t *eventTask) abandon() {
+	t.request.Withdraw()
 	t.node.journal.withdraw(t.event)
 	t.node.activeEvents.Add(-1)
 	t.clientWaiting = false
@@ -130,7 +131,7 @@
 // reportRestoredEnd notifies the platform of an end that an earlier process decided and recorded.
 func (t *eventTask) reportRestoredEnd() {
 	t.release()
-	t.request.DecideEnd()
+	t.request.DecideEnd(lifecycle.Undelivered)
 	t.request.ReportEnd(t.node.clock.now(), true)
 	t.node.notices.enqueue(t.newNotice())
 	<-t.updates
@@ -201,13 +202,12 @@
 // way: after a delivery no attempt follows until it is settled whose response it was; a refusal is not recorded, so that
 // after a restart, too, the attempt counts as one that may have run.
 func (t *eventTask) handleOutcome(a *attempt, r result) {
-	ended := r.outcome == delivery.Acked || r.final
 	switch {
-	case ended && r.confirmation != nil:
-		t.completeProvisionally(r.confirmation)
-	case ended:
+	case r.ends() && r.confirmation != nil:
+		t.completeProvisionally(r.end(), r.confirmation)
+	case r.ends():
 		t.recordOutcome(a, r.outcome)
-		t.complete()
+		t.complete(r.end())
 	case r.confirmation != nil:
 		updates := t.updates
 		r.confirmation.whenSettled(func(confirmed bool) {
@@ -239,13 +239,13 @@
 
 // complete ends an event after a response that says that it was delivered or needs no further attempt. The outcome of an
 // attempt that arrives after the end of the event has no effect.
-func (t *eventTask) complete() {
+func (t *eventTask) complete(end lifecycle.End) {
 	if t.released {
 		return
 	}
 	t.release()
 	t.respond(statusAccepted, 0)
-	t.request.DecideEnd()
+	t.request.DecideEnd(end)
 	t.node.journal.complete(t.event)
 	t.request.ReportEnd(t.node.clock.now(), true) // the endpoint already knows the end
 }
@@ -261,13 +261,27 @@
 // to the platform. Either is reported only once a restart would no longer send the event.
 func (t *eventTask) endUndelivered(end resolution, retryAfter int64) {
 	t.release()
-	if !t.request.DecideEnd() {
+	toClient := t.clientWaiting && end == declined
+	if !t.request.DecideEnd(undeliveredEnd(toClient)) {
 		return
 	}
+	t.reportUndelivered(end, retryAfter, toClient)
+}
+
+// undeliveredEnd returns how an event ends that is not delivered.
+func undeliveredEnd(toClient bool) lifecycle.End {
+	if toClient {
+		return lifecycle.Refused
+	}
+	return lifecycle.Undelivered
+}
+
+// reportUndelivered reports the end of an event that is decided, to the client or to the platform.
+func (t *eventTask) reportUndelivered(end resolution, retryAfter int64, toClient bool) {
 	t.resolution, t.retryAfter = end, retryAfter
 	t.endUnreported = true
 	t.node.unreportedEnds.Add(1)
-	if t.clientWaiting && end == declined {
+	if toClient {
 		t.pending = pendingEnd{record: t.node.journal.complete(t.event), toClient: true, clientTimeout: time.After(refusalRecordTimeout)}
 	} else {
 		t.respond(statusAccepted, 0)
--- a/node/provisional.go
+++ b/node/provisional.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -22,18 +23,19 @@
 	return n.repeatable(e.typ) && !ordered && len(e.body) <= maxReopenableBytes
 }
 
-// completeProvisionally ends an event after a response that may belong to another call. If the event may be repeated, it is
-// kept, also in the journal, until that is settled. Otherwise only the data that its notice would need is kept.
-func (t *eventTask) completeProvisionally(c *confirmation) {
+// completeProvisionally ends an event after a response that may belong to another call. If the event is sent again should that
+// stay in doubt, it is kept, also in the journal, until it is settled. Otherwise only the data that its notice would need is kept.
+func (t *eventTask) completeProvisionally(end lifecycle.End, c *confirmation) {
 	if t.released {
 		return
 	}
 	t.release()
 	t.respond(statusAccepted, 0)
-	if !t.request.EndProvisionally() {
+	sequel, ok := t.request.EndProvisionally(end, t.reopenable)
+	if !ok {
 		return
 	}
-	if t.reopenable {
+	if sequel == lifecycle.RepeatSends {
 		t.provisional = true
 		updates := t.updates
 		c.whenSettled(func(confirmed bool) {
@@ -41,13 +43,14 @@
 		})
 		return
 	}
-	end := &provisionalCompletion{node: t.node, id: t.id, arrivalSeq: t.arrivalSeq, deadline: t.monoDeadline, request: t.request,
+	completion := &provisionalCompletion{node: t.node, id: t.id, arrivalSeq: t.arrivalSeq, deadline: t.monoDeadline, request: t.request,
 		record: t.node.journal.recordResolutionAndTrim(t.event, discarded)}
-	c.whenSettled(end.settle)
+	c.whenSettled(completion.settle)
 }
 
 // settleDelivery handles what became of a delivery that might have belonged to another call. If it is doubted, the event is
-// handed to the scheduler once more, as one whose attempts may have run.
+// handed to the scheduler once more, as one whose attempts may have run. One whose deadline has passed is ended by a notice, and one
+// that is doubted when nothing more is decided waits in the journal for the next process.
 func (t *eventTask) settleDelivery(confirmed bool) {
 	t.provisional = false
 	if confirmed {
@@ -55,7 +58,14 @@
 		t.node.journal.complete(t.event)
 		return
 	}
-	if t.request.Reopen() != nil {
+	if t.node.decisions.isClosed() {
+		t.request.HandOver()
+	}
+	err := t.request.Reopen(t.node.clock.now())
+	if errors.Is(err, lifecycle.ErrDeadlinePassed) && t.request.FailConfirmation() == nil {
+		t.reportUndelivered(discarded, 0, false)
+	}
+	if err != nil {
 		return
 	}
 	reopenedEvents.Inc()
--- a/node/wire.go
+++ b/node/wire.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -98,6 +99,11 @@
 	close     closeReason // why the connection must close after it; empty if it can be reused
 }
 
+// endsAll reports whether the response was received completely and ends each event of its call.
+func (r *callResponse) endsAll() bool {
+	return !r.truncated && !slices.ContainsFunc(r.results, func(one result) bool { return !one.ends() })
+}
+
 // responseReader reads responses from an endpoint's connection.
 type responseReader struct {
 	conn net.Conn
