Record the end of an event by a response in one record

Callers would see: after a kill a charge whose endpoint answered 410 is forwarded again.

Cause: a response that ends its event was recorded twice, as the outcome of the attempt (for a 410: not run) and as the completion. A kill that leaves a write half done can leave the first without the second: a pending request whose attempts certainly did not run, which the next process forwards whatever its class.

Change: only the completion is recorded. Without it a restart finds an attempt that may have run, as after a kill before the response.

Each ended event writes one record less.

--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -205,8 +205,7 @@
 	switch {
 	case r.ends() && r.confirmation != nil:
 		t.completeProvisionally(r.end(), r.confirmation)
-	case r.ends():
-		t.recordOutcome(a, r.outcome)
+	case r.ends(): // one record: without it, a kill leaves an attempt that may have run
 		t.complete(r.end())
 	case r.confirmation != nil:
 		updates := t.updates
--- a/node/gone_test.go
+++ b/node/gone_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -139,3 +141,31 @@
 		}
 	}
 }
+
+// Guards against a request that a restart forwards again after its end by 410, because a kill left the record of its last attempt, which
+// says that it did not run, without the record of its end.
+func TestTornRecordOfGoneDoesNotForwardRequestAgain(t *testing.T) {
+	env := newTestEnv(t)
+	env.addEndpoint(1, respond(responseGone))
+	env.startNode()
+	env.dial().submit(submitRequest("x", "charge", "1", 8000, "body"))
+	env.waitFor("the journal is empty", env.journal.empty)
+	killed := copyAsKilled(t, env.folder)
+	segments, err := filepath.Glob(filepath.Join(killed, "seg-*"))
+	if err != nil || len(segments) != 1 {
+		t.Fatalf("segments %v: %v", segments, err)
+	}
+	text, err := os.ReadFile(segments[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size := len(text); size > 0; size-- {
+		if err := os.Truncate(segments[0], int64(size)); err != nil {
+			t.Fatal(err)
+		}
+		e := recoverAfterKill(t, killed)["x"]
+		if e != nil && e.Resolution == store.Unresolved && len(e.Attempts) > 0 && !e.Attempts[0].MayHaveRun() {
+			t.Fatalf("with %d of %d bytes a restart finds the request as not run, and forwards it again", size, len(text))
+		}
+	}
+}
