Take a response that has started to arrive when its call is cancelled

Callers would see: a request is forwarded again although its endpoint has answered 200 or 410, because the scheduler cancelled the call in the same moment.

Cause: a call that times out while its response arrives waits for the rest, 0.3 s at most; a call that is cancelled was closed with the response unread.

Change: both wait.

Measured: TestCancelledCallTakesResponseThatHasArrived failed before (got cancelled, wanted the end) and passes for 200 and 410; go test ./node passes.

--- a/node/call.go
+++ b/node/call.go
@@ -45,7 +45,7 @@
 	abandonOutcome delivery.Outcome // the outcome of an abandoned call
 	sentAt         int64            // when writing the request began
 
-	timeoutExtended bool        // the call timed out while its response was arriving, and got responseReadTimeout more
+	timeoutExtended bool        // the call was to be abandoned while its response was arriving, and got responseReadTimeout more
 	localFailure    atomic.Bool // connecting or writing last failed for a reason local to this machine
 }
 
@@ -393,9 +393,9 @@
 	if c.ended || c.abandoned {
 		return
 	}
-	if outcome == delivery.TimedOut && c.progress == progressWritten && !c.timeoutExtended && c.conn.responseStarted() { // the response has started to arrive
+	if c.progress == progressWritten && !c.timeoutExtended && c.conn.responseStarted() { // it may end the event
 		c.timeoutExtended = true
-		time.AfterFunc(responseReadTimeout, func() { c.abandon(delivery.TimedOut) })
+		time.AfterFunc(responseReadTimeout, func() { c.abandon(outcome) })
 		return
 	}
 	c.abandoned, c.abandonOutcome = true, outcome
--- a/node/gone_test.go
+++ b/node/gone_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"jaspersill/delivery"
 	"jaspersill/store"
 )
 
@@ -169,3 +170,34 @@
 		}
 	}
 }
+
+// Guards against a request that is forwarded again although its end has arrived, because its call was cancelled just before the
+// response was read.
+func TestCancelledCallTakesResponseThatHasArrived(t *testing.T) {
+	for name, want := range map[string]result{
+		responseGone: {outcome: delivery.Unsent, final: true}, httpResponse("200 OK", "", ""): {outcome: delivery.Acked, final: true},
+	} {
+		rest := make(chan struct{})
+		endpoint := newTestEndpoint(t, func(conn net.Conn, _ string) bool {
+			io.WriteString(conn, name[:len("HTTP/1.1 ")])
+			<-rest
+			io.WriteString(conn, name[len("HTTP/1.1 "):])
+			return true
+		})
+		p := newTestPool(t, endpoint.Addr().String())
+		c := &call{pool: p}
+		a := newTestAttempt(t, c, "x", testTimeout)
+		c.attempts = []*attempt{a}
+		go p.execute(c)
+		(&testEnv{t: t}).waitFor("the response has started to arrive", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.progress == progressWritten && c.conn.responseStarted()
+		})
+		c.abandon(delivery.Cancelled)
+		close(rest)
+		if r := awaitResult(t, a); r.outcome != want.outcome || r.final != want.final {
+			t.Errorf("%.12q: got %+v, want %+v", name, r, want)
+		}
+	}
+}
