Log and count what follows the end of an event that stays in doubt

Change: a line with the event and its end when it is sent again or told, the claim of the response in the line on its settlement, and jaspersill_notices_in_doubt_total by end beside jaspersill_reopened_events_total.

Measured: go test ./node of the tests on ends and hangs passes.

--- a/connreuse/connreuse.go
+++ b/connreuse/connreuse.go
@@ -143,6 +143,8 @@
 	Gone                   // it was not processed and is over: nothing more may be sent for it
 )
 
+func (c Claim) String() string { return [...]string{"not run", "delivered", "gone"}[c] }
+
 // ends reports whether the answer says that nothing more is to be done for its event.
 func (c Claim) ends() bool { return c != NotRun }
 
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -91,7 +91,7 @@
 		return
 	}
 	logs.Event("endpoints", c.id).WithFields(logrus.Fields{"connection": c.conn.id, "endpoint": c.conn.endpoint,
-		"outcome": c.outcome.String(), "result": result, "reason": reason}).Log(level, "settled outcome of a response that may belong to another call")
+		"outcome": c.outcome.String(), "claim": c.evidence.Claim.String(), "result": result, "reason": reason}).Log(level, "settled outcome of a response that may belong to another call")
 }
 
 // settlement is a confirmation that is to be settled once the pool's lock is released.
--- a/node/provisional.go
+++ b/node/provisional.go
@@ -6,12 +6,24 @@
 	"time"
 
 	"jaspersill/lifecycle"
+	"jaspersill/logs"
 	"jaspersill/metrics"
 	"jaspersill/store"
 )
 
-var reopenedEvents = metrics.NewCounter("jaspersill_reopened_events_total",
-	"Events that were sent again because a response that said they were delivered may have belonged to another call.")
+var (
+	reopenedEvents = metrics.NewCounter("jaspersill_reopened_events_total",
+		"Events that were sent again because a response that said they were delivered may have belonged to another call.")
+	noticesInDoubt = metrics.NewCounterVec("jaspersill_notices_in_doubt_total",
+		"Notices for events that a response ended which may have belonged to another call, by that end.", "end",
+		lifecycle.Delivered.String(), lifecycle.Gone.String())
+)
+
+// logDoubtedEnd logs what follows the end of an event that stays in doubt. Operators look for it when a partner says that an event came
+// twice, or asks about a notice.
+func logDoubtedEnd(id string, end lifecycle.End, message string) {
+	logs.Event("node", id).WithField("end", end.String()).Info(message)
+}
 
 // maxReopenableBytes is the size of the largest body that is kept after a delivery that is still to be confirmed.
 const maxReopenableBytes = 16 << 10
@@ -63,12 +75,15 @@
 	}
 	err := t.request.Reopen(t.node.clock.now())
 	if errors.Is(err, lifecycle.ErrDeadlinePassed) && t.request.FailConfirmation() == nil {
+		noticesInDoubt.With(lifecycle.Delivered.String()).Inc()
+		logDoubtedEnd(t.id, lifecycle.Delivered, "end in doubt, sending a notice")
 		t.reportUndelivered(discarded, 0, false)
 	}
 	if err != nil {
 		return
 	}
 	reopenedEvents.Inc()
+	logDoubtedEnd(t.id, lifecycle.Delivered, "end in doubt, sending the event again")
 	t.released = false
 	t.node.activeEvents.Add(1)
 	t.node.decisions.removeEvent(t.event)
@@ -96,9 +111,12 @@
 		p.node.journal.completeByID(p.id, p.arrivalSeq)
 		return
 	}
+	end := p.request.End()
 	if p.request.FailConfirmation() != nil {
 		return
 	}
+	noticesInDoubt.With(end.String()).Inc()
+	logDoubtedEnd(p.id, end, "end in doubt, sending a notice")
 	p.node.unreportedEnds.Add(1)
 	go p.notifyUndeliverable()
 }
