Give the calls that the soak's endpoints read a type and a file of their own

Change: incomingCall holds what an endpoint knows of a call; arrival, faulty modes and the answer are functions of their own in call.go.

--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,15 +9,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"jaspersill/lab/faultproxy"
 )
 
@@ -199,166 +194,12 @@
 			return
 		}
 		var open bool
-		if last, open = e.handleCall(conn, in, call, body, use); !open {
+		if last, open = e.handleCall(&incomingCall{request: call, body: body, conn: conn, unread: in}, use); !open {
 			return
 		}
 	}
 }
 
-// part is one request of a call.
-type part struct {
-	request *request
-	attempt int // index into request.attempts
-}
-
-// requestIDs returns the IDs of the requests in a call.
-func requestIDs(call *http.Request, body []byte) (list []string) {
-	if !strings.HasSuffix(call.URL.Path, bulkPathSuffix) {
-		return []string{call.Header.Get("Req-Id")}
-	}
-	for len(body) > 0 {
-		line, rest, _ := bytes.Cut(body, []byte("\r\n"))
-		words := strings.Fields(string(line))
-		if len(words) != 3 {
-			return list
-		}
-		size, err := strconv.Atoi(words[2])
-		if err != nil || size+2 > len(rest) {
-			return list
-		}
-		list = append(list, words[0])
-		body = rest[size+2:]
-	}
-	return list
-}
-
-// handleCall handles one call. It returns the requests that it answered with success, and whether the connection stays
-// open.
-func (e *endpoint) handleCall(conn net.Conn, in *bufio.Reader, call *http.Request, body []byte, use connUse) (delivered []part, open bool) {
-	var parts []part
-	node, proxyConn := e.proxyConn(conn)
-	for _, id := range requestIDs(call, body) {
-		r := e.history.recordAttempt(id, node, e.number, proxyConn, use)
-		if r == nil {
-			fmt.Fprint(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-			return nil, false
-		}
-		parts = append(parts, part{r, e.history.attemptCount(r) - 1})
-	}
-	record := func(outcome string, ran, delivered bool) {
-		for _, p := range parts {
-			e.history.recordOutcome(p.request, p.attempt, outcome, ran, delivered)
-		}
-	}
-	if len(parts) == 0 {
-		return nil, false
-	}
-	if proxyConn == nil { // it has ended meanwhile
-		node = parts[0].request.node
-	}
-	if hang, end := e.nextHang(); hang > 0 {
-		return nil, e.endHang(conn, hang, end, record)
-	}
-	if hang, end := e.drawCallHang(); hang > 0 {
-		return nil, e.endHang(conn, hang, end, record)
-	}
-	m, delay, refused := e.admit(parts[0].request, proxyConn)
-	report := e.loadReport()
-	switch m {
-	case failing:
-		record("500", true, false)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%sContent-Length: 0\r\n\r\n", report)
-		return nil, err == nil
-	case limited:
-		record("429", false, false)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 429 Wait\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", report,
-			retryAfter.Seconds())
-		e.recordRetryAfter(node, proxyConn)
-		return nil, err == nil
-	case hanging:
-		record("no response", true, false)
-		conn.SetReadDeadline(time.Time{})
-		io.Copy(io.Discard, conn)
-		return nil, false
-	case resetting, unavailable:
-		record("connection reset", true, false)
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		return nil, false
-	case garbling:
-		record("malformed response", true, false)
-		io.WriteString(conn, "HTTP/1.1 2\x00\x01\r\nContent-Length: 9999999\r\n\r\n?")
-		return nil, false
-	}
-	if refused {
-		time.Sleep(delay)
-		record("503", false, false)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\n%sContent-Length: 0\r\n\r\n", report)
-		return nil, err == nil
-	}
-	gone := e.drawGone(parts)
-	recordOutcomes := func(outcome string, delivered bool) {
-		for i, p := range parts {
-			e.history.recordOutcome(p.request, p.attempt, outcome, !gone[i], delivered && !gone[i])
-		}
-	}
-	recordOutcomes("executing", false)
-	time.Sleep(delay)
-	if !isOpen(conn, in) {
-		recordOutcomes("abandoned by the node", false)
-		return nil, false
-	}
-	response := e.responseText(call, parts, gone)
-	_, err := io.WriteString(conn, response)
-	recordOutcomes(outcomeDelivered, err == nil)
-	for i, p := range parts {
-		if gone[i] && err == nil {
-			e.history.recordGone(p)
-		}
-	}
-	if err == nil && in.Buffered() == 0 {
-		e.repeat(conn, proxyConn, response)
-	}
-	return parts, err == nil && !e.closesBehindResponse()
-}
-
-// loadReport returns the header field in which the endpoint reports its load.
-func (e *endpoint) loadReport() string { return fmt.Sprintf("Srv-Load: x0=0.5,x1=%g\r\n", e.capacity) }
-
-// isOpen reports whether the peer has not closed a connection. Buffered input means that it is open: the peer has sent
-// its next call already, because it took another response for the one to this call.
-func isOpen(conn net.Conn, in *bufio.Reader) (open bool) {
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	if in.Buffered() > 0 {
-		return true
-	}
-	raw.Control(func(descriptor uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN) || n > 0
-	})
-	return open
-}
-
-// wasReset reports whether the peer of a closed connection answered the last response with a reset, because it had
-// closed the connection before and did not read it.
-func wasReset(conn net.Conn) (unread bool) {
-	time.Sleep(resetDelay)
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(descriptor uintptr) {
-		code, err := unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_ERROR)
-		unread = err == nil && code != 0
-	})
-	return unread
-}
-
 func (e *endpoint) recordRetryAfter(node int, conn *faultproxy.Connection) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/lab/soak/ends.go
+++ b/lab/soak/ends.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"strings"
 	"time"
 )
 
@@ -110,11 +108,11 @@
 }
 
 // responseText returns the response to a call, of which some requests may be gone.
-func (e *endpoint) responseText(call *http.Request, parts []part, gone []bool) string {
+func (e *endpoint) responseText(c *incomingCall, gone []bool) string {
 	status, lines := statusLineOK, ""
 	switch {
-	case strings.HasSuffix(call.URL.Path, bulkPathSuffix):
-		for i, p := range parts {
+	case c.isBulk():
+		for i, p := range c.parts {
 			word := "done"
 			if gone[i] {
 				word = "void"
--- a/lab/soak/hangs.go
+++ b/lab/soak/hangs.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"time"
-
-	"jaspersill/lab/faultproxy"
 )
 
 const (
@@ -48,7 +46,7 @@
 }
 
 // repeat writes a response a second time, or not, as drawn. Half of the copies make the endpoint hang under its next call.
-func (e *endpoint) repeat(conn net.Conn, proxyConn *faultproxy.Connection, response string) {
+func (e *endpoint) repeat(c *incomingCall, response string) {
 	if e.hangs == nil {
 		return
 	}
@@ -60,9 +58,9 @@
 	if !copied {
 		return
 	}
-	proxyConn.MarkDisturbed()
+	c.proxyConn.MarkDisturbed()
 	time.Sleep(gap)
-	io.WriteString(conn, response)
+	io.WriteString(c.conn, response)
 	e.history.count("responses repeated by their endpoint")
 }
 
@@ -84,19 +82,18 @@
 }
 
 // endHang hangs under a call and ends it. It reports whether the connection stays open.
-func (e *endpoint) endHang(conn net.Conn, length time.Duration, end hangEnd, record func(outcome string, ran, delivered bool)) (open bool) {
-	record(fmt.Sprintf("hangs for %v, then %s", length.Round(time.Millisecond), end), false, false)
+func (e *endpoint) endHang(c *incomingCall, length time.Duration, end hangEnd) (open bool) {
+	e.record(c, fmt.Sprintf("hangs for %v, then %s", length.Round(time.Millisecond), end), false)
 	e.history.count("hangs")
 	time.Sleep(length)
 	switch end {
 	case hangEndReset:
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
 		}
 		return false
 	case hangEndClose:
 		return false
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", end)
-	return err == nil
+	return e.respond(c, string(end), "")
 }
