Soak: a node that had exited before an endpoint answered cannot know the answer

Trace: node 0 was killed at 3.766 s; the endpoint read a call of both, which may be repeated, at 3.773 s, and wrote its 200 at 3.780 s to the proxy; the next process sent them again at 4.624 s. The check allows for an exit of the node within 0.3 s after the answer, and not for one between the call and the answer.

Change: an exit from the arrival of the answered attempt on counts; an earlier one does not (two new cases of TestChecksDetectEachViolation).

--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -152,6 +152,16 @@
 			h.readOutages[0] = []interval{{second, 22 * second / 10}}
 			h.exits[0] = []time.Duration{23 * second / 10}
 		}},
+		{"forwarded after a delivery that was written when its node had exited", "", func(r *request, h *history) {
+			r.class = Keyed
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+			h.exits[0] = []time.Duration{r.attempts[0].at + second/2}
+		}},
+		{"forwarded after a delivery, and its node had exited before the delivered attempt", RuleAfterEnd, func(r *request, h *history) {
+			r.class = Keyed
+			r.attempts = append(r.attempts, attempt{at: 5 * second / 2})
+			h.exits[0] = []time.Duration{r.attempts[0].at - second/2}
+		}},
 		{"forwarded after a delivery that its node had time to read and store before it exited", RuleAfterEnd,
 			func(r *request, h *history) {
 				r.class, r.deadline = Keyed, 4*second
