Soak: count a response that crossed its node's closing as unread wherever the endpoint closes too

The node had given up the call, so it owed another attempt. That the endpoint cannot tell: once both ends have closed, no reset reaches it.

Change: the proxy, which sees the order of both, records that a response met a client that had closed the connection, and the check discards such a response if it was the last of its connection and undisturbed. The endpoint closes as before.

--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -14,6 +14,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -217,9 +218,14 @@
 	client, target *net.TCPConn
 	disturbed      atomic.Bool
 
-	requestsEnded atomic.Bool // the client has closed its sending direction
+	requestsEnded  atomic.Bool // the client has closed its sending direction
+	responseUnread atomic.Bool // the client has closed the connection without reading the last response
 }
 
+// ResponseUnread reports whether the client has closed the connection without reading the last response, which crossed its closing. It
+// returns false for nil.
+func (c *Connection) ResponseUnread() bool { return c != nil && c.responseUnread.Load() }
+
 // MarkDisturbed records that one of the connection's ends injected a fault. It has no effect on nil.
 func (c *Connection) MarkDisturbed() {
 	if c != nil {
@@ -238,6 +244,12 @@
 	c.target.Close()
 }
 
+// resetUnread resets the connections on both sides, because the client does not read a response.
+func (c *Connection) resetUnread() {
+	c.responseUnread.Store(true)
+	c.reset()
+}
+
 // stream is one direction of a connection.
 type stream struct {
 	connection *Connection
@@ -265,9 +277,12 @@
 			}
 			s.closeWrite()
 			if s.direction == Requests && isReset(s.from) { // a response reached a socket that was already closed
-				s.connection.reset()
+				s.connection.resetUnread()
 			}
 			return
+		case s.direction == Requests && errors.Is(err, syscall.ECONNRESET):
+			s.connection.resetUnread()
+			return
 		case err != nil:
 			s.connection.reset()
 			return
@@ -363,11 +378,15 @@
 		return false
 	}
 	if _, err := s.to.Write(chunk); err != nil {
-		s.connection.reset()
+		if s.direction == Responses {
+			s.connection.resetUnread()
+		} else {
+			s.connection.reset()
+		}
 		return false
 	}
 	if s.direction == Responses && s.connection.requestsEnded.Load() && isReset(s.to) {
-		s.connection.reset() // the client has closed the connection and does not read the response
+		s.connection.resetUnread()
 		return false
 	}
 	return true
--- a/lab/faultproxy/faultproxy_test.go
+++ b/lab/faultproxy/faultproxy_test.go
@@ -104,3 +104,46 @@
 		t.Errorf("%d of %d datagrams received, %d of them twice", len(counts), sent, repeated)
 	}
 }
+
+// Guards against a response that counts as read although its client had closed the connection before, also where the target closes it behind
+// the response.
+func TestResponseThatCrossesCloseIsUnread(t *testing.T) {
+	const beforeResponse = 50 * time.Millisecond
+	for name, reads := range map[string]bool{"client waits": true, "client leaves": false} {
+		target, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(conn, make([]byte, 1))
+			time.Sleep(beforeResponse)
+			io.WriteString(conn, "response")
+			conn.Close()
+		}()
+		p, err := Listen("127.0.0.1:0", target.Addr().String(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, "?")
+		time.Sleep(beforeResponse / 5)
+		proxied := p.ConnFromClient(conn.LocalAddr())
+		if reads {
+			io.ReadAll(conn)
+		}
+		conn.Close()
+		time.Sleep(beforeResponse + 3*resetDelay)
+		if got := proxied.ResponseUnread(); got == reads {
+			t.Errorf("%s: response unread: %v", name, got)
+		}
+		p.Close()
+		target.Close()
+	}
+}
--- a/lab/soak/call.go
+++ b/lab/soak/call.go
@@ -175,11 +175,7 @@
 	if err == nil && c.unread.Buffered() == 0 {
 		e.repeat(c, response)
 	}
-	if err == nil && e.closesBehindResponse() {
-		e.closeBehindResponse(c)
-		return nil, false
-	}
-	return c.parts, err == nil
+	return c.parts, err == nil && !e.closesBehindResponse()
 }
 
 // isOpen reports whether the peer has not closed the connection. Buffered input means that it is open: the peer has sent
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -11,6 +11,7 @@
 func (h *history) check(dedupWindow time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.discardUnreadResponses()
 	for _, r := range h.ordered {
 		h.checkAnswer(r)
 		h.checkFinal(r)
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -168,7 +168,7 @@
 }
 
 func (e *endpoint) handle(conn net.Conn) {
-	use := connUse{ended: new(atomic.Bool)}
+	use := connUse{ended: new(atomic.Bool), calls: new(atomic.Int32)}
 	endedByNode := false
 	defer func() {
 		use.ended.Store(!endedByNode)
@@ -194,6 +194,7 @@
 			return
 		}
 		var open bool
+		use.number = int(use.calls.Add(1))
 		if last, open = e.handleCall(&incomingCall{request: call, body: body, conn: conn, unread: in}, use); !open {
 			return
 		}
--- a/lab/soak/ends.go
+++ b/lab/soak/ends.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"net"
-	"syscall"
 	"time"
 )
 
@@ -111,19 +107,6 @@
 	return closes
 }
 
-// closeBehindResponse ends a connection behind the response to a call, and finds out whether its node had given up the call by then, and
-// did not read the response. What still arrives on the connection is not read.
-func (e *endpoint) closeBehindResponse(c *incomingCall) {
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
-	c.conn.SetReadDeadline(time.Now().Add(resetDelay))
-	_, err := io.Copy(io.Discard, c.conn)
-	if errors.Is(err, syscall.ECONNRESET) || (err == nil && wasReset(c.conn)) {
-		e.history.recordUnreadResponses(c.parts)
-	}
-}
-
 // responseText returns the response to a call, of which some requests may be gone.
 func (e *endpoint) responseText(c *incomingCall, gone []bool) string {
 	status, lines := statusLineOK, ""
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -68,8 +68,10 @@
 
 // connUse is what an endpoint knows of the connection that carried a call.
 type connUse struct {
-	reused bool         // it had carried a call before
-	ended  *atomic.Bool // the endpoint has closed it, so that the node could see no more on it
+	reused bool          // it had carried a call before
+	number int           // of the call on the connection
+	calls  *atomic.Int32 // how many the connection carried in the end
+	ended  *atomic.Bool  // the endpoint has closed it, so that the node could see no more on it
 }
 
 type interval struct{ from, to time.Duration }
@@ -237,19 +239,39 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range parts {
-		if p.request.attempts[p.attempt].conn.Disturbed() {
-			continue
-		}
-		p.request.attempts[p.attempt].outcome = "abandoned by the node, response not read"
-		if p.request.deliveredBy == p.attempt {
-			p.request.deliveredAt = 0
-		}
-		if p.request.goneBy == p.attempt {
-			p.request.goneAt = 0
+		p.request.discardResponse(p.attempt)
+	}
+}
+
+// discardUnreadResponses does the same for responses that crossed their node's closing of the connection.
+func (h *history) discardUnreadResponses() {
+	for _, r := range h.ordered {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.conn.ResponseUnread() && a.isLastCall() {
+				r.discardResponse(i)
+			}
 		}
 	}
 }
 
+// isLastCall reports whether no call followed the attempt's on its connection.
+func (a *attempt) isLastCall() bool { return a.calls != nil && int(a.calls.Load()) == a.number }
+
+// discardResponse records that the response to an attempt was not read.
+func (r *request) discardResponse(attempt int) {
+	a := &r.attempts[attempt]
+	if a.conn.Disturbed() {
+		return
+	}
+	a.outcome = "abandoned by the node, response not read"
+	if r.deliveredBy == attempt {
+		r.deliveredAt = 0
+	}
+	if r.goneBy == attempt {
+		r.goneAt = 0
+	}
+}
+
 func (h *history) attemptCount(r *request) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
