Soak: keep the later delivery where an earlier response is found unread

Trace: the first call's response was found unread after the run, and with it went the only delivery that the request remembered; the second attempt's 200 or 410 had not been kept. Change: each attempt keeps when its 200 or 410 was written, and the first one left counts.

--- a/lab/soak/ends.go
+++ b/lab/soak/ends.go
@@ -130,10 +130,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := p.request
-	r.attempts[p.attempt].outcome = outcomeGone
-	if r.goneAt == 0 {
-		r.goneAt, r.goneBy = h.now(), p.attempt
-	}
+	r.attempts[p.attempt].outcome, r.attempts[p.attempt].goneAt = outcomeGone, h.now()
+	r.updateEnds()
 }
 
 // Counts of what became of requests that an endpoint ended, and of notices that were not needed.
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -64,6 +64,7 @@
 	outcome  string
 	conn     *faultproxy.Connection
 	connUse
+	deliveredAt, goneAt time.Duration // when the endpoint's 200 or 410 was written
 }
 
 // connUse is what an endpoint knows of the connection that carried a call.
@@ -228,8 +229,9 @@
 	defer h.mu.Unlock()
 	r.attempts[attempt].outcome = outcome
 	r.attempts[attempt].ran = r.attempts[attempt].ran || ran
-	if delivered && r.deliveredAt == 0 {
-		r.deliveredAt, r.deliveredBy = h.now(), attempt
+	if delivered {
+		r.attempts[attempt].deliveredAt = h.now()
+		r.updateEnds()
 	}
 }
 
@@ -264,11 +266,23 @@
 		return
 	}
 	a.outcome = "abandoned by the node, response not read"
-	if r.deliveredBy == attempt {
-		r.deliveredAt = 0
+	if a.deliveredAt > 0 || a.goneAt > 0 {
+		a.deliveredAt, a.goneAt = 0, 0
+		r.updateEnds()
 	}
-	if r.goneBy == attempt {
-		r.goneAt = 0
+}
+
+// updateEnds determines the first delivery of a request, and the first 410, after one was written or found unread.
+func (r *request) updateEnds() {
+	r.deliveredAt, r.deliveredBy, r.goneAt, r.goneBy = 0, 0, 0, 0
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.deliveredAt > 0 && r.deliveredAt == 0 {
+			r.deliveredAt, r.deliveredBy = a.deliveredAt, i
+		}
+		if a.goneAt > 0 && r.goneAt == 0 {
+			r.goneAt, r.goneBy = a.goneAt, i
+		}
 	}
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -57,6 +57,24 @@
 	r.attempts[0].at = leftAt + 450*time.Millisecond
 }
 
+// Guards against a delivery that is overlooked because an earlier response crossed its node's closing of the connection: both were written, and
+// only the second was read.
+func TestUnreadResponseLeavesLaterDelivery(t *testing.T) {
+	h := newHistory()
+	r := h.recordRequest("x", Repeatable, 0, 0, time.Second)
+	for i := range 2 {
+		h.recordAttempt(r.id, 0, 0, nil, connUse{})
+		h.recordOutcome(r, i, outcomeDelivered, true, true)
+	}
+	if r.deliveredBy != 0 {
+		t.Errorf("delivered by attempt %d, want the first", r.deliveredBy)
+	}
+	r.discardResponse(0)
+	if r.deliveredAt == 0 || r.deliveredBy != 1 {
+		t.Errorf("delivered at %v by attempt %d, want by the second", r.deliveredAt, r.deliveredBy)
+	}
+}
+
 // endByGone lets a request that may be repeated be forwarded and delivered 1 s after an endpoint has ended it by 410.
 func endByGone(r *request) {
 	r.class, r.goneAt, r.goneBy, r.deliveredBy = Repeatable, time.Second, 0, 1
