Send nothing more for a delivered event in doubt if an unread answer says that one is over

Cause: a copy of a 200 was taken for the answer to its call, and its own 410 came when no call waited. An answer that no call waits for puts the outcomes of its connection in doubt, and was not looked at: the event was sent again.

Change: if what has arrived unread begins with a 410, a delivery in doubt on that connection is told by a notice. That is right whoever the 410 belongs to: nothing is lost, and nothing is sent for an event that is over. A copy of another's 410 there costs the event its repeat.

Refusals that are copies, with the event's own 410 behind them, are not covered.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -36,6 +36,7 @@
 	evidence connreuse.Evidence
 	refuted  bool // a later response ends no event, so that those behind it prove nothing
 	awaited  bool // the event waits for the settlement, because it must not be repeated
+	sawGone  bool // a response that no call waited for, and so may be the event's, says that an event is over
 	timer    *time.Timer
 
 	mu        sync.Mutex
@@ -200,13 +201,15 @@
 // closeLocked closes a connection for a reason and settles the outcomes read on it. If a response arrived that no call was
 // waiting for, all of them are doubted, since it is unknown which calls the responses belong to. The caller holds p.mu.
 func (p *endpointPool) closeLocked(conn *endpointConn, reason closeReason) {
-	conn.closeWithReason(reason)
 	unexpected := reason == closeSurplus || reason == closeUnread
+	sawGone := unexpected && conn.unreadSaysGone()
+	conn.closeWithReason(reason)
 	if unexpected && conn.callCount > 0 {
 		p.recordOutOfSync(conn, reason)
 	}
 	byEndpoint := reason == closeEnded || reason == closeBroken
 	for _, c := range conn.unconfirmed {
+		c.sawGone = sawGone
 		p.queueSettlement(c, !unexpected && c.evidence.AcceptAtClose(byEndpoint), string(reason))
 	}
 	conn.unconfirmed = nil
--- a/node/endpointconn.go
+++ b/node/endpointconn.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -93,6 +94,16 @@
 	return c.responses.Observe(response.identity)
 }
 
+// unreadSaysGone reports whether what has arrived on the connection, and no call has read, begins with a response which says that an event
+// is over.
+func (c *endpointConn) unreadSaysGone() bool {
+	unread, _ := c.reader.buf.Peek(c.reader.buf.Buffered())
+	if len(unread) == 0 {
+		unread = c.peekUnread(len(statusLineGone))
+	}
+	return bytes.HasPrefix(unread, []byte(statusLineGone))
+}
+
 // closeWithReason closes the connection, and logs and counts the reason.
 func (c *endpointConn) closeWithReason(reason closeReason) {
 	connectionsClosed.With(string(reason)).Inc()
--- a/node/event.go
+++ b/node/event.go
@@ -62,6 +62,7 @@
 	attempt    *attempt // for updateAttemptStarted, updateAttemptEnded and updateRefusalSettled
 	result     result   // for updateAttemptEnded and updateRefusalSettled
 	confirmed  bool     // for updateRefusalSettled and updateDeliverySettled
+	mayBeGone  bool     // for updateDeliverySettled
 	retryAfter int64    // for updateDecline
 }
 
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -178,7 +178,7 @@
 	case updateRefusalSettled:
 		t.settleRefusal(u)
 	case updateDeliverySettled:
-		t.settleDelivery(u.confirmed)
+		t.settleDelivery(u.confirmed, u.mayBeGone)
 	case updateDecline:
 		t.endUndelivered(declined, u.retryAfter)
 	case updateDiscard:
--- a/node/gone_test.go
+++ b/node/gone_test.go
@@ -201,3 +201,20 @@
 		}
 	}
 }
+
+// Guards against a request that is forwarded again after its endpoint has ended it by 410, because a copy of a delivery was taken for the
+// response to its call, and the 410 came when no call waited for a response.
+func TestGoneBehindCopyOfDeliveryIsNotForwardedAgain(t *testing.T) {
+	for _, kind := range []string{"alert", "keyed", "charge"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			endpoint := newHangingEndpoint(300*time.Millisecond, responseGone)
+			env, _ := startHang(t, endpoint, kind)
+			env.waitFor("the second event is ended by a notice", func() bool { return env.hasNotice("second") })
+			time.Sleep(time.Second) // longer than the delay before a repeat
+			if n := endpoint.count(endpoint.received, "second"); n != 1 {
+				t.Errorf("the second request was forwarded %d times, want 1", n)
+			}
+		})
+	}
+}
--- a/node/provisional.go
+++ b/node/provisional.go
@@ -51,7 +51,7 @@
 		t.provisional = true
 		updates := t.updates
 		c.whenSettled(func(confirmed bool) {
-			updates <- eventUpdate{kind: updateDeliverySettled, confirmed: confirmed}
+			updates <- eventUpdate{kind: updateDeliverySettled, confirmed: confirmed, mayBeGone: c.sawGone}
 		})
 		return
 	}
@@ -61,27 +61,42 @@
 }
 
 // settleDelivery handles what became of a delivery that might have belonged to another call. If it is doubted, the event is
-// handed to the scheduler once more, as one whose attempts may have run. One whose deadline has passed is ended by a notice, and one
-// that is doubted when nothing more is decided waits in the journal for the next process.
-func (t *eventTask) settleDelivery(confirmed bool) {
+// handed to the scheduler once more, as one whose attempts may have run. One whose deadline has passed, or which may be gone, is ended by a
+// notice, and one that is doubted when nothing more is decided waits in the journal for the next process.
+func (t *eventTask) settleDelivery(confirmed, mayBeGone bool) {
 	t.provisional = false
 	if confirmed {
 		t.request.ConfirmEnd()
 		t.node.journal.complete(t.event)
 		return
 	}
+	if mayBeGone {
+		t.tellDoubtedDelivery()
+		return
+	}
 	if t.node.decisions.isClosed() {
 		t.request.HandOver()
 	}
-	err := t.request.Reopen(t.node.clock.now())
-	if errors.Is(err, lifecycle.ErrDeadlinePassed) && t.request.FailConfirmation() == nil {
-		noticesInDoubt.With(lifecycle.Delivered.String()).Inc()
-		logDoubtedEnd(t.id, lifecycle.Delivered, "end in doubt, sending a notice")
-		t.reportUndelivered(discarded, 0, false)
+	switch err := t.request.Reopen(t.node.clock.now()); {
+	case err == nil:
+		t.sendAgain()
+	case errors.Is(err, lifecycle.ErrDeadlinePassed):
+		t.tellDoubtedDelivery()
 	}
-	if err != nil {
+}
+
+// tellDoubtedDelivery ends an event whose delivery is doubted by a notice.
+func (t *eventTask) tellDoubtedDelivery() {
+	if t.request.FailConfirmation() != nil {
 		return
 	}
+	noticesInDoubt.With(lifecycle.Delivered.String()).Inc()
+	logDoubtedEnd(t.id, lifecycle.Delivered, "end in doubt, sending a notice")
+	t.reportUndelivered(discarded, 0, false)
+}
+
+// sendAgain hands an event that was reopened to the scheduler.
+func (t *eventTask) sendAgain() {
 	reopenedEvents.Inc()
 	logDoubtedEnd(t.id, lifecycle.Delivered, "end in doubt, sending the event again")
 	t.released = false
--- a/node/retryconn.go
+++ b/node/retryconn.go
@@ -183,17 +183,20 @@
 }
 
 // hasUnread reports whether unread data is available. It does not block, and ignores the read deadline.
-func (c *retryConn) hasUnread() (unread bool) {
+func (c *retryConn) hasUnread() bool { return len(c.peekUnread(1)) > 0 }
+
+// peekUnread returns up to size bytes of the unread data that is available, and leaves them unread. It does not block, and ignores the read
+// deadline.
+func (c *retryConn) peekUnread(size int) []byte {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return nil
 	}
+	peeked, n := make([]byte, size), 0
 	raw.Control(func(descriptor uintptr) {
-		var peeked [1]byte
-		n, _, _ := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = n > 0
+		n, _, _ = syscall.Recvfrom(int(descriptor), peeked, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return unread
+	return peeked[:max(n, 0)]
 }
 
 // CloseWrite closes the write side.
--- a/node/wire.go
+++ b/node/wire.go
@@ -37,6 +37,7 @@
 	statusDeclined = fasthttp.StatusServiceUnavailable
 
 	statusLineOK        = "HTTP/1.1 200"
+	statusLineGone      = "HTTP/1.1 410"
 	statusLineInterim   = "HTTP/1.1 1" // start of an interim response, which another response follows
 	maxInterimResponses = 16
 
