Soak: connections that come up late while nodes drain, as a failing test

Three keyed requests were sent again after their window, each 2.76 to 2.84 s after a SIGTERM and 0.76 s or more after the node had stopped deciding. No earlier soak lets a connection come up late: its proxies accept at once, and its connect timeout of 0.5 s is shorter than the second in which a system tries a dropped connect again.

Runs of the other groups draw what they drew before.

--- a/lab/soak/call.go
+++ b/lab/soak/call.go
@@ -75,6 +75,9 @@
 	if open, handled := e.misbehave(c, m); handled {
 		return nil, open
 	}
+	if open, handled := e.failCall(c); handled {
+		return nil, open
+	}
 	if refused {
 		time.Sleep(delay)
 		e.record(c, "503", false)
--- a/lab/soak/endpoint.go
+++ b/lab/soak/endpoint.go
@@ -52,6 +52,7 @@
 	capacity     float64 // reported in Srv-Load, calls per second
 	hangs        *hangs
 	endings      *endings
+	callFaults   *callFaults
 	remote       bool // answers with the latency of a remote host, and refuses a share of the calls
 	refusalRate  float64
 	proxies      []*faultproxy.Proxy // leading to this endpoint, by node
@@ -96,8 +97,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{number: number, dest: dest, history: h, listener: listener, capacity: endpointCapacity, mode: healthy,
-		remote: p.remote, refusalRate: p.refusalRate, hangs: p.hangs, endings: p.endings,
+	e := &endpoint{number: number, dest: dest, history: h, listener: listener, capacity: p.capacity, mode: healthy,
+		remote: p.remote, refusalRate: p.refusalRate, hangs: p.hangs, endings: p.endings, callFaults: p.callFaults,
 		random: random, conns: map[net.Conn]struct{}{}, retryWaits: map[int]retryWait{}, sawOutage: map[int]bool{},
 		drains: map[int]listNotice{}, process: identity{host: fmt.Sprintf("e%d", number), dest: dest}, told: map[int]listNotice{}}
 	go e.serve()
--- a/lab/soak/leaving.go
+++ b/lab/soak/leaving.go
@@ -84,7 +84,7 @@
 // newRequest records a request of a class to a random destination.
 func (c *client) newRequest(class Class) *request {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
-	timeout := minDeadline + time.Duration(c.random.Int64N(int64(c.history.longestDeadline()-minDeadline)))
+	timeout := minDeadline + time.Duration(c.random.Int64N(int64(c.history.longestDeadline-minDeadline)))
 	return c.history.recordRequest(id, class, c.node, c.random.IntN(c.destinations), timeout)
 }
 
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -10,6 +10,8 @@
 	"jaspersill/lab/sysfault"
 )
 
+const defaultClientsPerNode = 5
+
 // plan is the schedule of a run, drawn from its seed.
 type plan struct {
 	destinations            int
@@ -22,6 +24,11 @@
 	leavingClients          bool     // some clients leave before their requests are answered
 	hangs                   *hangs   // nil if no endpoint hangs after a copy
 	endings                 *endings // nil if no endpoint ends requests that it did not execute
+	callFaults              *callFaults
+	capacity                float64       // that endpoints report, in calls per second
+	connectTimeout          time.Duration // of the nodes
+	clientsPerNode          int
+	longestDeadline         time.Duration // of the requests
 	steps                   []step
 	random                  *rand.Rand
 	length                  time.Duration
@@ -84,6 +91,7 @@
 	groupPaths   = "paths"   // all network connections are disturbed
 	groupClients = "clients" // clients misbehave
 	groupEnds    = "ends"    // endpoints end requests by 410, close connections behind responses and hang; nodes are stopped in series
+	groupLate    = "late"    // connections to endpoints come up late while nodes are terminated, and endpoints fail, ask for waits and drain
 
 	groupReplacements = "replacements" // other processes come up at the addresses of endpoints
 )
@@ -91,14 +99,15 @@
 // FaultGroups lists the groups of faults that a run can be limited to.
 func FaultGroups() []string {
 	return []string{groupDisk, groupSockets, groupSlow, groupKills, groupCalls, groupAnswers, groupNotices, groupHangs, groupPaths,
-		groupClients, groupReplacements, groupEnds}
+		groupClients, groupReplacements, groupEnds, groupLate}
 }
 
 func newPlan(o Options) *plan {
 	random := rand.New(rand.NewPCG(o.Seed, 0x5041))
 	p := &plan{random: random, length: o.Length, destinations: 1 + random.IntN(maxDestinations),
 		endpointsPerDestination: 1 + random.IntN(2), bodySize: 1 + random.IntN(300), refusalRate: defaultRefusalRate,
-		crowded: make([]bool, o.Nodes)}
+		crowded: make([]bool, o.Nodes), capacity: endpointCapacity, connectTimeout: defaultConnectTimeout,
+		clientsPerNode: defaultClientsPerNode, longestDeadline: maxDeadline}
 	if random.IntN(4) == 0 {
 		p.bodySize = largeBodySize
 	}
@@ -112,11 +121,15 @@
 	case groupEnds:
 		p.addEndings(o.Nodes)
 		return p
+	case groupLate:
+		p.addLateConnections(o.Nodes)
+		return p
 	case groupPaths:
 		p.remote = random.IntN(2) == 0
 		p.addPathFaults(o.Nodes)
 		return p
 	case groupClients:
+		p.longestDeadline = shortDeadline // nothing delays a request
 		p.addHostileClients(o)
 		return p
 	case groupReplacements:
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -31,7 +31,7 @@
 	newConnectionsAfterTerm = 300 * time.Millisecond  // new connections still arrive for this long after SIGTERM
 	restartDelay            = 600 * time.Millisecond
 	readyTimeout            = 10 * time.Second
-	connectMillis           = 500
+	defaultConnectTimeout   = 500 * time.Millisecond
 	slots                   = 16
 	maxOpenRequests         = 200
 	maxAttempts             = 6
@@ -72,7 +72,7 @@
 	freezing     sync.Mutex // held while the process is suspended, and for minFreezeGap after that
 }
 
-func newProcess(number int, options *Options, h *history, proxies *network, crowded bool) (*process, error) {
+func newProcess(number int, options *Options, h *history, proxies *network, plan *plan) (*process, error) {
 	name := "n" + strconv.Itoa(number)
 	p := &process{number: number, program: options.Program, history: h,
 		configFile: filepath.Join(options.Folder, name+".json"), folder: filepath.Join(options.Folder, name),
@@ -100,14 +100,14 @@
 		peers = append(peers, d.Address())
 	}
 	sockets := socketLimit
-	if crowded {
+	if plan.crowded[number] {
 		sockets = crowdedSocketLimit
 	}
 	p.settings = map[string]any{"name": name, "listen": p.listen, "discovery": proxies.discovery[number].Address(),
 		"peer_listen": p.peerListen, "peers": peers, "peers_all": proxies.peers[number].Address(),
 		"seed":   fmt.Sprintf("%016x", options.Seed*1000+uint64(number)+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": p.memoryMB, "sockets": sockets, "disk_mb": 3},
-		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}}, "settings": settings(options.Nodes, number)}
+		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}}, "settings": settings(options.Nodes, number, plan)}
 	if err := os.MkdirAll(p.folder, 0o755); err != nil {
 		return nil, err
 	}
@@ -115,10 +115,10 @@
 }
 
 // settings returns the "settings" object of a node's configuration.
-func settings(nodes, me int) map[string]any {
+func settings(nodes, me int, plan *plan) map[string]any {
 	class := func(name Class, semantics string) map[string]any {
 		return map[string]any{"name": name, "semantics": semantics, "group": "all", "aim_ms": 500,
-			"deadline_ms": maxDeadline.Milliseconds(), "value": 1, "late_value": 0.5, "memory_span_ms": dedupWindow.Milliseconds()}
+			"deadline_ms": max(maxDeadline, plan.longestDeadline).Milliseconds(), "value": 1, "late_value": 0.5, "memory_span_ms": dedupWindow.Milliseconds()}
 	}
 	return map[string]any{"me": me, "replicas_of_me": nodes, "tick_ms": 2, "models": []any{"m0"}, "areas": []any{"here"},
 		"discovery": "subscribe", "weight_kind": "silent",
@@ -130,7 +130,7 @@
 		"ceilings": map[string]any{"max_open": maxOpenRequests, "max_attempts": maxAttempts, "may_duplicate": true, "cancel": true,
 			"peer_messages": true,
 			"retry_after":   true, "max_retry_after_ms": 1000, "conn_idle_ms": endpointIdleTimeout.Milliseconds(),
-			"connect_timeout_ms": connectMillis},
+			"connect_timeout_ms": plan.connectTimeout.Milliseconds()},
 		"rules": map[string]any{"cold_share": coldShare, "ramp_time_ms": warmupTime.Milliseconds(), "fall_multiple": overloadFactor,
 			"tip_after_ms": overloadAfter.Milliseconds(), "drain_grace_ms": drainGrace.Milliseconds(), "ask_within_ms": 5000}}
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// executeAgainAfterWindow lets a keyed request be executed a second time, later than its window and the grace of sockets allow.
+func executeAgainAfterWindow(r *request, late time.Duration) {
+	r.class, r.deadline = Keyed, 4*time.Second
+	again := r.attempts[0].at + dedupWindow + socketGrace + late
+	r.deliveredAt = again
+	r.attempts = append(r.attempts, attempt{at: again, ran: true})
+}
+
 // endByGone lets a request that may be repeated be forwarded and delivered 1 s after an endpoint has ended it by 410.
 func endByGone(r *request) {
 	r.class, r.goneAt, r.goneBy, r.deliveredBy = Repeatable, time.Second, 0, 1
@@ -205,6 +213,14 @@
 			r.attempts = append(r.attempts, attempt{at: 5 * second / 2, ran: true})
 			r.attempts[0].at = second / 2
 		}},
+		{"executed again just after its window, and its node was suspended before", "", func(r *request, h *history) {
+			executeAgainAfterWindow(r, processingGrace/2)
+			h.frozen[0] = []interval{{r.attempts[1].at - processingGrace, r.attempts[1].at}}
+		}},
+		{"executed again after its window by more than its node may be suspended", RuleRepeat, func(r *request, h *history) {
+			executeAgainAfterWindow(r, 2*processingGrace)
+			h.frozen[0] = []interval{{r.attempts[1].at - second, r.attempts[1].at}}
+		}},
 	} {
 		h := newHistory()
 		r := accepted()
