Judge each send again right before its bytes are written, in every phase

Cause: what allows a send (window, group, wait, list) was checked when the scheduler decided it; only the scheduler's rounds took it back. A send then waits for its connection, its record or its socket, for 1.5 s and more. 2 s after a SIGTERM the rounds ended, and with them every revocation: the list was no longer read, a Retry-After no longer heeded, and a window could end, while 1.4 s were left to send. Beside that, nothing took back a call of which one byte was written. It is a class: a permission that is checked where a thing is decided and not where it is done.

Change: - package admission, a decision module: one controller keeps the newest list, addresses and waits, and judges each attempt by them, by the terms it was decided on and by the state of its request. It is asked before the record and right before each system call that writes. Retry-After counts from its reading, not from the next round. A call that is written in part is broken off, so that it never runs, and reported as unsent. - a connection whose endpoint has moved while it came up is not used. - the scheduler's rounds go on to the exit. StopSending ends sends and ends of events 2 s after SIGTERM as before; what has not left is still revoked. - reasons and stages of denied attempts in the log and in jaspersill_attempts_denied_total.

Changed for new signatures only: Send with terms, StopSending, destination kinds in newDecisionLoop, HasUnreadable, and a listed endpoint in newTestPool.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -100,15 +100,24 @@
 	Probes       bool
 }
 
+// Terms is what a send was decided on, beside its endpoint and its event. They may end before the send leaves. The zero value sets
+// none.
+type Terms struct {
+	WindowEnd     int64 // when a repeat must no longer be sent; 0 for a send that is none, or has no window
+	Grouped       bool  // only an endpoint in Zone recognizes the duplicate
+	Zone          int
+	AdmittedUntil int64 // when a send admitted by an endpoint's slow start must have left; 0 if there is no slow start
+}
+
 // Executor carries out the decisions of one round, in order. Sends of one round to one endpoint may share a call.
 // A call ends as a whole: when the shortest of their timeouts expires, or when one of them is cancelled by Cancel or
 // CancelUnsent.
 type Executor interface {
-	Send(event, endpoint int32, timeout int64)
+	Send(event, endpoint int32, timeout int64, terms Terms)
 	Decline(event int32, retryAfter int64)
 	Discard(event int32)
 	Cancel(event int32, send int)
-	CancelUnsent(event int32, send int) // a send still waiting for its connection ends as Unsent; otherwise a no-op
+	CancelUnsent(event int32, send int) // a send whose last byte has not left ends as Unsent; otherwise a no-op
 	Wake(after int64)
 	Watch(on bool)
 	Probe(endpoint int32)
@@ -160,4 +169,7 @@
 	Round(now int64, feed Feed, exec Executor)
 	// RetryAfter returns the time after which a client may retry an event that the delivery node has no capacity for.
 	RetryAfter() int64
+	// StopSending ends the decisions: from then on no event is sent or ended. Sends that wait to leave are still revoked, as
+	// before.
+	StopSending()
 }
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -128,7 +128,7 @@
 	s.feed, s.out = feed, out
 	s.Scheduler.Round(now, s, out)
 	if s.extra.progress == extraChosen {
-		out.Send(s.extra.event, s.extra.endpoint, int64(1e9))
+		out.Send(s.extra.event, s.extra.endpoint, int64(1e9), delivery.Terms{})
 		s.extra.progress = extraInFlight
 	}
 }
@@ -225,6 +225,7 @@
 	wakeAt              int64
 	watchActive         bool
 	watchRetryAt        int64
+	stopped             bool // it sends and ends nothing more
 }
 
 func newSimplePolicy(name string, sim *simulator.Simulation, node int, seed uint64) *simplePolicy {
@@ -242,6 +243,9 @@
 func (p *simplePolicy) Round(now int64, feed delivery.Feed, out delivery.Executor) {
 	p.now, p.out = now, out
 	feed.Deliver(p)
+	if p.stopped {
+		return
+	}
 	if !p.watchActive && now >= p.watchRetryAt {
 		out.Watch(true)
 		p.watchRetryAt = now + int64(1e9)
@@ -307,7 +311,7 @@
 	e.sends++
 	p.callsInFlight++
 	p.callsByEndpoint[ep]++
-	p.out.Send(evt, ep, timeout)
+	p.out.Send(evt, ep, timeout, delivery.Terms{})
 	return true
 }
 
@@ -354,6 +358,9 @@
 	}
 }
 
+// StopSending implements delivery.Scheduler.
+func (p *simplePolicy) StopSending() { p.stopped = true }
+
 func (p *simplePolicy) RetryAfter() int64 { return min(int64(5e8), p.limits.MaxRetryAfter) }
 
 func (p *simplePolicy) Event(evt int32, typ, customer int, key uint64, timeLeft, work int64, dest int32) {
--- a/lab/simulator/node.go
+++ b/lab/simulator/node.go
@@ -243,7 +243,7 @@
 }
 
 // Send implements delivery.Executor, as do the methods up to Log.
-func (s *simNode) Send(index, localEp int32, timeout int64) {
+func (s *simNode) Send(index, localEp int32, timeout int64, _ delivery.Terms) {
 	sim := s.sim
 	evt, ep := s.eventByIndex[index], s.endpoints.ID(localEp)
 	e := &sim.events[evt]
--- a/lifecycle/attempts.go
+++ b/lifecycle/attempts.go
@@ -5,11 +5,10 @@
 func (r *Request) StartAttempt(number int, now int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if denial := r.maySend(now); denial != nil {
+		return denied(denial)
+	}
 	switch {
-	case r.endDecided():
-		return denied(ErrEndDecided)
-	case now >= r.deadline:
-		return denied(ErrDeadlinePassed)
 	case !r.stored:
 		return violation(transitionAttempt, r.id, "request is not stored")
 	case r.attemptState != Pending:
@@ -21,17 +20,33 @@
 	return nil
 }
 
+// MaySend returns why no attempt of the request may be sent now: ErrEndDecided, ErrDeadlinePassed, or nil if one may.
+func (r *Request) MaySend(now int64) *Denial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.maySend(now)
+}
+
+// maySend is MaySend with the lock held by the caller.
+func (r *Request) maySend(now int64) *Denial {
+	switch {
+	case r.endDecided():
+		return ErrEndDecided
+	case now >= r.deadline:
+		return ErrDeadlinePassed
+	}
+	return nil
+}
+
 // SendAttempt permits sending the first byte of an attempt whose record is written.
 func (r *Request) SendAttempt(number int, now int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch state := r.stateOf(number); {
-	case state != Recording:
+	if state := r.stateOf(number); state != Recording {
 		return violation(transitionSend, r.id, "attempt is "+state.String())
-	case r.endDecided():
-		return denied(ErrEndDecided)
-	case now >= r.deadline:
-		return denied(ErrDeadlinePassed)
+	}
+	if denial := r.maySend(now); denial != nil {
+		return denied(denial)
 	}
 	r.state, r.attemptState = InFlight, InFlight
 	return nil
--- a/node/call.go
+++ b/node/call.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/bytebufferpool"
 
+	"jaspersill/admission"
 	"jaspersill/delivery"
 	"jaspersill/errclass"
 	"jaspersill/lifecycle"
@@ -25,8 +26,9 @@
 	endpoint  int32
 	startedAt int64
 	timeout   int64
+	terms     delivery.Terms
 	call      *call
-	recalled  bool // recalled while its record was being written
+	revoked   atomic.Bool // the scheduler took it back before it was sent
 }
 
 // call is one HTTP exchange with an endpoint. It carries one or more attempts and ends once, for all of them.
@@ -99,22 +101,27 @@
 			return nil
 		}
 	}
-	if !c.recordAttempts() {
+	if !c.recordAttempts(conn) {
 		c.pool.returnUnused(conn)
 		return nil
 	}
-	// Bytes that arrived while the attempts were being recorded cannot be a response to them.
-	if state := inspectIdleConn(conn); state != idleConnOpen {
-		c.pool.closeConn(conn, state.closeReason())
-		if conn = c.connect(ctx, conn.address); conn == nil {
+	for {
+		// Bytes that arrived while the attempts were being recorded cannot be a response to them.
+		if state := inspectIdleConn(conn); state != idleConnOpen {
+			c.pool.closeConn(conn, state.closeReason())
+			if conn = c.connect(ctx, conn.address); conn == nil {
+				return nil
+			}
+		}
+		switch c.startWrite(conn) {
+		case writeAllowed:
+			return conn
+		case writeDenied:
+			c.pool.returnUnused(conn)
 			return nil
 		}
+		time.Sleep(recordRetryInterval)
 	}
-	if !c.startWrite(conn) {
-		c.pool.returnUnused(conn)
-		return nil
-	}
-	return conn
 }
 
 // takeIdle takes an idle connection for the call, once it has paused. It returns nil and the address to connect to if there
@@ -157,12 +164,16 @@
 	switch {
 	case err == nil:
 		reason = closeGivenUp
+	case errors.Is(err, errNotAdmitted):
+		reason = closeRevoked
 	case errors.Is(err, errEarlyResponse): // belongs to no call: an endpoint starts a call only once its last byte has arrived
-		reason, retryAfter = closeUnread, conn.reader.readResponse(c.attempts).results[0].retryAfter
+		response := conn.reader.readResponse(c.attempts)
+		c.holdForRetryAfter(response)
+		reason, retryAfter = closeUnread, response.results[0].retryAfter
 	}
 	c.pool.closeConn(conn, reason)
 	switch {
-	case errclass.Stream(err) == errclass.Transient: // a failure local to this machine; nothing was sent
+	case errors.Is(err, errNotAdmitted), errclass.Stream(err) == errclass.Transient: // no failure of the endpoint; the call never ran
 		c.finish(result{outcome: delivery.Unsent})
 	case incomplete: // the last byte was not written, so the call never ran
 		c.finish(result{outcome: delivery.ConnectFailed, retryAfter: retryAfter})
@@ -174,8 +185,9 @@
 // readResponse reads the response to a call that was written, and ends the call with it.
 func (c *call) readResponse(conn *endpointConn) {
 	dest := c.attempts[0].event.dest
-	conn.onStall = func(on bool) { c.pool.setStalled(dest, on) }
+	conn.onStall = func(on bool) { c.pool.admission.SetUnreadable(dest, on) }
 	response := conn.reader.readResponse(c.attempts)
+	c.holdForRetryAfter(response)
 	refusedBefore := conn.responses.SawNotRun() && response.identity.NotRun
 	attribution := conn.attribute(response)
 	c.pool.observeResponse(conn, response, attribution)
@@ -198,6 +210,15 @@
 	}
 }
 
+// holdForRetryAfter holds the sends that a response asks to hold, from now on: the scheduler hears of it with its next round only.
+func (c *call) holdForRetryAfter(response callResponse) {
+	for i := range response.results {
+		if retryAfter := response.results[i].retryAfter; retryAfter > 0 {
+			c.pool.admission.HoldUntil(c.endpoint, c.pool.clock.now()+retryAfter)
+		}
+	}
+}
+
 // trackResponse tracks the unconfirmed outcomes that would do harm if the response belonged to another call: those that
 // complete their event, and those saying that an event which is not idempotent did not run.
 func (c *call) trackResponse(conn *endpointConn, response callResponse) {
@@ -236,9 +257,9 @@
 
 // recordAttempts writes the call's attempts to the journal just before the request is written: the process may end while
 // an attempt is in flight, and after a restart an attempt without a record counts as not run. No lock is held meanwhile,
-// since the disk may be slow; abandon and recall leave ending the call or dropping the attempt to this goroutine. It
-// returns false if the call has ended.
-func (c *call) recordAttempts() bool {
+// since the disk may be slow; abandon and recall leave ending the call or dropping the attempt to this goroutine. An
+// attempt that may no longer be sent on the connection is dropped without a record. It returns false if the call has ended.
+func (c *call) recordAttempts(conn *endpointConn) bool {
 	c.mu.Lock()
 	if c.ended {
 		c.mu.Unlock()
@@ -249,12 +270,12 @@
 	c.mu.Unlock()
 	recorded := make(map[*attempt]bool, len(attempts))
 	for _, a := range attempts {
-		recorded[a] = c.recordAttempt(a)
+		recorded[a] = c.recordAttempt(a, conn)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range attempts {
-		if !recorded[a] || a.recalled {
+		if !recorded[a] || a.revoked.Load() {
 			c.dropAttempt(a)
 		}
 	}
@@ -263,10 +284,15 @@
 
 // recordAttempt writes one attempt to the journal, retrying for as long as the attempt is wanted. It reports whether the
 // record was written.
-func (c *call) recordAttempt(a *attempt) bool {
-	for c.pool.stalled(a.event.dest) && c.recordStillWanted(a) { // an unread response may carry a Retry-After
+func (c *call) recordAttempt(a *attempt, conn *endpointConn) bool {
+	denial := c.judge(a, conn)
+	for ; denial.IsTemporary() && c.recordStillWanted(a); denial = c.judge(a, conn) {
 		time.Sleep(recordRetryInterval)
 	}
+	if denial != admission.Allowed {
+		c.logDenial(a, denial, stageRecording)
+		return false
+	}
 	if a.event.request.StartAttempt(a.number, c.pool.clock.now()) != nil {
 		return false
 	}
@@ -287,7 +313,7 @@
 func (c *call) recordStillWanted(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.abandoned && !a.recalled && c.pool.clock.now() < a.event.monoDeadline
+	return !c.abandoned && !a.revoked.Load() && c.pool.clock.now() < a.event.monoDeadline
 }
 
 // dropAttempt removes an attempt from a call of which nothing has been sent. The caller holds c.mu.
@@ -301,26 +327,32 @@
 	}
 }
 
-// startWrite permits the call to be written to a connection. It returns false if the call may not be sent any more.
-func (c *call) startWrite(conn *endpointConn) bool {
+// startWrite permits the call to be written to a connection, without the attempts that may not be sent any more.
+func (c *call) startWrite(conn *endpointConn) writePermission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		return false
+		return writeDenied
 	}
 	if c.abandoned {
 		c.abandonOutcome = delivery.Unsent
 		c.finishLocked(nil)
-		return false
+		return writeDenied
+	}
+	if c.dropDenied(conn); c.ended {
+		return writeDenied
+	}
+	if c.pool.admission.HasUnreadable(c.attempts[0].event.dest) {
+		return writeDelayed
 	}
 	now := c.pool.clock.now()
 	for _, a := range slices.Clone(c.attempts) {
-		if a.recalled || a.event.request.SendAttempt(a.number, now) != nil {
+		if a.event.request.SendAttempt(a.number, now) != nil {
 			c.dropAttempt(a)
 		}
 	}
 	if c.ended {
-		return false
+		return writeDenied
 	}
 	if c.conn == nil { // not a retry of the write
 		conn.countCall()
@@ -330,7 +362,7 @@
 	for _, a := range c.attempts {
 		c.logAttempt(a, "sending attempt", nil)
 	}
-	return true
+	return writeAllowed
 }
 
 // write writes the request and reports whether its last byte was written. While not a single byte can be written, for a
@@ -344,18 +376,34 @@
 			logs.Part("endpoints").WithError(err).Error("failed to serialize call as HTTP request")
 			return false, err
 		}
-		n, err := conn.WriteIfReady(buf.B)
-		if n > 0 || errclass.Stream(err) != errclass.Transient {
+		n, err := conn.WriteIfReady(buf.B, func() error { return c.mayWrite(conn) })
+		switch {
+		case n > 0:
+			if errors.Is(err, errNotAdmitted) {
+				c.logDenied(conn)
+			}
 			return n == buf.Len(), err
+		case errclass.Stream(err) == errclass.Transient:
+			transientFailures.With("write").Inc()
+			c.localFailure.Store(true)
+		case !errors.Is(err, errNotAdmitted) && !errors.Is(err, errNotAdmittedYet):
+			return false, err
 		}
-		transientFailures.With("write").Inc()
-		c.localFailure.Store(true)
-		if !c.holdWrite() {
+		if !c.holdWrite() || !c.resumeWrite(conn, pause) {
 			return false, err
 		}
+	}
+}
+
+// resumeWrite waits, and then until the call may be written. It returns false if it may not be written any more.
+func (c *call) resumeWrite(conn *endpointConn, pause time.Duration) bool {
+	for {
 		time.Sleep(pause)
-		if !c.startWrite(conn) {
-			return false, err
+		switch c.startWrite(conn) {
+		case writeAllowed:
+			return true
+		case writeDenied:
+			return false
 		}
 	}
 }
@@ -411,14 +459,15 @@
 	}
 }
 
-// recall removes an attempt from a call of which no byte has been written yet.
+// recall takes back an attempt of a call whose last byte has not been written yet. The goroutine that records or writes the call drops it,
+// which has no effect if the last byte is being written.
 func (c *call) recall(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.ended:
-	case c.progress == progressRecording:
-		a.recalled = true
+	case c.progress == progressRecording, c.progress == progressWriting:
+		a.revoked.Store(true)
 	case c.progress == progressNone:
 		c.dropAttempt(a)
 	}
--- a/node/call_test.go
+++ b/node/call_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"jaspersill/admission"
 	"jaspersill/delivery"
 	"jaspersill/lifecycle"
 )
@@ -107,6 +108,7 @@
 	p := &endpointPool{clock: clock{start: time.Now()}, journal: j, dial: newDialer(500*ms, socketBuffers{}),
 		idleTimeout: 15000 * ms, maxIdle: 10}
 	p.updateEndpoint(0, "e0", "zone", address)
+	p.admission.List(0, admission.Listing{Ready: true})
 	return p
 }
 
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jaspersill/admission"
 	"jaspersill/delivery"
 	"jaspersill/idmap"
 	"jaspersill/logs"
@@ -15,13 +16,13 @@
 // decisionLoop is the only owner of the scheduler: one goroutine collects input, calls Round, and passes the
 // decisions on to the tasks that wait for them. The index tables and what they refer to belong to that goroutine.
 type decisionLoop struct {
-	clock         clock
-	scheduler     delivery.Scheduler
-	minInterval   int64 // minimum time between rounds
-	eventsPerCall []int // maximum number of events in one call, by destination kind
-	endpoints     *endpointPool
-	directory     *directory
-	peers         *peerMessenger
+	clock       clock
+	scheduler   delivery.Scheduler
+	minInterval int64 // minimum time between rounds
+	kinds       []delivery.DestinationKind
+	endpoints   *endpointPool
+	directory   *directory
+	peers       *peerMessenger
 
 	mu           sync.Mutex
 	pendingInput []func(delivery.Handler) // received since the last round
@@ -29,6 +30,9 @@
 	stop         chan struct{}
 	done         chan struct{}
 
+	stopSendingOnce sync.Once
+	sendingStopped  chan struct{} // closed once nothing more is sent or ended
+
 	eventIndex     idmap.Table[*event]
 	activeAttempts []*attempt // the attempt in flight, by event index; nil for none
 	destIndex      idmap.Table[uint32]
@@ -43,9 +47,15 @@
 	newCalls  []*call // created in this round
 }
 
-func newDecisionLoop(c clock, scheduler delivery.Scheduler, minInterval int64, eventsPerCall []int) *decisionLoop {
-	return &decisionLoop{clock: c, scheduler: scheduler, minInterval: max(minInterval, 1), eventsPerCall: eventsPerCall,
-		inputReady: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+func newDecisionLoop(c clock, scheduler delivery.Scheduler, minInterval int64, kinds []delivery.DestinationKind) *decisionLoop {
+	return &decisionLoop{clock: c, scheduler: scheduler, minInterval: max(minInterval, 1),
+		kinds:      append(slices.Clone(kinds), delivery.DestinationKind{MaxEventsPerCall: 1}),
+		inputReady: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}), sendingStopped: make(chan struct{})}
+}
+
+// kind returns the properties of a destination kind, or those of no particular kind for an unknown number.
+func (d *decisionLoop) kind(number int) delivery.DestinationKind {
+	return d.kinds[min(number, len(d.kinds)-1)]
 }
 
 // enqueue queues an input, which is handed to the scheduler in the next round.
@@ -90,22 +100,38 @@
 	}
 }
 
-// close stops the loop and waits until it has stopped: no decision is made from then on.
-func (d *decisionLoop) close() {
-	close(d.stop)
-	<-d.done
+// stopSending lets the scheduler send and end nothing more, and waits until it does not. Its rounds go on: what a send that has not left
+// yet was allowed by may still end.
+func (d *decisionLoop) stopSending() {
+	d.stopSendingOnce.Do(func() {
+		d.enqueue(func(delivery.Handler) {
+			d.scheduler.StopSending()
+			close(d.sendingStopped)
+		})
+	})
+	select {
+	case <-d.sendingStopped:
+	case <-d.done:
+	}
 }
 
-// isClosed reports whether no decision is made any more.
-func (d *decisionLoop) isClosed() bool {
+// hasStoppedSending reports whether nothing more is sent or ended.
+func (d *decisionLoop) hasStoppedSending() bool {
 	select {
-	case <-d.done:
+	case <-d.sendingStopped:
 		return true
 	default:
 		return false
 	}
 }
 
+// close stops the loop and waits until it has stopped.
+func (d *decisionLoop) close() {
+	d.stopSending()
+	close(d.stop)
+	<-d.done
+}
+
 // round runs one round of the scheduler and carries out its decisions.
 func (d *decisionLoop) round(now int64) {
 	d.scheduler.Round(now, d, d)
@@ -212,7 +238,7 @@
 }
 
 // fullRetryAfter returns the time after which a client may retry whose event was refused for lack of space. It returns 0
-// once the loop is closed.
+// once the loop has stopped.
 func (d *decisionLoop) fullRetryAfter() int64 {
 	reply := make(chan int64, 1)
 	d.enqueue(func(delivery.Handler) { reply <- d.scheduler.RetryAfter() })
@@ -260,6 +286,8 @@
 	if state == delivery.Gone {
 		d.endpoints.updateEndpoint(e.index, e.String(), e.zone, "")
 	}
+	d.endpoints.admission.List(e.index, admission.Listing{Dest: e.dest, Zone: d.directory.zoneIndex(e.zone),
+		OwnLimit: d.kind(e.kind).LimitPerEndpoint, Ready: state == delivery.Ready})
 	dest, _ := d.destIndex.Acquire(e.dest)
 	to.EndpointListed(e.index, dest, e.kind, d.directory.zoneIndex(e.zone), state, rate)
 }
@@ -271,12 +299,12 @@
 
 // Send implements delivery.Executor, as do the methods below. Sends of one round to the same endpoint share a call as long as
 // their bodies fit into it.
-func (d *decisionLoop) Send(evt, ep int32, timeout int64) {
+func (d *decisionLoop) Send(evt, ep int32, timeout int64, terms delivery.Terms) {
 	e := d.eventIndex.ID(evt)
-	a := &attempt{event: e, number: e.attemptCount, endpoint: ep, timeout: timeout, startedAt: d.clock.now()}
+	a := &attempt{event: e, number: e.attemptCount, endpoint: ep, timeout: timeout, terms: terms, startedAt: d.clock.now()}
 	e.attemptCount++
 	d.activeAttempts[evt] = a
-	maxAttempts := d.eventsPerCall[min(d.kindOf[ep], len(d.eventsPerCall)-1)]
+	maxAttempts := d.kind(d.kindOf[ep]).MaxEventsPerCall
 	for _, c := range d.newCalls {
 		if c.endpoint == ep && len(c.attempts) < maxAttempts && c.bodySize+bulkSize(e) <= maxBodyBytes {
 			a.call, c.attempts, c.bodySize = c, append(c.attempts, a), c.bodySize+bulkSize(e)
--- a/node/endpointconn.go
+++ b/node/endpointconn.go
@@ -28,6 +28,7 @@
 	closeBroken    closeReason = "broken"    // it failed during a call
 	closeAnswer    closeReason = "answer"    // the response asks for it, or could not be read to its end
 	closeSurplus   closeReason = "surplus"   // data other than the call's own response arrived
+	closeRevoked   closeReason = "revoked"   // its call may not be sent any more, and was written in part
 	closeUnwritten closeReason = "unwritten" // its call could not be serialized as HTTP
 )
 
--- a/node/endpointpool.go
+++ b/node/endpointpool.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"jaspersill/admission"
 	"jaspersill/connreuse"
 	"jaspersill/errclass"
 )
@@ -23,15 +24,14 @@
 	clock       clock
 	journal     *journal
 	dial        dialFunc
+	admission   admission.Controller
 	idleTimeout int64 // ns after which an endpoint closes an idle connection, 0 if it does not
 	maxIdle     int   // idle connections to all endpoints together
 
 	activeCalls atomic.Int32
 
 	mu              sync.Mutex
-	stalledReads    map[uint32]int // by destination, connections on which reads fail for a reason local to this machine
-	addresses       []string       // by endpoint
-	zones           []string
+	zones           []string // by endpoint
 	names           []string
 	reuse           []connreuse.EndpointStats
 	refusals        connreuse.RefusalStats
@@ -47,12 +47,11 @@
 func (p *endpointPool) updateEndpoint(ep int32, name, zone, address string) {
 	p.mu.Lock()
 	defer p.unlockAndSettle()
-	for int(ep) >= len(p.addresses) {
-		p.addresses, p.zones, p.names = append(p.addresses, ""), append(p.zones, ""), append(p.names, "")
+	for int(ep) >= len(p.zones) {
+		p.zones, p.names = append(p.zones, ""), append(p.names, "")
 		p.idle, p.callsByEndpoint, p.reuse = append(p.idle, nil), append(p.callsByEndpoint, 0), append(p.reuse, connreuse.EndpointStats{})
 	}
-	if p.names[ep], p.zones[ep] = name, zone; p.addresses[ep] != address {
-		p.addresses[ep] = address
+	if p.names[ep], p.zones[ep] = name, zone; p.admission.SetAddress(ep, address) {
 		p.closeIdleLocked(ep, closeMoved)
 	}
 }
@@ -81,7 +80,8 @@
 		return false
 	}
 	p.closeIdleLocked(ep, closeMoved)
-	p.addresses[ep], p.zones[ep], p.names[ep], p.reuse[ep] = "", "", "", connreuse.EndpointStats{}
+	p.admission.Forget(ep)
+	p.zones[ep], p.names[ep], p.reuse[ep] = "", "", connreuse.EndpointStats{}
 	return true
 }
 
@@ -146,7 +146,7 @@
 		}
 		i := p.reuse[ep].Choose(candidates, repeatable, p.refusals.Distinguishable(), now)
 		if i < 0 {
-			return nil, 0, p.addresses[ep]
+			return nil, 0, p.admission.Address(ep)
 		}
 		c := p.idle[ep][i]
 		if !p.checkIdle(c) {
@@ -229,7 +229,7 @@
 // or if the pool is full: more idle connections would take the file descriptors that clients need. The caller holds p.mu.
 func (p *endpointPool) addIdle(c *endpointConn) {
 	switch {
-	case c.address != p.addresses[c.endpoint]:
+	case c.address != p.admission.Address(c.endpoint):
 		p.closeLocked(c, closeMoved)
 		return
 	case p.idleCount >= p.maxIdle:
@@ -246,27 +246,6 @@
 	p.idleCount++
 }
 
-// setStalled records that a response from a destination temporarily cannot be read, or that it can be read again.
-func (p *endpointPool) setStalled(dest uint32, on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.stalledReads == nil {
-		p.stalledReads = make(map[uint32]int)
-	}
-	if on {
-		p.stalledReads[dest]++
-	} else if p.stalledReads[dest]--; p.stalledReads[dest] <= 0 {
-		delete(p.stalledReads, dest)
-	}
-}
-
-// stalled reports whether a response from a destination temporarily cannot be read. Such a response may ask for a wait.
-func (p *endpointPool) stalled(dest uint32) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stalledReads[dest] > 0
-}
-
 // connect opens a connection. While connecting fails for a reason local to this machine, it retries until ctx ends;
 // localFailure holds whether the latest try failed for such a reason.
 func (p *endpointPool) connect(ctx context.Context, ep int32, address string, localFailure *atomic.Bool) (*endpointConn, error) {
--- a/node/eventtask.go
+++ b/node/eventtask.go
@@ -140,7 +140,7 @@
 
 // run handles updates until the end is decided for good and reported, and no attempt is in flight.
 func (t *eventTask) run() {
-	decisionsDone := t.node.decisions.done
+	sendingStopped := t.node.decisions.sendingStopped
 	for !t.released || t.endUnreported || t.provisional || t.attemptsInFlight > 0 {
 		select {
 		case u := <-t.updates:
@@ -151,8 +151,8 @@
 			t.reportEnd(false)
 		case <-t.pending.clientTimeout:
 			t.redirectToPlatform()
-		case <-decisionsDone: // the client still needs a response: the event is in the journal, so it counts as accepted
-			decisionsDone = nil
+		case <-sendingStopped: // the client still needs a response: the event is in the journal, so it counts as accepted
+			sendingStopped = nil
 			if t.pending.written == nil {
 				t.respond(statusAccepted, 0)
 			}
--- a/node/iofaults_test.go
+++ b/node/iofaults_test.go
@@ -523,7 +523,7 @@
 	second.attempts = []*attempt{newTestAttempt(t, second, "second", 10*time.Second)}
 	recalled := second.attempts[0]
 	go p.execute(first)
-	for end := time.Now().Add(testTimeout); !p.stalled(0) && time.Now().Before(end); {
+	for end := time.Now().Add(testTimeout); !p.admission.HasUnreadable(0) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	go p.execute(second)
--- a/node/node.go
+++ b/node/node.go
@@ -63,7 +63,7 @@
 	phase           atomic.Int32
 	activeEvents    atomic.Int64 // events accepted and not ended
 	unreportedEnds  atomic.Int64 // ends that are decided but not reported
-	decisionsClosed atomic.Bool  // no more decisions are made
+	decisionsClosed atomic.Bool  // nothing more is accepted, sent or ended
 	maxEvents       int64        // upper bound of activeEvents
 	typeNames       []string
 	customerNames   []string
@@ -114,11 +114,7 @@
 	plan := membudget.NewPlan(n.memoryLimits)
 	n.memory = membudget.NewBudget(plan.RequestBytes)
 	n.journal.store.LimitCompletedIDs(plan.RememberedIDs)
-	var eventsPerCall []int
-	for _, kind := range settings.DestinationKinds {
-		eventsPerCall = append(eventsPerCall, kind.MaxEventsPerCall)
-	}
-	n.decisions = newDecisionLoop(c, scheduler, settings.MinRoundInterval, append(eventsPerCall, 1))
+	n.decisions = newDecisionLoop(c, scheduler, settings.MinRoundInterval, settings.DestinationKinds)
 	n.endpoints = &endpointPool{clock: c, journal: n.journal, dial: newDialer(settings.ConnectTimeout, socketBuffers{receive: plan.EndpointReceiveBuffer}),
 		idleTimeout: settings.ConnIdleTimeout, maxIdle: plan.IdleEndpointConns}
 	n.directory = &directory{address: config.Directory, openWatches: make(map[*watch]struct{}),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -58,6 +58,7 @@
 	beforeRun       func(*Node) // called with the node before it runs
 	pushedLists     bool
 	beforeList      func() bool // called before a list is sent; if it returns false, the call fails
+	laterLists      chan string // sent on the watch behind the first list; nil for none
 	mu              sync.Mutex
 	notices         []string
 	*Node
@@ -77,6 +78,11 @@
 	return p
 }
 
+// destinationKinds returns one kind of destination, with the largest number of events in a call.
+func destinationKinds(maxEventsPerCall int) []delivery.DestinationKind {
+	return []delivery.DestinationKind{{MaxEventsPerCall: maxEventsPerCall}}
+}
+
 // listOf returns a whole list of endpoints on one line.
 func listOf(version int, hosts []string) string {
 	return strings.ReplaceAll(fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, version, strings.Join(hosts, ",")), "\n", "")
@@ -95,6 +101,13 @@
 				return respond(httpResponse("503 Down", "", ""))(conn, body)
 			}
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+			if env.laterLists != nil {
+				go func() {
+					for later := range env.laterLists {
+						fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(later)+1, later)
+					}
+				}()
+			}
 			return true
 		}
 		env.mu.Lock()
@@ -247,7 +260,7 @@
 		t.Errorf("got %d calls, want 1", calls)
 	}
 	// An event submitted in the round that frees the index of a completed one with the same id is a new event.
-	d := newDecisionLoop(clock{start: time.Now()}, &recordingScheduler{}, ms, []int{1})
+	d := newDecisionLoop(clock{start: time.Now()}, &recordingScheduler{}, ms, destinationKinds(1))
 	first, second := &event{id: "same", updates: make(chan eventUpdate, 9)}, &event{id: "same", updates: make(chan eventUpdate, 9)}
 	d.addEvent(first)
 	d.round(0)
@@ -390,7 +403,7 @@
 
 func TestRestoredEventsKeepTheirOrder(t *testing.T) {
 	r := &recordingScheduler{}
-	n := &Node{memory: membudget.NewBudget(1 << 30), decisions: newDecisionLoop(clock{start: time.Now()}, r, ms, []int{1})}
+	n := &Node{memory: membudget.NewBudget(1 << 30), decisions: newDecisionLoop(clock{start: time.Now()}, r, ms, destinationKinds(1))}
 	want := ""
 	for i := range 50 {
 		n.restored = append(n.restored, &event{id: fmt.Sprint(i), dest: uint32(i), updates: make(chan eventUpdate, updateBuffer)})
@@ -404,12 +417,12 @@
 }
 
 func TestBulkCallsRespectBodyLimit(t *testing.T) {
-	d := newDecisionLoop(clock{start: time.Now()}, nil, ms, []int{3})
+	d := newDecisionLoop(clock{start: time.Now()}, nil, ms, destinationKinds(3))
 	d.kindOf = []int{0}
 	for i, size := range []int{40 << 10, 20 << 10, 20 << 10, 10, 10} {
 		d.eventIndex.Acquire(&event{id: fmt.Sprint(i), body: make([]byte, size)})
 		d.activeAttempts = append(d.activeAttempts, nil)
-		d.Send(int32(i), 0, ms)
+		d.Send(int32(i), 0, ms, delivery.Terms{})
 	}
 	got := ""
 	for _, c := range d.newCalls {
@@ -859,6 +872,7 @@
 func (r *recordingScheduler) Confirmed(e int32, attempt int) { r.record("confirmed %d %d", e, attempt) }
 func (r *recordingScheduler) Doubted(e int32, attempt int)   { r.record("doubted %d %d", e, attempt) }
 func (r *recordingScheduler) RetryAfter() int64              { return 0 }
+func (r *recordingScheduler) StopSending()                   {}
 func (r *recordingScheduler) ListStarted(whole bool)         { r.record("whole=%v", whole) }
 func (r *recordingScheduler) ListEnded(fromNewestWatch bool) {
 	if fromNewestWatch {
@@ -883,7 +897,7 @@
 
 // newTestDirectoryFor starts a directory client for an address, with any scheduler.
 func newTestDirectoryFor(t *testing.T, address string, s delivery.Scheduler) *directory {
-	d := newDecisionLoop(clock{start: time.Now()}, s, ms, []int{1})
+	d := newDecisionLoop(clock{start: time.Now()}, s, ms, destinationKinds(1))
 	d.endpoints = newTestPool(t, "")
 	d.directory = &directory{address: address, maxListBytes: 1 << 20, openWatches: make(map[*watch]struct{}),
 		knownDests: make(map[uint32]struct{}), decisions: d, endpoints: d.endpoints, useRates: true,
@@ -1135,7 +1149,7 @@
 
 func TestForgottenEndpointKeepsIndexUntilItsCallsEnd(t *testing.T) {
 	scheduler := &recordingScheduler{}
-	d := newDecisionLoop(clock{start: time.Now()}, scheduler, ms, []int{1})
+	d := newDecisionLoop(clock{start: time.Now()}, scheduler, ms, destinationKinds(1))
 	d.endpoints, d.directory = newTestPool(t, "127.0.0.1:1"), &directory{}
 	take := func(host string, want int32) {
 		t.Helper()
--- a/node/phases.go
+++ b/node/phases.go
@@ -27,7 +27,7 @@
 // The platform kills the process 3.7 s after SIGTERM, and routes new connections to it during the first 0.4 s.
 const (
 	drainCloseIdle    = 600 * time.Millisecond  // when to close idle connections, so that their clients reconnect elsewhere
-	drainStopDeciding = 2000 * time.Millisecond // when to stop deciding and accepting events: attempts in flight have time to end
+	drainStopDeciding = 2000 * time.Millisecond // when to stop sending and accepting events: attempts in flight have time to end
 	drainExit         = 3400 * time.Millisecond // when to exit, even with work in flight
 	drainWriteGrace   = 150 * time.Millisecond  // extra time while responses are unwritten: writing one takes almost no time
 	drainPollInterval = 10 * time.Millisecond
@@ -79,7 +79,7 @@
 	n.decisionsClosed.Store(true)
 	n.clients.listener.closeAllIdle()
 	n.waitUntil(start.Add(drain.stopDeciding), n.noUnfinishedEvents) // for events admitted just before
-	n.decisions.close()
+	n.decisions.stopSending()
 	n.waitUntil(start.Add(drain.exit-drainNoticeReserve), n.confirmationsSettled)
 	n.endpoints.settleAll()
 	n.waitUntil(start.Add(drain.exit), n.quiesced)
@@ -87,6 +87,7 @@
 	n.clients.listener.closeAllIdle()
 	n.waitUntil(start.Add(drain.exit+drainWriteGrace), n.clients.listener.isEmpty)
 	n.directory.close()
+	n.decisions.close()
 	n.setPhase(Stopped)
 	return nil
 }
--- a/node/provisional.go
+++ b/node/provisional.go
@@ -74,7 +74,7 @@
 		t.tellDoubtedDelivery()
 		return
 	}
-	if t.node.decisions.isClosed() {
+	if t.node.decisions.hasStoppedSending() {
 		t.request.HandOver()
 	}
 	switch err := t.request.Reopen(t.node.clock.now()); {
--- a/node/retryconn.go
+++ b/node/retryconn.go
@@ -65,7 +65,7 @@
 // Write implements net.Conn. After a partial write it continues with the rest.
 func (c *retryConn) Write(b []byte) (written int, err error) {
 	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
-		n, err := c.writeOnce(b[written:])
+		n, err := c.writeOnce(b[written:], admitAlways)
 		written += n
 		if written == len(b) || (err != nil && errclass.Stream(err) != errclass.Transient) {
 			return written, err
@@ -79,9 +79,9 @@
 
 // WriteIfReady writes all of b, or nothing if the first write fails with a transient error. It then returns that error, and
 // the caller decides whether the data should still be written. It stops if a response arrives before the last byte is
-// written.
-func (c *retryConn) WriteIfReady(b []byte) (written int, err error) {
-	written, err = c.writeOnce(b)
+// written, and with the error of admit, which is called right before each system call that writes.
+func (c *retryConn) WriteIfReady(b []byte, admit func() error) (written int, err error) {
+	written, err = c.writeOnce(b, admit)
 	if written == 0 || written == len(b) || (err != nil && errclass.Stream(err) != errclass.Transient) {
 		return written, err
 	}
@@ -89,8 +89,12 @@
 		if c.hasUnread() {
 			return written, errEarlyResponse
 		}
-		n, err := c.writeOnce(b[written:])
+		n, err := c.writeOnce(b[written:], admit)
 		written += n
+		if errors.Is(err, errNotAdmittedYet) {
+			time.Sleep(pause)
+			continue
+		}
 		if written == len(b) || (err != nil && errclass.Stream(err) != errclass.Transient) {
 			return written, err
 		}
@@ -132,20 +136,31 @@
 	return n, nil
 }
 
-// writeOnce makes a single write call, which is partial if the socket buffer has no space for all of b.
-func (c *retryConn) writeOnce(b []byte) (n int, err error) {
+func admitAlways() error { return nil }
+
+// writeOnce makes a single write call, which is partial if the socket buffer has no space for all of b. It waits for space, and calls
+// admit behind that; if admit returns an error, nothing is written.
+func (c *retryConn) writeOnce(b []byte, admit func() error) (n int, err error) {
 	raw := c.raw()
 	if raw == nil || len(b) == 0 {
+		if err := admit(); err != nil {
+			return 0, err
+		}
 		return c.Conn.Write(b)
 	}
-	var failure error
+	var failure, denied error
 	err = raw.Write(func(descriptor uintptr) bool {
+		if denied = admit(); denied != nil {
+			return true
+		}
 		n, failure = syscall.Write(int(descriptor), b)
 		return failure != syscall.EAGAIN
 	})
 	switch {
 	case err != nil:
 		return 0, err
+	case denied != nil:
+		return 0, denied
 	case failure != nil:
 		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", failure)}
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -28,14 +28,8 @@
 		if !e.live || e.call < 0 {
 			continue
 		}
+		s.revokeIfForbidden(int32(i))
 		c := &s.calls[e.call]
-		// A send may have to wait for its connection. By the time the connection is open, a requested wait, the list or the
-		// dedup window may forbid the send.
-		if !e.unsentCancelled && (s.now < s.limiters.heldUntil[s.endpoints.limiter[c.endpoint]] ||
-			!s.endpoints.ready[c.endpoint] || s.now >= s.dedupWindowEnd(e)) {
-			s.exec.CancelUnsent(int32(i), e.sends-1)
-			e.unsentCancelled = true
-		}
 		if e.cancelled || !s.limits.CanCancel {
 			continue
 		}
@@ -48,6 +42,28 @@
 	}
 }
 
+// revokeUnsent takes back the sends that have not left yet and are no longer allowed.
+func (s *Scheduler) revokeUnsent() {
+	for i := range s.events {
+		if e := &s.events[i]; e.live && e.call >= 0 {
+			s.revokeIfForbidden(int32(i))
+		}
+	}
+}
+
+// revokeIfForbidden takes back an event's send in flight, if it has not left, once it is no longer allowed. A send may have to wait for its
+// connection, its record or its socket, and by then a requested wait, the list or the dedup window may forbid it.
+func (s *Scheduler) revokeIfForbidden(evt int32) {
+	e := &s.events[evt]
+	c := &s.calls[e.call]
+	if e.unsentCancelled || (s.now >= s.limiters.heldUntil[s.endpoints.limiter[c.endpoint]] && s.endpoints.ready[c.endpoint] &&
+		s.now < s.dedupWindowEnd(e)) {
+		return
+	}
+	s.exec.CancelUnsent(evt, e.sends-1)
+	e.unsentCancelled = true
+}
+
 // enqueue adds an event to those that wait to be sent.
 func (s *Scheduler) enqueue(evt int32) {
 	s.waiting = append(s.waiting, eventRef{index: evt, arrival: s.events[evt].arrival})
@@ -167,7 +183,20 @@
 	case delivery.Deduplicated: // past the dedup window no repeat is allowed, and the event would be lost
 		timeout = min(timeout, timeoutMultiple*short, max(short, t.DedupWindow/attemptsPerDedupWindow))
 	}
-	s.exec.Send(evt, ep, timeout)
+	s.exec.Send(evt, ep, timeout, s.terms(e))
+}
+
+// terms returns what a send is decided on.
+func (s *Scheduler) terms(e *event) (terms delivery.Terms) {
+	t := &s.types[e.typ]
+	if end := s.dedupWindowEnd(e); end != math.MaxInt64 {
+		terms.WindowEnd = end
+	}
+	if e.mayHaveRun() && t.DedupPerZone {
+		_, zone := e.firstPossibleRun()
+		terms.Grouped, terms.Zone = true, zone
+	}
+	return terms
 }
 
 // joinableCall returns the call to an endpoint that was opened in this round and has room for one more event, or -1. A
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -127,6 +127,9 @@
 // finish ends an event now. It is declined, with a retry-after time, if no send can have taken effect, and otherwise
 // discarded.
 func (s *Scheduler) finish(evt int32, retryAfter int64) {
+	if s.stopped {
+		return
+	}
 	if e := &s.events[evt]; e.mayHaveRun() || e.call >= 0 {
 		if e.call >= 0 { // a send that is still connecting must not leave after the client has its final answer
 			s.exec.CancelUnsent(evt, e.sends-1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 	calls                      []call     // entries with no outcomes to come are reused
 	openCalls                  int
 	now, round                 int64
+	stopped                    bool  // nothing more is sent or ended
 	wakeAt, rankAt, orderPause int64 // orderPause: how long a key is held after a send that may still run
 
 	dir          directory
@@ -77,8 +78,12 @@
 			s.byDest[d] = list
 		}
 	}
-	s.expire()
-	s.dispatch()
+	if s.stopped {
+		s.revokeUnsent()
+	} else {
+		s.expire()
+		s.dispatch()
+	}
 	if s.wakeAt <= now {
 		s.wakeAt = now + wakeInterval
 		exec.Wake(wakeInterval)
@@ -108,6 +113,10 @@
 	}
 }
 
+// StopSending leaves the events that are unfinished to the next process: nothing more is sent or ended. Sends that have not left yet are
+// still revoked, since the input goes on.
+func (s *Scheduler) StopSending() { s.stopped = true }
+
 func (s *Scheduler) RetryAfter() int64 {
 	return min(minFullRetryAfter+int64(s.rng.float()*float64(minFullRetryAfter)), s.limits.MaxRetryAfter)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -28,6 +28,7 @@
 //	withdrawn E
 //	released E                                             the index of an ended event is free: the next event gets it
 //	peer_healthy EP [sent D]                               a peer reports that the endpoint answered a call sent this long ago
+//	stop                                                   the node drains: nothing more is sent or ended
 //	retry_after MIN MAX                                    the retry-after time without capacity is in this range
 //	list full|delta|replaced|failed EP:DEST[:STATE[:ZONE]]...
 //	                                                       replaced: changes told by a watch that is not the newest; before
@@ -112,6 +113,7 @@
 	finalAnswerBy            []int64
 	ready                    map[string]bool
 	watched                  bool // a watch has been asked for
+	stopped                  bool // nothing more is sent or ended
 	pending                  []pendingOutcome
 	unconfirmed              int // number of the send whose outcome is unconfirmed
 	replies                  map[string]pendingOutcome
@@ -217,7 +219,7 @@
 	h.scheduler.Round(h.now, h, h)
 	h.inputs = nil
 	for e := range h.finalAnswerBy {
-		if !h.ended[e] && h.now > h.finalAnswerBy[e] {
+		if !h.ended[e] && !h.stopped && h.now > h.finalAnswerBy[e] {
 			h.fail("%s has no final answer by %v", h.events[e], time.Duration(h.now))
 		}
 	}
@@ -269,6 +271,9 @@
 			h.fail("%s has not ended, or has a send in flight", f[1])
 		}
 		h.events[e] = ""
+	case "stop":
+		h.stopped = true
+		h.inputs = append(h.inputs, func(delivery.Handler) { h.scheduler.StopSending() })
 	case "retry_after": // retry_after MIN MAX
 		h.inputs = append(h.inputs, func(delivery.Handler) {
 			if after := h.scheduler.RetryAfter(); after < h.duration(f[1]) || after > h.duration(f[2]) {
@@ -368,9 +373,9 @@
 
 func (h *harness) record(text string) { h.decisions = append(h.decisions, decision{h.now, text}) }
 
-func (h *harness) Send(evt, ep int32, timeout int64) {
+func (h *harness) Send(evt, ep int32, timeout int64, _ delivery.Terms) {
 	name := h.endpoints[ep]
-	if h.ended[evt] || h.inFlight[evt] != nil || !h.ready[name] || timeout <= 0 {
+	if h.ended[evt] || h.inFlight[evt] != nil || !h.ready[name] || timeout <= 0 || h.stopped {
 		h.fail("send of %s to %s with timeout %v breaks the rules", h.events[evt], name, time.Duration(timeout))
 	}
 	h.sends[evt]++
@@ -386,8 +391,8 @@
 }
 
 func (h *harness) endEvent(evt int32, word string) {
-	if h.ended[evt] {
-		h.fail("%s got two final answers", h.events[evt])
+	if h.ended[evt] || h.stopped {
+		h.fail("%s got two final answers, or one after the stop", h.events[evt])
 	}
 	h.ended[evt] = true
 	h.record(word + " " + h.events[evt])
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -483,7 +483,7 @@
 }
 
 // Send and the methods below implement delivery.Executor.
-func (w *replyWriter) Send(evt, endpoint int32, timeout int64) {
+func (w *replyWriter) Send(evt, endpoint int32, timeout int64, _ delivery.Terms) {
 	r := w.eventRecord(actionIssue, evt)
 	le.PutUint32(r[9:], w.instance.endpoints.ID(endpoint))
 	le.PutUint64(r[13:], math.Float64bits(nsToMs(timeout)))
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -109,6 +109,7 @@
 }
 func (s *scriptedScheduler) Woken()            { s.record("woken") }
 func (s *scriptedScheduler) RetryAfter() int64 { return 0 }
+func (s *scriptedScheduler) StopSending()      {}
 
 func TestFramesRoundTrip(t *testing.T) {
 	var in, out bytes.Buffer
@@ -127,7 +128,7 @@
 	rounds := 0
 	s.act = func(w delivery.Executor) {
 		if rounds++; rounds == 1 {
-			w.Send(0, 1, 1500*1000)
+			w.Send(0, 1, 1500*1000, delivery.Terms{})
 			w.Wake(5 * 1e6)
 			w.Watch(true)
 			w.AnnounceHealthy(2, 30*1e6)
