Take back what an outage or a slow start no longer covers

Callers would see: an endpoint that returns from an outage gets the calls that were decided before the outage was noticed and waited for their connections, on top of those that its slow start allows, and calls that the slow start spread over time arrive at once when their connections come up together.

A send that was decided before its endpoint was ejected had not been counted at all.

Change: the scheduler takes back sends that have not left and were decided before their endpoint was ejected; trials are kept. A connection that came up too late for its call is kept, and the next send takes it.

--- a/node/drainpermission_test.go
+++ b/node/drainpermission_test.go
@@ -59,6 +59,7 @@
 // Guards against permissions that end unnoticed in one of the node's phases, while a send waits for its connection: as rounds decide
 // nothing more in a drain, they used to revoke nothing either.
 func TestPermissionsEndInEachPhase(t *testing.T) {
+	const serverError = "500 Internal Server Error"
 	for _, permission := range []struct {
 		name   string
 		phases []Phase
@@ -67,6 +68,10 @@
 	}{
 		{"list", []Phase{Serving, Draining}, 0, func(env *lateEnv) { env.laterLists <- strings.ReplaceAll(listOf(5, env.hosts), "Ready", "Terminating") }},
 		{"wait", []Phase{Serving, Draining}, 1, func(env *lateEnv) { env.answers <- httpResponse("429 Full", "Retry-After: 60\r\n", "") }},
+		{"slow start", []Phase{Draining}, 2, func(env *lateEnv) {
+			env.answers <- httpResponse(serverError, "", "")
+			env.answers <- httpResponse(serverError, "", "")
+		}},
 	} {
 		for _, phase := range permission.phases {
 			t.Run(permission.name+"/"+phase.String(), func(t *testing.T) {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -6,6 +6,7 @@
 	endpoint                     int32
 	startedAt, round, idleBefore int64 // idleBefore: how long nothing had been in flight to the endpoint
 	events                       int   // outcomes still to come
+	trial                        bool  // its endpoint was ejected when it was decided
 	recorded, countedLost        bool  // its outcome has been recorded; it was counted as lost while overdue
 }
 
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -12,6 +12,7 @@
 	backlogPerSlot     = 3          // waiting events per call slot beyond which silence costs more than a repeat
 	scarceSlotsDivisor = 8          // slots are scarce when at most 1/8 of them are free: one or two
 	priorityLookahead  = 2 * second // the priority of an event is the utility it would lose by waiting this long
+	admissionDivisor   = 20         // a call admitted by a slow start leaves within 1/20 of the time for which calls are counted
 	rankFillCalls      = 1          // calls in flight at an endpoint before the next in rank is used: no queue forms there
 )
 
@@ -52,12 +53,13 @@
 }
 
 // revokeIfForbidden takes back an event's send in flight, if it has not left, once it is no longer allowed. A send may have to wait for its
-// connection, its record or its socket, and by then a requested wait, the list or the dedup window may forbid it.
+// connection, its record or its socket, and by then a requested wait, the list, the dedup window or an outage may forbid it. The calls at an
+// endpoint in an outage are counted, and those from before it would come on top.
 func (s *Scheduler) revokeIfForbidden(evt int32) {
 	e := &s.events[evt]
 	c := &s.calls[e.call]
 	if e.unsentCancelled || (s.now >= s.limiters.heldUntil[s.endpoints.limiter[c.endpoint]] && s.endpoints.ready[c.endpoint] &&
-		s.now < s.dedupWindowEnd(e)) {
+		s.now < s.dedupWindowEnd(e) && (c.trial || !s.endpoints.ejected[c.endpoint])) {
 		return
 	}
 	s.exec.CancelUnsent(evt, e.sends-1)
@@ -166,7 +168,8 @@
 			s.exec.CloseIdle(ep)
 			idle = 0
 		}
-		s.calls = setAt(s.calls, e.call, call{endpoint: ep, startedAt: s.now, round: s.round, idleBefore: idle})
+		s.calls = setAt(s.calls, e.call, call{endpoint: ep, startedAt: s.now, round: s.round, idleBefore: idle,
+			trial: s.endpoints.ejected[ep]})
 		s.openCalls, s.endpoints.inFlight[ep], l.inFlight[limiter] =
 			s.openCalls+1, s.endpoints.inFlight[ep]+1, l.inFlight[limiter]+1
 		s.endpoints.credit[ep] = max(0, s.endpoints.credit[ep]-1)
@@ -183,11 +186,12 @@
 	case delivery.Deduplicated: // past the dedup window no repeat is allowed, and the event would be lost
 		timeout = min(timeout, timeoutMultiple*short, max(short, t.DedupWindow/attemptsPerDedupWindow))
 	}
-	s.exec.Send(evt, ep, timeout, s.terms(e))
+	s.exec.Send(evt, ep, timeout, s.terms(e, ep))
 }
 
-// terms returns what a send is decided on.
-func (s *Scheduler) terms(e *event) (terms delivery.Terms) {
+// terms returns what a send to an endpoint is decided on. The calls that a slow start admits are spread in time, so one that waits for
+// long before it leaves must not come on top of those admitted later.
+func (s *Scheduler) terms(e *event, ep int32) (terms delivery.Terms) {
 	t := &s.types[e.typ]
 	if end := s.dedupWindowEnd(e); end != math.MaxInt64 {
 		terms.WindowEnd = end
@@ -196,6 +200,9 @@
 		_, zone := e.firstPossibleRun()
 		terms.Grouped, terms.Zone = true, zone
 	}
+	if s.endpoints.inSlowStart(ep, s.now) {
+		terms.AdmittedUntil = s.now + s.endpoints.recovery.OverloadAfter/admissionDivisor
+	}
 	return terms
 }
 
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -157,17 +157,24 @@
 	p.ejected[ep], p.restoredAt[ep], p.failures[ep], p.timeouts[ep], p.lastAckAt[ep] = false, now, 0, 0, now
 }
 
+// inSlowStart reports whether an endpoint is in an outage, or warming up after one, and fails if it gets too many calls then.
+func (p *endpoints) inSlowStart(ep int32, now int64) bool {
+	if p.recovery.OverloadAfter <= 0 || p.recovery.OverloadFactor <= 0 { // cold endpoints do not fail from load
+		return false
+	}
+	warming := p.restoredAt[ep] >= 0 && now-p.restoredAt[ep] < p.recovery.WarmupTime
+	return p.ejected[ep] || warming
+}
+
 // admit reports whether an endpoint bears one more call. A cold one that is overloaded fails again, so the nodes that
 // noticed its outage share its budget.
 func (p *endpoints) admit(ep int32, now int64, rate, nodes float64) bool {
 	warm, until := p.recovery.ColdShare, now
-	if p.recovery.OverloadAfter <= 0 || p.recovery.OverloadFactor <= 0 { // cold endpoints do not fail from load
+	if !p.inSlowStart(ep, now) {
 		return true
 	}
 	if !p.ejected[ep] {
-		if until = p.restoredAt[ep]; until < 0 || now-until >= p.recovery.WarmupTime {
-			return true
-		}
+		until = p.restoredAt[ep]
 		warm += (1 - warm) * float64(now-until) / float64(p.recovery.WarmupTime)
 	}
 	window := float64(p.recovery.OverloadAfter) / float64(second)
