Lab: a call answered 400 counts as a send of none of its events

Change: the events are looked up before any send is recorded. Measured: TestInvalidCallCountsForNoEvent fails without the change (1 send, want 0) and passes with it.

--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -266,16 +266,13 @@
 	var node int32 = -1
 	var sends []callSend
 	work := int64(0)
-	for _, id := range r.ids {
-		e := em.events[id]
-		if e == nil && em.acceptUnknown {
-			e = &event{abandoned: true, node: -1, workTime: int64(em.scenario.Types[0].Work)}
-		}
-		if e == nil {
-			em.mu.Unlock()
-			writeStatus(c, 400, "")
-			return false
-		}
+	events := em.eventsOf(r)
+	if events == nil {
+		em.mu.Unlock()
+		writeStatus(c, 400, "")
+		return false
+	}
+	for _, e := range events {
 		e.refs++
 		node, work = e.node, max(work, e.workTime)
 		send := callSend{event: e, index: e.sendCount}
@@ -340,6 +337,21 @@
 	return writeAnswer(c, r, result)
 }
 
+// eventsOf returns the events of a call, or nil if one of them is unknown: then none of the call's sends counts. The lock is held.
+func (em *Emulator) eventsOf(r *callRequest) (events []*event) {
+	for _, id := range r.ids {
+		e := em.events[id]
+		if e == nil && em.acceptUnknown {
+			e = &event{abandoned: true, node: -1, workTime: int64(em.scenario.Types[0].Work)}
+		}
+		if e == nil {
+			return nil
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
 // callSend is one of the sends in a call.
 type callSend struct {
 	event     *event
--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -174,6 +174,31 @@
 	}
 }
 
+// Guards against a call that is answered 400, since one of its events is unknown, and yet counts as a send of the others: their next send
+// would pass for a repeat.
+func TestInvalidCallCountsForNoEvent(t *testing.T) {
+	em, err := Open(loadScenario(t, shortScenario), 3, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer em.Close()
+	known := &event{abandoned: true}
+	em.mu.Lock()
+	em.events["known"] = known
+	em.mu.Unlock()
+	call, _ := http.NewRequest("POST", "http://"+em.listeners[0].address+"/inbox/bulk", strings.NewReader("known - 1\r\nx\r\nforgotten - 1\r\nx\r\n"))
+	resp, err := http.DefaultClient.Do(call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	em.mu.Lock()
+	defer em.mu.Unlock()
+	if resp.StatusCode != http.StatusBadRequest || known.sendCount != 0 || known.refs != 0 {
+		t.Errorf("status %d, %d sends and %d references of the known event", resp.StatusCode, known.sendCount, known.refs)
+	}
+}
+
 // Guards against a checker that misses violations on sockets: a node that sends each event twice must be reported, as
 // in the simulator.
 func TestNodeThatSendsTwiceIsDetected(t *testing.T) {
