--- a/admission/admission.go
+++ b/admission/admission.go
@@ -27,16 +27,22 @@
 	RetryAfter         Denial = "retry_after"         // the destination asked for a wait
 	SlowStartLapsed    Denial = "slow_start"          // the send was admitted by a slow start that has gone on
 	ResponseUnreadable Denial = "response_unreadable" // a response that may ask for a wait has arrived and cannot be read yet
+	InputOverdue       Denial = "input_overdue"       // the process was suspended: what it was told meanwhile may not have been read yet
 )
 
 // Denials lists all denials.
 func Denials() []Denial {
 	return []Denial{Revoked, EventEnded, DeadlinePassed, WindowOver, OtherGroup, EndpointNotReady, EndpointMoved, RetryAfter,
-		SlowStartLapsed, ResponseUnreadable}
+		SlowStartLapsed, ResponseUnreadable, InputOverdue}
 }
 
 // IsTemporary reports whether the attempt may be sent on the same connection as soon as the reason is gone.
-func (d Denial) IsTemporary() bool { return d == ResponseUnreadable }
+func (d Denial) IsTemporary() bool { return d == ResponseUnreadable || d == InputOverdue }
+
+const (
+	maxHeartbeatAge = int64(50e6) // ns; the scheduler's rounds, which send heartbeats, are a fraction of that apart
+	catchUpTime     = int64(10e6) // ns from the first heartbeat after a suspension, until what has arrived is read
+)
 
 // Attempt describes an attempt that waits to be sent.
 type Attempt struct {
@@ -54,6 +60,8 @@
 	endpoints  []endpoint           // by index
 	heldUntil  map[limiterKey]int64 // ends of the waits that destinations asked for
 	unreadable map[uint32]int       // by destination, connections on which reads fail for a reason local to this machine
+	beatAt     int64                // of the last heartbeat; 0 for none yet
+	catchingUp int64                // until then what arrived during a suspension may not have been read
 }
 
 // endpoint is the newest state of an endpoint.
@@ -133,6 +141,21 @@
 	return &c.endpoints[index]
 }
 
+// Heartbeat records that the process runs and reads its input. Sends wait for the next one if the last is too old.
+func (c *Controller) Heartbeat(now int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isOverdue(now) {
+		c.catchingUp = now + catchUpTime
+	}
+	c.beatAt = now
+}
+
+// isOverdue reports whether the last heartbeat is too old. The caller holds the lock.
+func (c *Controller) isOverdue(now int64) bool {
+	return c.beatAt != 0 && now-c.beatAt > maxHeartbeatAge
+}
+
 // HoldUntil records that an endpoint asked for a wait. It never shortens one.
 func (c *Controller) HoldUntil(index int32, until int64) {
 	c.mu.Lock()
@@ -196,6 +219,8 @@
 		return SlowStartLapsed
 	case c.unreadable[a.Dest] > 0:
 		return ResponseUnreadable
+	case c.isOverdue(now) || now < c.catchingUp:
+		return InputOverdue
 	}
 	return Allowed
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -85,6 +85,16 @@
 			c.SetUnreadable(dest, true)
 			c.SetUnreadable(dest, false)
 		}, Allowed},
+		{"the last heartbeat is recent", func(c *Controller, _ *Attempt) { c.Heartbeat(now - maxHeartbeatAge) }, Allowed},
+		{"the process was suspended", func(c *Controller, _ *Attempt) { c.Heartbeat(now - maxHeartbeatAge - 1) }, InputOverdue},
+		{"it was suspended and has just gone on", func(c *Controller, _ *Attempt) {
+			c.Heartbeat(now - second)
+			c.Heartbeat(now - catchUpTime + 1)
+		}, InputOverdue},
+		{"it was suspended and has gone on", func(c *Controller, _ *Attempt) {
+			c.Heartbeat(now - second)
+			c.Heartbeat(now - catchUpTime)
+		}, Allowed},
 	} {
 		var controller Controller
 		for index := range int32(2) {
--- a/node/call.go
+++ b/node/call.go
@@ -9,9 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/bytebufferpool"
 
-	"jaspersill/admission"
 	"jaspersill/delivery"
 	"jaspersill/errclass"
 	"jaspersill/lifecycle"
@@ -61,10 +59,6 @@
 	progressWritten                        // the last byte was written, or may have been
 )
 
-const (
-	recordRetryInterval = 10 * time.Millisecond // between tries while the journal cannot be written
-)
-
 var attemptsEnded = metrics.NewCounterVec("jaspersill_attempts_ended_total", "Attempts that ended, by outcome.", "outcome",
 	delivery.Acked.String(), delivery.Errored.String(), delivery.Refused.String(), delivery.TimedOut.String(), delivery.ConnectFailed.String(),
 	delivery.Reset.String(), delivery.Cancelled.String(), delivery.Unsent.String(), delivery.Unreadable.String())
@@ -255,184 +249,6 @@
 	return delivery.ConnectFailed
 }
 
-// recordAttempts writes the call's attempts to the journal just before the request is written: the process may end while
-// an attempt is in flight, and after a restart an attempt without a record counts as not run. No lock is held meanwhile,
-// since the disk may be slow; abandon and recall leave ending the call or dropping the attempt to this goroutine. An
-// attempt that may no longer be sent on the connection is dropped without a record. It returns false if the call has ended.
-func (c *call) recordAttempts(conn *endpointConn) bool {
-	c.mu.Lock()
-	if c.ended {
-		c.mu.Unlock()
-		return false
-	}
-	c.progress = progressRecording
-	attempts := slices.Clone(c.attempts)
-	c.mu.Unlock()
-	recorded := make(map[*attempt]bool, len(attempts))
-	for _, a := range attempts {
-		recorded[a] = c.recordAttempt(a, conn)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, a := range attempts {
-		if !recorded[a] || a.revoked.Load() {
-			c.dropAttempt(a)
-		}
-	}
-	return !c.ended
-}
-
-// recordAttempt writes one attempt to the journal, retrying for as long as the attempt is wanted. It reports whether the
-// record was written.
-func (c *call) recordAttempt(a *attempt, conn *endpointConn) bool {
-	denial := c.judge(a, conn)
-	for ; denial.IsTemporary() && c.recordStillWanted(a); denial = c.judge(a, conn) {
-		time.Sleep(recordRetryInterval)
-	}
-	if denial != admission.Allowed {
-		c.logDenial(a, denial, stageRecording)
-		return false
-	}
-	if a.event.request.StartAttempt(a.number, c.pool.clock.now()) != nil {
-		return false
-	}
-	for {
-		err := c.pool.journal.recordAttempt(a.event, a.number, c.pool.clock.timeOfDay(), c.pool.zone(c.endpoint))
-		if err == nil {
-			return true
-		}
-		if errors.Is(err, errNotPending) || !c.recordStillWanted(a) {
-			return false
-		}
-		c.pool.journal.writeFailures.record(err)
-		time.Sleep(recordRetryInterval)
-	}
-}
-
-// recordStillWanted reports whether an attempt whose record could not be written yet is still to be sent.
-func (c *call) recordStillWanted(a *attempt) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.abandoned && !a.revoked.Load() && c.pool.clock.now() < a.event.monoDeadline
-}
-
-// dropAttempt removes an attempt from a call of which nothing has been sent. The caller holds c.mu.
-func (c *call) dropAttempt(a *attempt) {
-	if i := slices.Index(c.attempts, a); i >= 0 {
-		c.attempts = slices.Delete(c.attempts, i, i+1)
-		c.reportOutcome(a, result{outcome: delivery.Unsent})
-	}
-	if c.ended = c.ended || len(c.attempts) == 0; c.ended && c.cancelDial != nil {
-		c.cancelDial()
-	}
-}
-
-// startWrite permits the call to be written to a connection, without the attempts that may not be sent any more.
-func (c *call) startWrite(conn *endpointConn) writePermission {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended {
-		return writeDenied
-	}
-	if c.abandoned {
-		c.abandonOutcome = delivery.Unsent
-		c.finishLocked(nil)
-		return writeDenied
-	}
-	if c.dropDenied(conn); c.ended {
-		return writeDenied
-	}
-	if c.pool.admission.HasUnreadable(c.attempts[0].event.dest) {
-		return writeDelayed
-	}
-	now := c.pool.clock.now()
-	for _, a := range slices.Clone(c.attempts) {
-		if a.event.request.SendAttempt(a.number, now) != nil {
-			c.dropAttempt(a)
-		}
-	}
-	if c.ended {
-		return writeDenied
-	}
-	if c.conn == nil { // not a retry of the write
-		conn.countCall()
-	}
-	c.conn, c.progress, c.sentAt = conn, progressWriting, now
-	conn.expectResponse()
-	for _, a := range c.attempts {
-		c.logAttempt(a, "sending attempt", nil)
-	}
-	return writeAllowed
-}
-
-// write writes the request and reports whether its last byte was written. While not a single byte can be written, for a
-// reason local to this machine, it checks before each retry whether the call, and each of its attempts, may still be sent.
-func (c *call) write(conn *endpointConn, timeout int64) (complete bool, err error) {
-	buf := bytebufferpool.Get()
-	defer bytebufferpool.Put(buf)
-	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
-		buf.Reset()
-		if err := writeCall(buf, c.attempts, timeout); err != nil {
-			logs.Part("endpoints").WithError(err).Error("failed to serialize call as HTTP request")
-			return false, err
-		}
-		n, err := conn.WriteIfReady(buf.B, func() error { return c.mayWrite(conn) })
-		switch {
-		case n > 0:
-			if errors.Is(err, errNotAdmitted) {
-				c.logDenied(conn)
-			}
-			return n == buf.Len(), err
-		case errclass.Stream(err) == errclass.Transient:
-			transientFailures.With("write").Inc()
-			c.localFailure.Store(true)
-		case !errors.Is(err, errNotAdmitted) && !errors.Is(err, errNotAdmittedYet):
-			return false, err
-		}
-		if !c.holdWrite() || !c.resumeWrite(conn, pause) {
-			return false, err
-		}
-	}
-}
-
-// resumeWrite waits, and then until the call may be written. It returns false if it may not be written any more.
-func (c *call) resumeWrite(conn *endpointConn, pause time.Duration) bool {
-	for {
-		time.Sleep(pause)
-		switch c.startWrite(conn) {
-		case writeAllowed:
-			return true
-		case writeDenied:
-			return false
-		}
-	}
-}
-
-// holdWrite records that no byte of the call has been written, so that it can be abandoned and its attempts recalled. It
-// returns false if the call has ended or was abandoned.
-func (c *call) holdWrite() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended || c.abandoned {
-		return false
-	}
-	c.progress = progressRecording
-	for _, a := range c.attempts {
-		a.event.request.RevertSend(a.number)
-	}
-	return true
-}
-
-// finishWrite records whether the request was written completely, and reports whether the call was abandoned meanwhile.
-func (c *call) finishWrite(complete bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.progress = progressNone; complete {
-		c.progress = progressWritten
-	}
-	return c.abandoned
-}
-
 // abandon stops waiting for a call by closing its connection; the protocol has no other way to cancel one. A call with
 // several attempts is abandoned as a whole: the endpoint alone would decide what becomes of the remaining ones.
 func (c *call) abandon(outcome delivery.Outcome) {
--- a/node/callpermission.go
+++ b/node/callpermission.go
@@ -50,14 +50,19 @@
 		Address: conn.address, Terms: a.terms, Revoked: a.revoked.Load()}, c.pool.clock.now())
 }
 
-// dropDenied drops the attempts that may not be sent any more. The caller holds c.mu.
-func (c *call) dropDenied(conn *endpointConn) {
+// dropDenied drops the attempts that may not be sent any more. It reports whether one of the others may not be sent yet. The caller
+// holds c.mu.
+func (c *call) dropDenied(conn *endpointConn) (delayed bool) {
 	for _, a := range slices.Clone(c.attempts) {
-		if denial := c.judge(a, conn); denial != admission.Allowed && !denial.IsTemporary() {
+		switch denial := c.judge(a, conn); {
+		case denial.IsTemporary():
+			delayed = true
+		case denial != admission.Allowed:
 			c.logDenial(a, denial, stageSending)
 			c.dropAttempt(a)
 		}
 	}
+	return delayed
 }
 
 // mayWrite is called right before each system call that writes bytes of the call. It returns an error if one of the attempts may
--- a/node/decisionloop.go
+++ b/node/decisionloop.go
@@ -93,6 +93,7 @@
 			now = d.clock.now()
 		}
 		d.round(now)
+		d.endpoints.admission.Heartbeat(d.clock.now())
 		last = now
 		if d.wakeAt > 0 {
 			timer.Reset(time.Duration(max(0, d.wakeAt-d.clock.now())))
